--- /dev/null
+++ b/Makefile
@@ -0,0 +1,13 @@
+.PHONY: build test bench generate
+
+build:
+	go build -o oleanderflow .
+
+test:
+	go test -count=1 -timeout 20m ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+generate:
+	go tool -modfile=tools/go.mod wire ./internal/core
--- /dev/null
+++ b/internal/connection/caller/session.go
@@ -0,0 +1,303 @@
+// Package caller holds caller sessions: their start, their settings and
+// what they carry from one statement to the next.
+package caller
+
+import (
+	"crypto/rand"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/database"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+	"github.com/oleanderflow/oleanderflow/pkg/token"
+)
+
+// Limits of one session.
+const (
+	// maxMessageLength bounds one message of a caller, in bytes.
+	maxMessageLength = 64 << 20
+	// MaxStatements bounds the prepared statements of one session.
+	MaxStatements = 4096
+	// maxSettingLength bounds the value of one setting, in bytes.
+	maxSettingLength = 1024
+)
+
+// Statement is a statement that a caller has prepared.
+type Statement struct {
+	Query string
+	OIDs  []uint32
+	// Name is the statement's name on database connections.
+	Name string
+}
+
+// Session is one caller's connection. It is used by one goroutine, except
+// for Running, which is guarded by its mutex.
+type Session struct {
+	Backend *pgproto3.Backend
+	net     net.Conn
+
+	Group       string
+	User        string
+	Application string
+	PID         uint32
+	Secret      []byte
+
+	// Arrived is the event number of the session's start.
+	Arrived uint64
+	// Floor is the position that the session's reads must have reached.
+	Floor position.Position
+	// FloorKnown is set once Floor covers all that was acknowledged to the
+	// caller before it arrived.
+	FloorKnown bool
+	// Shared marks a session that runs on several connections at once.
+	Shared string
+	// MaxAge is the age that the caller accepts, zero for undeclared.
+	MaxAge clock.Duration
+	// RequestID names the next writing request.
+	RequestID string
+
+	Prepared map[string]*Statement
+	settings []setting
+
+	// Transaction is the connection that an open transaction holds.
+	Transaction *Held
+
+	mu      sync.Mutex
+	running *database.Conn
+	active  bool
+	leaving bool
+}
+
+// Held is a database connection that belongs to an open transaction.
+type Held struct {
+	Conn *database.Conn
+	Pool *database.Pool
+	// Database is the index of the connection's database in its group.
+	Database int
+	// Term is the term in which the transaction began, zero on a replica.
+	Term uint64
+}
+
+type setting struct{ name, value string }
+
+// ProtocolError reports a caller that broke the protocol or sent an
+// unacceptable start.
+type ProtocolError struct {
+	Code    string
+	Message string
+}
+
+func (e *ProtocolError) Error() string { return e.Message }
+
+// newSession returns a session on c with a random secret.
+func newSession(c net.Conn) (*Session, error) {
+	s := &Session{net: c, Secret: make([]byte, 4)}
+	if _, err := rand.Read(s.Secret); err != nil {
+		return nil, errors.Wrap(err, "draw the session's secret")
+	}
+	s.setConn(c)
+	return s, nil
+}
+
+func (s *Session) setConn(c net.Conn) {
+	s.net = c
+	s.Backend = pgproto3.NewBackend(c, c)
+	s.Backend.SetMaxBodyLen(maxMessageLength)
+}
+
+// RemoteAddr returns the caller's address.
+func (s *Session) RemoteAddr() string { return s.net.RemoteAddr().String() }
+
+// Write sends encoded messages to the caller.
+func (s *Session) Write(messages []byte) error {
+	_, err := s.net.Write(messages)
+	return err
+}
+
+// SetDeadline bounds all further reads and writes. The zero time lifts the
+// bound.
+func (s *Session) SetDeadline(t time.Time) { _ = s.net.SetDeadline(t) }
+
+// Close ends the connection.
+func (s *Session) Close() error { return s.net.Close() }
+
+// Begin marks that a request runs. It returns false if the session is
+// leaving and must not start one.
+func (s *Session) Begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return false
+	}
+	s.active = true
+	return true
+}
+
+// End marks that no request runs. It returns false if the session is
+// leaving.
+func (s *Session) End() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active = s.Transaction != nil
+	return s.active || !s.leaving
+}
+
+// Leave ends the session as soon as no request and no transaction runs.
+func (s *Session) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	if !s.active {
+		_ = s.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Leaving reports whether Leave was called.
+func (s *Session) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+// SetRunning notes the connection that a cancel request reaches, nil for
+// none.
+func (s *Session) SetRunning(c *database.Conn) {
+	s.mu.Lock()
+	s.running = c
+	s.mu.Unlock()
+}
+
+// Running returns the connection on which the session's request runs, or
+// nil.
+func (s *Session) Running() *database.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
+// RaiseFloor makes later reads see all up to p. It reports whether the
+// floor changed.
+func (s *Session) RaiseFloor(p position.Position) bool {
+	if s.Floor.AtLeast(p) {
+		return false
+	}
+	s.Floor = p
+	return true
+}
+
+// Token returns the session's token.
+func (s *Session) Token() string { return token.Token{Group: s.Group, Floor: s.Floor}.String() }
+
+const ownPrefix = "oleanderflow."
+
+// IsOwnSetting reports whether a setting is the proxy's own.
+func IsOwnSetting(name string) bool { return strings.HasPrefix(strings.ToLower(name), ownPrefix) }
+
+// Set changes one setting, the proxy's own or a tracked one of the
+// database's. It returns a *ProtocolError for a value that is not accepted.
+func (s *Session) Set(name, value string) error {
+	if len(value) > maxSettingLength {
+		return &ProtocolError{Code: outcome.CodeInvalid, Message: "setting " + name + " is too long"}
+	}
+	if IsOwnSetting(name) {
+		return s.setOwn(strings.ToLower(name)[len(ownPrefix):], value)
+	}
+	if !isTracked(name) {
+		return &ProtocolError{
+			Code:    outcome.CodeUnsupported,
+			Message: "setting " + name + " cannot be kept over pooled connections; use SET LOCAL in a transaction",
+		}
+	}
+	s.track(strings.ToLower(name), value)
+	return nil
+}
+
+func (s *Session) setOwn(name, value string) error {
+	switch name {
+	case "token":
+		return s.acceptToken(value)
+	case "session":
+		s.Shared = value
+	case "maxage":
+		return s.setMaxAge(value)
+	case "requestid":
+		s.RequestID = value
+	default:
+		return &ProtocolError{Code: outcome.CodeInvalid, Message: "unknown setting " + ownPrefix + name + "; expected token, session, maxAge or requestId"}
+	}
+	return nil
+}
+
+func (s *Session) acceptToken(value string) error {
+	t, err := token.Parse(value)
+	if err != nil {
+		return &ProtocolError{Code: outcome.CodeInvalid, Message: err.Error()}
+	}
+	if t.Group != s.Group {
+		return &ProtocolError{Code: outcome.CodeInvalid, Message: "session token is of group " + t.Group + ", not of " + s.Group}
+	}
+	s.RaiseFloor(t.Floor)
+	s.FloorKnown = true
+	return nil
+}
+
+func (s *Session) setMaxAge(value string) error {
+	if value == "" || value == "0" {
+		s.MaxAge = 0
+		return nil
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 {
+		return &ProtocolError{Code: outcome.CodeInvalid, Message: "invalid oleanderflow.maxAge " + value + "; expected a time such as 500ms or 2s"}
+	}
+	s.MaxAge = clock.FromStd(d)
+	return nil
+}
+
+// trackedSettings are the database settings that follow a session from
+// connection to connection.
+var trackedSettings = []string{
+	"application_name", "client_encoding", "datestyle", "timezone", "extra_float_digits",
+	"search_path", "statement_timeout", "lock_timeout", "intervalstyle", "bytea_output",
+	"standard_conforming_strings", "client_min_messages", "idle_in_transaction_session_timeout",
+	"default_transaction_isolation", "default_transaction_read_only",
+}
+
+func isTracked(name string) bool {
+	for _, t := range trackedSettings {
+		if strings.EqualFold(t, name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Session) track(name, value string) {
+	for i := range s.settings {
+		if s.settings[i].name == name {
+			s.settings[i].value = value
+			return
+		}
+	}
+	s.settings = append(s.settings, setting{name: name, value: value})
+}
+
+// ResetSettings forgets all tracked settings.
+func (s *Session) ResetSettings() { s.settings = nil }
+
+// SettingsStatement returns the statements that give a fresh connection the
+// session's settings, or "" if there are none.
+func (s *Session) SettingsStatement() string {
+	var b strings.Builder
+	for _, set := range s.settings {
+		b.WriteString("SET " + set.name + " = '" + strings.ReplaceAll(set.value, "'", "''") + "';")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/connection/caller/start.go
@@ -0,0 +1,365 @@
+package caller
+
+import (
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
+)
+
+// Authentication is how callers prove who they are.
+type Authentication interface{ authentication() }
+
+// Trust accepts every caller. It is meant for loopback addresses.
+type Trust struct{}
+
+// SCRAM asks for SCRAM-SHA-256 with the credentials that Lookup returns.
+type SCRAM struct {
+	Lookup func(user string) (scram.StoredCredentials, error)
+}
+
+func (Trust) authentication() {}
+func (SCRAM) authentication() {}
+
+// CancelKey identifies the request that a caller wants to cancel.
+type CancelKey struct {
+	PID    uint32
+	Secret []byte
+}
+
+// Acceptor starts sessions on accepted connections.
+type Acceptor struct {
+	// TLS returns the current TLS configuration, nil for plaintext only.
+	TLS func() *tls.Config
+	// RequireTLS refuses callers that do not ask for TLS.
+	RequireTLS bool
+	Auth       Authentication
+	Timeout    clock.Duration
+	// HasGroup reports whether a group of this name is declared.
+	HasGroup func(name string) bool
+	// Register gives the session its process number, before the caller is
+	// told of it.
+	Register func(*Session)
+}
+
+// Accept starts a session on c within the acceptor's timeout. For a cancel
+// request, it returns the key instead of a session.
+func (a *Acceptor) Accept(c net.Conn) (*Session, *CancelKey, error) {
+	_ = c.SetDeadline(time.Now().Add(a.Timeout.Std()))
+	s, err := newSession(c)
+	if err != nil {
+		return nil, nil, err
+	}
+	start, key, err := a.receiveStart(s)
+	if err != nil || key != nil {
+		a.reject(s, err)
+		return nil, key, err
+	}
+	if err := a.begin(s, start); err != nil {
+		a.reject(s, err)
+		return nil, nil, err
+	}
+	_ = s.net.SetDeadline(time.Time{})
+	return s, nil, nil
+}
+
+func (a *Acceptor) reject(s *Session, err error) {
+	var e *ProtocolError
+	if errors.As(err, &e) {
+		s.Backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: e.Code, Message: e.Message})
+		_ = s.Backend.Flush()
+	}
+}
+
+func (a *Acceptor) receiveStart(s *Session) (*pgproto3.StartupMessage, *CancelKey, error) {
+	encrypted := false
+	for {
+		msg, err := s.Backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, nil, startError(err)
+		}
+		switch m := msg.(type) {
+		case *pgproto3.SSLRequest:
+			if encrypted {
+				return nil, nil, &ProtocolError{Code: outcome.CodeProtocol, Message: "TLS was requested twice"}
+			}
+			if encrypted, err = a.startTLS(s); err != nil {
+				return nil, nil, err
+			}
+		case *pgproto3.GSSEncRequest:
+			if err := s.Write([]byte{'N'}); err != nil {
+				return nil, nil, err
+			}
+		case *pgproto3.CancelRequest:
+			return nil, &CancelKey{PID: m.ProcessID, Secret: append([]byte(nil), m.SecretKey...)}, nil
+		case *pgproto3.StartupMessage:
+			if a.RequireTLS && !encrypted {
+				return nil, nil, &ProtocolError{Code: outcome.CodePassword, Message: "this proxy accepts only TLS connections"}
+			}
+			return m, nil, nil
+		}
+	}
+}
+
+// startError tells a caller that broke the protocol from one that left.
+func startError(err error) error {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		return err
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return &ProtocolError{Code: outcome.CodeProtocol, Message: "startup message not received in time"}
+	}
+	return &ProtocolError{Code: outcome.CodeProtocol, Message: "invalid startup message: " + err.Error()}
+}
+
+func (a *Acceptor) startTLS(s *Session) (bool, error) {
+	var config *tls.Config
+	if a.TLS != nil {
+		config = a.TLS()
+	}
+	if config == nil {
+		return false, s.Write([]byte{'N'})
+	}
+	if err := s.Write([]byte{'S'}); err != nil {
+		return false, err
+	}
+	c := tls.Server(s.net, config)
+	if err := c.Handshake(); err != nil {
+		return false, errors.Wrap(err, "TLS handshake with the caller")
+	}
+	s.setConn(c)
+	return true, nil
+}
+
+func (a *Acceptor) begin(s *Session, m *pgproto3.StartupMessage) error {
+	if err := a.negotiate(s, m); err != nil {
+		return err
+	}
+	s.User = m.Parameters["user"]
+	s.Group = m.Parameters["database"]
+	if s.Group == "" {
+		s.Group = s.User
+	}
+	if s.User == "" {
+		return &ProtocolError{Code: outcome.CodePassword, Message: "no user given in the startup message"}
+	}
+	if err := a.authenticate(s); err != nil {
+		return err
+	}
+	if !a.HasGroup(s.Group) {
+		return &ProtocolError{Code: outcome.CodeNoGroup, Message: fmt.Sprintf("no database group %q is declared", s.Group)}
+	}
+	if err := s.applyStart(m.Parameters); err != nil {
+		return err
+	}
+	a.Register(s)
+	return s.sendStarted()
+}
+
+// negotiate answers a caller that asks for a later minor version.
+func (a *Acceptor) negotiate(s *Session, m *pgproto3.StartupMessage) error {
+	if m.ProtocolVersion>>16 != 3 {
+		return &ProtocolError{Code: outcome.CodeProtocol, Message: fmt.Sprintf("unsupported protocol version %d.%d", m.ProtocolVersion>>16, m.ProtocolVersion&0xffff)}
+	}
+	if m.ProtocolVersion == pgproto3.ProtocolVersion30 {
+		return nil
+	}
+	var unknown []string
+	for name := range m.Parameters {
+		if strings.HasPrefix(name, "_pq_.") {
+			unknown = append(unknown, name)
+		}
+	}
+	s.Backend.Send(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: 0, UnrecognizedOptions: unknown})
+	return nil
+}
+
+func (a *Acceptor) authenticate(s *Session) error {
+	switch auth := a.Auth.(type) {
+	case Trust:
+		s.Backend.Send(&pgproto3.AuthenticationOk{})
+		return nil
+	case SCRAM:
+		return authenticateSCRAM(s, auth)
+	}
+	return errors.New("no authentication is configured")
+}
+
+func authenticateSCRAM(s *Session, auth SCRAM) error {
+	refused := &ProtocolError{Code: outcome.CodePassword, Message: "authentication failed for user " + s.User}
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return auth.Lookup(s.User) })
+	if err != nil {
+		return err
+	}
+	s.Backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{"SCRAM-SHA-256"}})
+	if err := s.Backend.SetAuthType(pgproto3.AuthTypeSASL); err != nil {
+		return err
+	}
+	conversation := server.NewConversation()
+	first, err := receiveAuth[*pgproto3.SASLInitialResponse](s)
+	if err != nil {
+		return err
+	}
+	if first.AuthMechanism != "SCRAM-SHA-256" {
+		return refused
+	}
+	answer, err := conversation.Step(string(first.Data))
+	if err != nil {
+		return refused
+	}
+	s.Backend.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)})
+	if err := s.Backend.SetAuthType(pgproto3.AuthTypeSASLContinue); err != nil {
+		return err
+	}
+	final, err := receiveAuth[*pgproto3.SASLResponse](s)
+	if err != nil {
+		return err
+	}
+	answer, err = conversation.Step(string(final.Data))
+	if err != nil || !conversation.Valid() {
+		return refused
+	}
+	s.Backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+	s.Backend.Send(&pgproto3.AuthenticationOk{})
+	return nil
+}
+
+func receiveAuth[M pgproto3.FrontendMessage](s *Session) (M, error) {
+	var none M
+	if err := s.Backend.Flush(); err != nil {
+		return none, err
+	}
+	msg, err := s.Backend.Receive()
+	if err != nil {
+		return none, err
+	}
+	m, ok := msg.(M)
+	if !ok {
+		return none, &ProtocolError{Code: outcome.CodeProtocol, Message: fmt.Sprintf("unexpected %T during authentication", msg)}
+	}
+	return m, nil
+}
+
+// startupOnly are the startup parameters that are no settings.
+var startupOnly = []string{"user", "database", "options", "replication"}
+
+func (s *Session) applyStart(parameters map[string]string) error {
+	if v := parameters["replication"]; v != "" && v != "false" && v != "off" && v != "0" {
+		return &ProtocolError{Code: outcome.CodeUnsupported, Message: "replication connections are not served"}
+	}
+	settings, err := ParseOptions(parameters["options"])
+	if err != nil {
+		return err
+	}
+	for name, value := range parameters {
+		if !isStartupOnly(name) && !strings.HasPrefix(name, "_pq_.") {
+			settings = append(settings, Setting{Name: name, Value: value})
+		}
+	}
+	for _, set := range settings {
+		if strings.EqualFold(set.Name, "application_name") {
+			s.Application = set.Value
+		}
+		if err := s.Set(set.Name, set.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func isStartupOnly(name string) bool {
+	for _, n := range startupOnly {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Setting is one name and value of a start.
+type Setting struct{ Name, Value string }
+
+// ParseOptions reads the startup parameter "options": words -c name=value
+// or --name=value, with backslash escapes. It returns a *ProtocolError for
+// anything else.
+func ParseOptions(text string) ([]Setting, error) {
+	if len(text) > 4*maxSettingLength {
+		return nil, &ProtocolError{Code: outcome.CodeInvalid, Message: "startup options are too long"}
+	}
+	var settings []Setting
+	words := splitOptions(text)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		switch {
+		case word == "-c" && i+1 < len(words):
+			i++
+			word = words[i]
+		case strings.HasPrefix(word, "-c"):
+			word = word[2:]
+		case strings.HasPrefix(word, "--"):
+			word = strings.ReplaceAll(word[2:], "-", "_")
+		default:
+			return nil, &ProtocolError{Code: outcome.CodeInvalid, Message: "invalid startup option " + word + "; expected -c name=value"}
+		}
+		name, value, ok := strings.Cut(word, "=")
+		if !ok || name == "" {
+			return nil, &ProtocolError{Code: outcome.CodeInvalid, Message: "invalid startup option " + word + "; expected -c name=value"}
+		}
+		settings = append(settings, Setting{Name: name, Value: value})
+	}
+	return settings, nil
+}
+
+func splitOptions(text string) []string {
+	var words []string
+	var word strings.Builder
+	inWord := false
+	for i := 0; i < len(text); i++ {
+		c := text[i]
+		switch {
+		case c == '\\' && i+1 < len(text):
+			i++
+			word.WriteByte(text[i])
+			inWord = true
+		case c == ' ' || c == '\t' || c == '\n':
+			if inWord {
+				words = append(words, word.String())
+				word.Reset()
+				inWord = false
+			}
+		default:
+			word.WriteByte(c)
+			inWord = true
+		}
+	}
+	if inWord {
+		words = append(words, word.String())
+	}
+	return words
+}
+
+// startedParameters are reported to every caller at its start.
+var startedParameters = []Setting{
+	{"server_version", "16.0 (oleanderflow)"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"}, {"TimeZone", "UTC"}, {"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+}
+
+func (s *Session) sendStarted() error {
+	for _, p := range startedParameters {
+		s.Backend.Send(&pgproto3.ParameterStatus{Name: p.Name, Value: p.Value})
+	}
+	s.Backend.Send(&pgproto3.BackendKeyData{ProcessID: s.PID, SecretKey: s.Secret})
+	s.Backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return s.Backend.Flush()
+}
--- /dev/null
+++ b/internal/connection/database/conn.go
@@ -0,0 +1,261 @@
+// Package database holds connections to the databases of a group: their
+// start, their pools and the control connections for group operations.
+package database
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	process "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+// maxMessageLength bounds one message of a database, in bytes.
+const maxMessageLength = 256 << 20
+
+// Target says where a database is and how to start a connection to it.
+type Target struct {
+	Address  string
+	Database string
+	User     string
+	Password string
+	// Application is sent as application_name.
+	Application string
+	// TLS is nil for a plaintext connection.
+	TLS *tls.Config
+}
+
+// Conn is one started connection to a database. It is used by one
+// goroutine at a time.
+type Conn struct {
+	net      net.Conn
+	Frontend *pgproto3.Frontend
+	// Prepared holds the names of the statements prepared on the connection.
+	Prepared map[string]struct{}
+	// Settings is the last settings text applied by SET, empty for none.
+	Settings string
+	// PID and Secret are the key with which a request is cancelled.
+	PID    uint32
+	Secret []byte
+	// Doubtful marks a connection whose protocol state is not known. It is
+	// closed instead of reused.
+	Doubtful bool
+
+	target Target
+	closed atomic.Bool
+}
+
+// ServerError reports an ErrorResponse received while starting a
+// connection or from a control statement.
+type ServerError struct {
+	Code    string
+	Message string
+}
+
+func (e *ServerError) Error() string { return e.Message + " (SQLSTATE " + e.Code + ")" }
+
+// Dial starts a connection. It returns a *process.ConnectError if the
+// server cannot be reached and a *ServerError if it turns the start down.
+func Dial(ctx context.Context, t Target) (*Conn, error) {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return nil, &process.ConnectError{Address: t.Address, Cause: err}
+	}
+	conn := &Conn{net: c, target: t, Prepared: make(map[string]struct{})}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	err = conn.start()
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (c *Conn) start() error {
+	if c.target.TLS != nil {
+		if err := c.startTLS(); err != nil {
+			return err
+		}
+	}
+	c.Frontend = pgproto3.NewFrontend(c.net, c.net)
+	c.Frontend.SetMaxBodyLen(maxMessageLength)
+	c.Frontend.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{
+			"user": c.target.User, "database": c.target.Database, "application_name": c.target.Application,
+		},
+	})
+	if err := c.Frontend.Flush(); err != nil {
+		return err
+	}
+	return c.receiveStart()
+}
+
+func (c *Conn) startTLS() error {
+	request, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := c.net.Write(request); err != nil {
+		return err
+	}
+	var answer [1]byte
+	if _, err := c.net.Read(answer[:]); err != nil {
+		return err
+	}
+	if answer[0] != 'S' {
+		return errors.Errorf("database at %s does not offer TLS", c.target.Address)
+	}
+	c.net = tls.Client(c.net, c.target.TLS)
+	return nil
+}
+
+func (c *Conn) receiveStart() error {
+	var conversation *scram.ClientConversation
+	for {
+		msg, err := c.Frontend.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.AuthenticationCleartextPassword:
+			if c.target.TLS == nil {
+				return errors.Errorf("database at %s asks for a cleartext password without TLS", c.target.Address)
+			}
+			c.Frontend.Send(&pgproto3.PasswordMessage{Password: c.target.Password})
+			err = c.Frontend.Flush()
+		case *pgproto3.AuthenticationSASL:
+			conversation, err = c.startSCRAM(m)
+		case *pgproto3.AuthenticationSASLContinue:
+			err = c.continueSCRAM(conversation, m.Data)
+		case *pgproto3.AuthenticationSASLFinal:
+			err = finishSCRAM(conversation, m.Data)
+		case *pgproto3.BackendKeyData:
+			c.PID, c.Secret = m.ProcessID, append([]byte(nil), m.SecretKey...)
+		case *pgproto3.ErrorResponse:
+			return &ServerError{Code: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) startSCRAM(m *pgproto3.AuthenticationSASL) (*scram.ClientConversation, error) {
+	const mechanism = "SCRAM-SHA-256"
+	offered := strings.Join(m.AuthMechanisms, " ") + " "
+	if !strings.Contains(offered, mechanism+" ") {
+		return nil, errors.Errorf("database at %s offers no %s", c.target.Address, mechanism)
+	}
+	client, err := scram.SHA256.NewClient(c.target.User, c.target.Password, "")
+	if err != nil {
+		return nil, errors.Wrap(err, "prepare SCRAM")
+	}
+	conversation := client.NewConversation()
+	first, err := conversation.Step("")
+	if err != nil {
+		return nil, errors.Wrap(err, "start SCRAM")
+	}
+	c.Frontend.Send(&pgproto3.SASLInitialResponse{AuthMechanism: mechanism, Data: []byte(first)})
+	return conversation, c.Frontend.Flush()
+}
+
+func (c *Conn) continueSCRAM(conversation *scram.ClientConversation, data []byte) error {
+	if conversation == nil {
+		return errors.New("database continued a SCRAM exchange that was not started")
+	}
+	next, err := conversation.Step(string(data))
+	if err != nil {
+		return errors.Wrap(err, "continue SCRAM")
+	}
+	c.Frontend.Send(&pgproto3.SASLResponse{Data: []byte(next)})
+	return c.Frontend.Flush()
+}
+
+func finishSCRAM(conversation *scram.ClientConversation, data []byte) error {
+	if conversation == nil {
+		return errors.New("database finished a SCRAM exchange that was not started")
+	}
+	_, err := conversation.Step(string(data))
+	return errors.Wrap(err, "finish SCRAM")
+}
+
+// Write sends encoded messages.
+func (c *Conn) Write(messages []byte) error {
+	_, err := c.net.Write(messages)
+	return err
+}
+
+// SetDeadline bounds all further reads and writes. The zero time lifts the
+// bound.
+func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+
+// Close ends the connection. It may be called from another goroutine than
+// the one that uses the connection.
+func (c *Conn) Close() error {
+	if c.closed.Swap(true) {
+		return nil
+	}
+	return c.net.Close()
+}
+
+// Cancel asks the server to cancel what runs on the connection.
+func (c *Conn) Cancel(ctx context.Context) error {
+	var dialer net.Dialer
+	n, err := dialer.DialContext(ctx, "tcp", c.target.Address)
+	if err != nil {
+		return &process.ConnectError{Address: c.target.Address, Cause: err}
+	}
+	defer n.Close()
+	request, err := (&pgproto3.CancelRequest{ProcessID: c.PID, SecretKey: c.Secret}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	_, err = n.Write(request)
+	return err
+}
+
+// StatusStatement asks a database for its status.
+const StatusStatement = "SHOW oleanderflow.status"
+
+const statusFields = 7
+
+// ParseStatus reads the row with which a database answers StatusStatement.
+func ParseStatus(values [][]byte) (process.Status, error) {
+	var s process.Status
+	if len(values) != statusFields {
+		return s, errors.Errorf("status row has %d fields, expected %d", len(values), statusFields)
+	}
+	switch string(values[1]) {
+	case "primary":
+		s.Role = process.RolePrimary
+	case "replica":
+		s.Role = process.RoleReplica
+	}
+	if _, err := fmt.Sscan(string(values[2])+" "+string(values[3]), &s.Term, &s.Fenced); err != nil {
+		return s, errors.Wrap(err, "read status")
+	}
+	for i, p := range []*position.Position{&s.Received, &s.Applied, &s.TermStart} {
+		parsed, err := position.Parse(string(values[4+i]))
+		if err != nil {
+			return s, err
+		}
+		*p = parsed
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/connection/database/control.go
@@ -0,0 +1,117 @@
+package database
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	process "github.com/oleanderflow/oleanderflow/internal/process/database"
+)
+
+// codeTerm is the SQLSTATE of a group operation refused because of its
+// term.
+const codeTerm = "OF409"
+
+// Control carries out group operations over one connection, which it opens
+// anew after an error. It implements process.Operations.
+type Control struct {
+	target Target
+	mu     sync.Mutex
+	conn   *Conn
+}
+
+// NewControl returns a control that has not connected yet.
+func NewControl(t Target) *Control { return &Control{target: t} }
+
+// Status implements process.Operations.
+func (c *Control) Status(ctx context.Context) (process.Status, error) {
+	return c.run(ctx, "status", StatusStatement)
+}
+
+// Fence implements process.Operations.
+func (c *Control) Fence(ctx context.Context, term uint64, owner string) (process.Status, error) {
+	return c.run(ctx, "fence", call("fence", term, owner))
+}
+
+// Promote implements process.Operations.
+func (c *Control) Promote(ctx context.Context, term uint64, owner string) (process.Status, error) {
+	return c.run(ctx, "promote", call("promote", term, owner))
+}
+
+// Follow implements process.Operations.
+func (c *Control) Follow(ctx context.Context, term uint64, primary string) (process.Status, error) {
+	return c.run(ctx, "follow", call("follow", term, primary))
+}
+
+func call(operation string, term uint64, name string) string {
+	return fmt.Sprintf("CALL oleanderflow.%s(%d, '%s')", operation, term, strings.ReplaceAll(name, "'", "''"))
+}
+
+// Close ends the connection.
+func (c *Control) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return nil
+	}
+	err := c.conn.Close()
+	c.conn = nil
+	return err
+}
+
+func (c *Control) run(ctx context.Context, operation, statement string) (process.Status, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		conn, err := Dial(ctx, c.target)
+		if err != nil {
+			return process.Status{}, err
+		}
+		c.conn = conn
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		c.conn.SetDeadline(deadline)
+	}
+	status, err := c.exchange(operation, statement)
+	var refused *process.RefusedError
+	if err != nil && !errors.As(err, &refused) {
+		c.conn.Close()
+		c.conn = nil
+		return status, err
+	}
+	c.conn.SetDeadline(time.Time{})
+	return status, err
+}
+
+func (c *Control) exchange(operation, statement string) (process.Status, error) {
+	var status process.Status
+	var failure error
+	c.conn.Frontend.Send(&pgproto3.Query{String: statement})
+	if err := c.conn.Frontend.Flush(); err != nil {
+		return status, err
+	}
+	for {
+		msg, err := c.conn.Frontend.Receive()
+		if err != nil {
+			return status, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.DataRow:
+			if status, err = ParseStatus(m.Values); err != nil {
+				return status, err
+			}
+		case *pgproto3.ErrorResponse:
+			failure = &ServerError{Code: m.Code, Message: m.Message}
+			if m.Code == codeTerm {
+				failure = &process.RefusedError{Operation: operation, Message: m.Message}
+			}
+		case *pgproto3.ReadyForQuery:
+			return status, failure
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/dev.go
@@ -0,0 +1,251 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	standin "github.com/oleanderflow/oleanderflow/internal/standin/database"
+	"github.com/oleanderflow/oleanderflow/internal/version/operator"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// The ports of a development system, after the first proxy's.
+const (
+	devControlPort  = 9
+	devPeerPort     = 10
+	devDatabasePort = 20
+)
+
+const devGroup = "shop1"
+
+var devZones = []string{"zone-a", "zone-b", "zone-c"}
+
+// DevSettings describe a development system.
+type DevSettings struct {
+	Listen  netip.AddrPort
+	Proxies int
+	Lag     clock.Duration
+	// AnyPorts lets the system choose all ports.
+	AnyPorts bool
+	// ReplicationDelay is the one-way time between databases.
+	ReplicationDelay time.Duration
+}
+
+// Dev is a running development system: a database group's stand-in and
+// proxies, one for each zone in turn.
+type Dev struct {
+	Group   *standin.Group
+	Proxies []*Proxy
+	folder  string
+	control *proxy.Peers
+}
+
+// NewDev starts a development system.
+func NewDev(s DevSettings, log *zap.Logger) (*Dev, error) {
+	folder, err := os.MkdirTemp("", "oleanderflow")
+	if err != nil {
+		return nil, errors.Wrap(err, "create a folder for the stand-ins")
+	}
+	d := &Dev{folder: folder}
+	if err := d.start(s, log); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Dev) start(s DevSettings, log *zap.Logger) error {
+	var databases []standin.Settings
+	for i, zone := range devZones {
+		databases = append(databases, standin.Settings{
+			Name: string(rune('a' + i)), Zone: zone, Address: s.address(devDatabasePort + i),
+			MaxConnections: 50, ConnectDelay: 10 * time.Millisecond, ReplicationDelay: s.ReplicationDelay,
+		})
+	}
+	g, err := standin.NewGroup(devGroup, d.folder, clock.NewSystem(), log.Named("standin"), databases)
+	if err != nil {
+		return err
+	}
+	d.Group = g
+	for _, database := range g.Databases[1:] {
+		database.SetLag(s.Lag)
+	}
+	config, err := d.configuration()
+	if err != nil {
+		return err
+	}
+	if err := d.startProxies(s, config, log); err != nil {
+		return err
+	}
+	d.control, err = proxy.NewPeers(s.address(devControlPort), &faultReceiver{dev: d}, log)
+	return err
+}
+
+func (s DevSettings) address(offset int) string {
+	port := int(s.Listen.Port()) + offset
+	if s.AnyPorts {
+		port = 0
+	}
+	return netip.AddrPortFrom(s.Listen.Addr(), uint16(port)).String()
+}
+
+// configuration declares the stand-ins as an operator would.
+func (d *Dev) configuration() (*operator.Configuration, error) {
+	var b strings.Builder
+	b.WriteString("[group." + devGroup + "]\ncustomer = tyre ballast shop\nconnections = 50\n")
+	for _, database := range d.Group.Databases {
+		fmt.Fprintf(&b, "[database.%s.%s]\naddress = %s\nzone = %s\n", devGroup, database.Name(), database.Address(), database.Zone())
+	}
+	b.WriteString("[read.stock]\napplication = stock\nmaxAge = 2s\n")
+	config, _, err := operator.Load("dev.ini", []byte(b.String()), "", nil)
+	return config, err
+}
+
+func (d *Dev) startProxies(s DevSettings, config *operator.Configuration, log *zap.Logger) error {
+	var live []proxy.Peer
+	for i := range s.Proxies {
+		p, err := NewProxy(Instance{
+			Name: fmt.Sprintf("proxy-%d", i+1), Zone: devZones[i%len(devZones)],
+			Listen: s.address(i), PeerListen: s.address(devPeerPort + i),
+		}, config, log)
+		if err != nil {
+			return err
+		}
+		d.Proxies = append(d.Proxies, p)
+		live = append(live, p.Self())
+	}
+	for _, p := range d.Proxies {
+		p.SetLive(live)
+		go p.Serve()
+	}
+	return nil
+}
+
+// Close stops the system.
+func (d *Dev) Close() {
+	if d.control != nil {
+		d.control.Close()
+	}
+	for _, p := range d.Proxies {
+		p.Close()
+	}
+	if d.Group != nil {
+		d.Group.Close()
+	}
+	_ = os.RemoveAll(d.folder)
+}
+
+// FaultMessage asks a development system for a fault.
+type FaultMessage struct {
+	Group string `json:"group"`
+	Kind  string `json:"kind"`
+}
+
+const methodFault = "fault"
+
+type faultReceiver struct{ dev *Dev }
+
+// Receive implements the proxy package's Receiver.
+func (f *faultReceiver) Receive(_ context.Context, method string, params json.RawMessage) (any, error) {
+	if method != methodFault {
+		return nil, errors.Errorf("unknown method %q", method)
+	}
+	var m FaultMessage
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, errors.Wrap(err, "decode message")
+	}
+	return nil, f.dev.Fault(m.Group, m.Kind)
+}
+
+// Fault causes a fault of the named kind.
+func (d *Dev) Fault(group, kind string) error {
+	if group != d.Group.Name {
+		return errors.Errorf("no database group %q; expected %s", group, d.Group.Name)
+	}
+	if lag, ok := strings.CutPrefix(kind, "lag="); ok {
+		return d.setLag(lag)
+	}
+	switch kind {
+	case "stopPrimary":
+		d.Group.Primary().Stop()
+	case "partitionPrimary":
+		d.Group.Primary().Partition()
+	case "heal":
+		for _, database := range d.Group.Databases {
+			database.Heal()
+		}
+	default:
+		return errors.Errorf("unknown fault %q; expected stopPrimary, partitionPrimary, lag=2s, heal, storeDown or storeUp", kind)
+	}
+	return nil
+}
+
+func (d *Dev) setLag(text string) error {
+	lag, err := time.ParseDuration(text)
+	if err != nil || lag < 0 {
+		return errors.Errorf("invalid lag %q; expected a time such as 2s", text)
+	}
+	for _, database := range d.Group.Databases {
+		database.SetLag(clock.FromStd(lag))
+	}
+	return nil
+}
+
+// AwaitReady waits until every proxy knows the group's primary.
+func (d *Dev) AwaitReady(ctx context.Context) error {
+	for _, p := range d.Proxies {
+		if err := p.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func runDev(ctx context.Context, o *DevOptions, log *zap.Logger) int {
+	listen, err := netip.ParseAddrPort(o.Listen)
+	if err != nil {
+		return fail(err)
+	}
+	d, err := NewDev(DevSettings{Listen: listen, Proxies: o.Proxies, Lag: clock.FromStd(o.Lag)}, log)
+	if err != nil {
+		return fail(err)
+	}
+	defer d.Close()
+	ready, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	if err := d.AwaitReady(ready); err != nil {
+		return fail(errors.Wrap(err, "await the first primary"))
+	}
+	addresses := make([]string, len(d.Proxies))
+	for i, p := range d.Proxies {
+		addresses[i] = p.Address()
+	}
+	fmt.Printf("ready: database %s at %s\n", devGroup, strings.Join(addresses, ", "))
+	<-ctx.Done()
+	for _, p := range d.Proxies {
+		p.Shutdown(p.Configuration().Limits.ShutdownLimit)
+	}
+	return ExitOK
+}
+
+func runFault(ctx context.Context, o *DevOptions) int {
+	listen, err := netip.ParseAddrPort(o.Listen)
+	if err != nil {
+		return fail(err)
+	}
+	address := netip.AddrPortFrom(listen.Addr(), listen.Port()+devControlPort).String()
+	if err := proxy.CallAddress(ctx, address, methodFault, FaultMessage{Group: o.Fault.Group, Kind: o.Fault.Kind}, nil); err != nil {
+		return fail(errors.Wrap(err, "cause the fault"))
+	}
+	fmt.Println("done:", o.Fault.Kind)
+	return ExitOK
+}
--- /dev/null
+++ b/internal/core/dev_test.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"context"
+	"database/sql"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	_ "github.com/lib/pq"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+func startDev(t *testing.T, settings DevSettings) *Dev {
+	t.Helper()
+	settings.Listen = netip.MustParseAddrPort("127.0.0.1:0")
+	settings.AnyPorts = true
+	if settings.Proxies == 0 {
+		settings.Proxies = 3
+	}
+	d, err := NewDev(settings, zap.NewNop())
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, d.AwaitReady(ctx))
+	return d
+}
+
+func connect(t *testing.T, p *Proxy, parameters string) *pgx.Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, err := pgx.Connect(ctx, "postgres://shop@"+p.Address()+"/shop1?sslmode=disable"+parameters)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func TestStatementGoesThroughAnyProxy(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	ctx := context.Background()
+	c := connect(t, d.Proxies[0], "")
+	_, err := c.Exec(ctx, "CREATE TABLE fills (id INTEGER PRIMARY KEY, tyre TEXT)")
+	require.NoError(t, err)
+	for i, p := range d.Proxies {
+		c := connect(t, p, "")
+		_, err := c.Exec(ctx, "INSERT INTO fills (id, tyre) VALUES ($1, $2)", i, fmt.Sprint("tyre ", i))
+		require.NoError(t, err)
+		var count int
+		require.NoError(t, c.QueryRow(ctx, "SELECT count(*) FROM fills").Scan(&count))
+		require.Equal(t, i+1, count)
+	}
+}
+
+func TestLibPQThroughProxy(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	db, err := sql.Open("postgres", "postgres://shop@"+d.Proxies[1].Address()+"/shop1?sslmode=disable")
+	require.NoError(t, err)
+	defer db.Close()
+	_, err = db.Exec("CREATE TABLE fills (id INTEGER PRIMARY KEY, tyre TEXT)")
+	require.NoError(t, err)
+	tx, err := db.Begin()
+	require.NoError(t, err)
+	_, err = tx.Exec("INSERT INTO fills VALUES ($1, $2)", 1, "front")
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit())
+	var tyre string
+	require.NoError(t, db.QueryRow("SELECT tyre FROM fills WHERE id = $1", 1).Scan(&tyre))
+	require.Equal(t, "front", tyre)
+}
--- /dev/null
+++ b/internal/core/metrics.go
@@ -0,0 +1,71 @@
+package core
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	callerrequest "github.com/oleanderflow/oleanderflow/internal/request/caller"
+	dbrequest "github.com/oleanderflow/oleanderflow/internal/request/database"
+)
+
+const metricsInterval = time.Second
+
+type counterKey struct {
+	group, database, outcome string
+	reason                   dbrequest.Reason
+}
+
+// Metrics are the counters of one proxy.
+type Metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter prometheus.Reporter
+
+	mu       sync.RWMutex
+	counters map[counterKey]tally.Counter
+}
+
+// NewMetrics returns the counters of a proxy, all zero.
+func NewMetrics() *Metrics {
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "oleanderflow", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return &Metrics{scope: scope, closer: closer, reporter: reporter, counters: make(map[counterKey]tally.Counter)}
+}
+
+// Handler serves the counters in the usual text format.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Decision counts one routing decision.
+func (m *Metrics) Decision(d callerrequest.Decision) {
+	key := counterKey{group: d.Group, database: d.Database, outcome: d.Outcome, reason: d.Reason}
+	m.mu.RLock()
+	counter, ok := m.counters[key]
+	m.mu.RUnlock()
+	if !ok {
+		counter = m.addCounter(key)
+	}
+	counter.Inc(1)
+}
+
+func (m *Metrics) addCounter(key counterKey) tally.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counter := m.scope.Tagged(map[string]string{
+		"group": key.group, "database": key.database, "reason": string(key.reason), "outcome": key.outcome,
+	}).Counter("decisions")
+	m.counters[key] = counter
+	return counter
+}
+
+// Close stops reporting.
+func (m *Metrics) Close() { _ = m.closer.Close() }
--- /dev/null
+++ b/internal/core/options.go
@@ -0,0 +1,178 @@
+package core
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+// The program's exit codes.
+const (
+	ExitOK = 0
+	// ExitFailed: the command ran and failed.
+	ExitFailed = 1
+	// ExitUsage: the arguments or declarations are not acceptable.
+	ExitUsage = 2
+	// ExitBroken: a promise was broken during a demonstration.
+	ExitBroken = 3
+	// ExitConflict: another operator's change came first.
+	ExitConflict = 4
+	// ExitUnavailable: the platform's service cannot be reached.
+	ExitUnavailable = 5
+)
+
+// DefaultListen is where the first proxy of a development system listens.
+const DefaultListen = "127.0.0.1:16432"
+
+// Options are the program's arguments.
+type Options struct {
+	Proxy *ProxyOptions `arg:"subcommand:proxy" help:"run one proxy"`
+	Dev   *DevOptions   `arg:"subcommand:dev" help:"run proxies and stand-ins in one process, to try things out"`
+	Demo  *DemoOptions  `arg:"subcommand:demo" help:"run the harvest rush with faults and check every promise"`
+	Check *CheckOptions `arg:"subcommand:check" help:"check a base file and an overlay"`
+	Show  *ShowOptions  `arg:"subcommand:show" help:"show the merged declaration and where each value comes from"`
+
+	LogLevel string `arg:"--log-level,env:OLEANDERFLOW_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
+}
+
+// Declarations name the files that an operator declares.
+type Declarations struct {
+	Base    string `arg:"--base,required" placeholder:"FILE" help:"base file, shared by all sites"`
+	Overlay string `arg:"--overlay" placeholder:"FILE" help:"overlay of the site, which changes only what differs"`
+}
+
+// ProxyOptions are the arguments of one proxy.
+type ProxyOptions struct {
+	Declarations
+	Name       string   `arg:"--name,required,env:OLEANDERFLOW_NAME" help:"the instance's name"`
+	Zone       string   `arg:"--zone,required,env:OLEANDERFLOW_ZONE" help:"the instance's availability zone"`
+	Listen     string   `arg:"--listen,env:OLEANDERFLOW_LISTEN" default:"127.0.0.1:16432" placeholder:"IP:PORT" help:"where callers connect"`
+	PeerListen string   `arg:"--peer-listen,env:OLEANDERFLOW_PEER_LISTEN" default:"127.0.0.1:16442" placeholder:"IP:PORT" help:"where other proxies connect"`
+	Metrics    string   `arg:"--metrics-listen,env:OLEANDERFLOW_METRICS_LISTEN" placeholder:"IP:PORT" help:"where metrics, health and readiness are served"`
+	Peers      []string `arg:"--peer,separate" placeholder:"NAME,ZONE,IP:PORT" help:"another proxy (repeat for several)"`
+	TLSCert    string   `arg:"--tls-cert" placeholder:"FILE" help:"certificate for callers, read anew when it changes"`
+	TLSKey     string   `arg:"--tls-key" placeholder:"FILE" help:"key of the certificate"`
+	Users      string   `arg:"--users" placeholder:"FILE" help:"users and SCRAM-SHA-256 verifiers; without it, callers are trusted, on loopback only"`
+}
+
+// DevOptions are the arguments of the development system.
+type DevOptions struct {
+	Listen  string        `arg:"--listen" default:"127.0.0.1:16432" placeholder:"IP:PORT" help:"where the first proxy listens; the others take the ports after it"`
+	Proxies int           `arg:"--proxies" default:"3" help:"how many proxies run, 0 for stand-ins only"`
+	Lag     time.Duration `arg:"--lag" default:"0s" help:"how far the replicas lag behind"`
+	Fault   *FaultOptions `arg:"subcommand:fault" help:"cause a fault in a running development system"`
+}
+
+// FaultOptions name a fault.
+type FaultOptions struct {
+	Group string `arg:"--group" default:"shop1" help:"the database group"`
+	Kind  string `arg:"positional,required" placeholder:"KIND" help:"stopPrimary, partitionPrimary, lag=2s, heal, storeDown or storeUp"`
+}
+
+// DemoOptions are the arguments of the demonstration.
+type DemoOptions struct {
+	Duration time.Duration `arg:"--duration" default:"20s" help:"how long the load runs"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"seed of the load"`
+	JSON     bool          `arg:"--json" help:"print the results as JSON"`
+	Sessions int           `arg:"--sessions" default:"12" help:"how many callers run at once"`
+}
+
+// CheckOptions are the arguments of check.
+type CheckOptions struct {
+	Declarations
+	JSON bool `arg:"--json" help:"print the problems as JSON"`
+}
+
+// ShowOptions are the arguments of show.
+type ShowOptions struct {
+	Declarations
+	JSON bool `arg:"--json" help:"print the values as JSON"`
+}
+
+// Version implements the argument library's interface.
+func (Options) Version() string { return "oleanderflow " + Version }
+
+// Description implements the argument library's interface.
+func (Options) Description() string {
+	return "oleanderflow keeps callers' sessions consistent before groups of databases."
+}
+
+// Epilogue implements the argument library's interface.
+func (Options) Epilogue() string {
+	return "Start with: oleanderflow dev, then psql -h 127.0.0.1 -p 16432 shop1"
+}
+
+// ParseOptions reads and checks the arguments. It ends the program with
+// ExitUsage, or after printing help, unless they name a command.
+func ParseOptions(args []string) *Options {
+	var o Options
+	parser, err := arg.NewParser(arg.Config{Program: "oleanderflow", Exit: os.Exit}, &o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "oleanderflow:", err)
+		os.Exit(ExitUsage)
+	}
+	parser.MustParse(args)
+	if parser.Subcommand() == nil {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(ExitUsage)
+	}
+	if err := o.check(); err != nil {
+		fmt.Fprintln(os.Stderr, "oleanderflow:", err)
+		os.Exit(ExitUsage)
+	}
+	return &o
+}
+
+func (o *Options) check() error {
+	switch {
+	case o.Proxy != nil:
+		return checkAddresses(o.Proxy.Listen, o.Proxy.PeerListen, o.Proxy.Metrics)
+	case o.Dev != nil:
+		if o.Dev.Proxies < 0 || o.Dev.Proxies > maxDevProxies {
+			return &OptionError{Option: "--proxies", Value: fmt.Sprint(o.Dev.Proxies), Expected: "0 to 9"}
+		}
+		return checkAddresses(o.Dev.Listen)
+	case o.Demo != nil:
+		if o.Demo.Duration < minDemo {
+			return &OptionError{Option: "--duration", Value: o.Demo.Duration.String(), Expected: "at least " + minDemo.String()}
+		}
+		if o.Demo.Sessions < 1 || o.Demo.Sessions > 500 {
+			return &OptionError{Option: "--sessions", Value: fmt.Sprint(o.Demo.Sessions), Expected: "1 to 500"}
+		}
+	}
+	return nil
+}
+
+const (
+	maxDevProxies = 9
+	minDemo       = 10 * time.Second
+)
+
+// OptionError reports an argument with an unacceptable value.
+type OptionError struct {
+	Option   string
+	Value    string
+	Expected string
+}
+
+func (e *OptionError) Error() string {
+	return fmt.Sprintf("invalid %s %q; expected %s", e.Option, e.Value, e.Expected)
+}
+
+func checkAddresses(addresses ...string) error {
+	for _, a := range addresses {
+		if a == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return &OptionError{Option: "address", Value: a, Expected: "an IP number and port such as 127.0.0.1:16432"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/receiver.go
@@ -0,0 +1,95 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
+	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+)
+
+// receiver takes in the messages of other proxies.
+type receiver struct{ proxy *Proxy }
+
+// Receive implements proxy.Receiver.
+func (r *receiver) Receive(_ context.Context, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case proxy.MethodOpinion:
+		return nil, with(params, r.opinion)
+	case proxy.MethodAnnounce:
+		return nil, with(params, r.announce)
+	case proxy.MethodCancel:
+		return nil, with(params, func(m proxy.CancelMessage) {
+			r.proxy.cancel(callerconn.CancelKey{PID: m.PID, Secret: m.Secret}, false)
+		})
+	}
+	return nil, errors.Errorf("unknown method %q", method)
+}
+
+// with decodes a message for handle.
+func with[M any](params json.RawMessage, handle func(M)) error {
+	var m M
+	if err := json.Unmarshal(params, &m); err != nil {
+		return errors.Wrap(err, "decode message")
+	}
+	handle(m)
+	return nil
+}
+
+func (p *Proxy) findGroup(name string) *group {
+	force := p.force.Load()
+	if force == nil {
+		return nil
+	}
+	return force.groups[name]
+}
+
+func (r *receiver) opinion(m proxy.OpinionMessage) {
+	if g := r.proxy.findGroup(m.Group); g != nil {
+		g.watch.HandleOpinion(dbprocess.Opinion{
+			Watcher: dbprocess.Watcher{Name: m.Watcher, Zone: m.Zone}, Term: m.Term, Suspect: m.Suspect,
+		})
+	}
+}
+
+// announce believes no announcement: it asks the databases at once.
+func (r *receiver) announce(m proxy.AnnounceMessage) {
+	g := r.proxy.findGroup(m.Group)
+	if g == nil {
+		return
+	}
+	for i, member := range g.monitor.Members() {
+		if member.Name == m.Primary {
+			g.watch.HandleAnnounce(dbprocess.Announce{Term: m.Term, Primary: i})
+		}
+	}
+	g.monitor.Refresh()
+}
+
+// colleagues carries a watcher's messages to the other proxies.
+type colleagues struct{ proxy *Proxy }
+
+// ShareOpinion implements the database package's Colleagues.
+func (c *colleagues) ShareOpinion(group string, o dbprocess.Opinion) {
+	p := c.proxy
+	p.mu.Lock()
+	live, watchers := p.live, p.force.Load().config.Watchers
+	p.mu.Unlock()
+	for _, w := range proxy.ChooseWatchers(group, live, watchers) {
+		if w.Name != p.instance.Name {
+			p.peers.Notify(w.Name, proxy.MethodOpinion, proxy.OpinionMessage{
+				Group: group, Watcher: o.Watcher.Name, Zone: o.Watcher.Zone, Term: o.Term, Suspect: o.Suspect,
+			})
+		}
+	}
+}
+
+// AnnouncePrimary implements the database package's Colleagues.
+func (c *colleagues) AnnouncePrimary(group string, term uint64, primary string) {
+	c.proxy.eachPeer(func(peer proxy.Peer) {
+		c.proxy.peers.Notify(peer.Name, proxy.MethodAnnounce, proxy.AnnounceMessage{Group: group, Term: term, Primary: primary})
+	})
+}
--- /dev/null
+++ b/internal/core/run.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/oleanderflow/oleanderflow/internal/version/operator"
+)
+
+// Run carries out the command that the options name and returns the
+// program's exit code.
+func Run(o *Options) int {
+	log, err := newLogger(o.LogLevel)
+	if err != nil {
+		return fail(err)
+	}
+	defer func() { _ = log.Sync() }()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	switch {
+	case o.Proxy != nil:
+		return runProxy(ctx, o.Proxy, log)
+	case o.Dev != nil && o.Dev.Fault != nil:
+		return runFault(ctx, o.Dev)
+	case o.Dev != nil:
+		return runDev(ctx, o.Dev, log)
+	case o.Demo != nil:
+		return runDemo(ctx, o.Demo, log)
+	case o.Check != nil:
+		return runCheck(o.Check)
+	case o.Show != nil:
+		return runShow(o.Show)
+	}
+	return ExitUsage
+}
+
+// fail prints an error in one line and returns the exit code for it.
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, "oleanderflow:", err)
+	var invalid *operator.InvalidError
+	var option *OptionError
+	if errors.As(err, &invalid) || errors.As(err, &option) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, &OptionError{Option: "--log-level", Value: level, Expected: "debug, info, warn or error"}
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(os.Stderr), parsed)
+	return zap.New(core), nil
+}
--- /dev/null
+++ b/internal/core/serve.go
@@ -0,0 +1,78 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+)
+
+// AwaitReady waits until the proxy knows the primary of every group.
+func (p *Proxy) AwaitReady(ctx context.Context) error {
+	for name, g := range p.force.Load().groups {
+		if err := g.monitor.Await(ctx, (*dbprocess.Group).Writable); err != nil {
+			return errors.Wrap(err, "group "+name)
+		}
+	}
+	return nil
+}
+
+func runProxy(ctx context.Context, o *ProxyOptions, log *zap.Logger) int {
+	config, _, err := o.load()
+	if err != nil {
+		return fail(err)
+	}
+	if err := o.requireLoopback(); err != nil {
+		return fail(err)
+	}
+	peers, err := parsePeers(o.Peers)
+	if err != nil {
+		return fail(err)
+	}
+	p, err := NewProxy(Instance{Name: o.Name, Zone: o.Zone, Listen: o.Listen, PeerListen: o.PeerListen}, config, log)
+	if err != nil {
+		return fail(err)
+	}
+	p.SetLive(append(peers, p.Self()))
+	go p.Serve()
+	fmt.Println("ready: proxy", o.Name, "at", p.Address())
+	<-ctx.Done()
+	if !p.Shutdown(config.Limits.ShutdownLimit) {
+		return fail(errors.New("requests were cut at the shutdown limit"))
+	}
+	return ExitOK
+}
+
+// requireLoopback refuses to trust callers from elsewhere.
+func (o *ProxyOptions) requireLoopback() error {
+	listen, err := netip.ParseAddrPort(o.Listen)
+	if err != nil {
+		return err
+	}
+	if !listen.Addr().IsLoopback() {
+		return &OptionError{Option: "--listen", Value: o.Listen, Expected: "a loopback address, or --users with --tls-cert and --tls-key"}
+	}
+	return nil
+}
+
+func parsePeers(texts []string) ([]proxy.Peer, error) {
+	var peers []proxy.Peer
+	for _, text := range texts {
+		parts := strings.Split(text, ",")
+		if len(parts) != 3 {
+			return nil, &OptionError{Option: "--peer", Value: text, Expected: "NAME,ZONE,IP:PORT"}
+		}
+		if _, _, err := net.SplitHostPort(parts[2]); err != nil {
+			return nil, &OptionError{Option: "--peer", Value: text, Expected: "NAME,ZONE,IP:PORT"}
+		}
+		peers = append(peers, proxy.Peer{Name: parts[0], Zone: parts[1], Address: parts[2]})
+	}
+	return peers, nil
+}
--- /dev/null
+++ b/internal/process/database/group.go
@@ -0,0 +1,167 @@
+package database
+
+import (
+	"slices"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+// Durability is when a commit may be acknowledged.
+type Durability uint8
+
+// The durabilities that a group can declare.
+const (
+	// DurabilityGroup: once any promotion would keep the commit.
+	DurabilityGroup Durability = iota
+	// DurabilityPrimary: on the primary's word alone. Commits may be lost
+	// with it.
+	DurabilityPrimary
+)
+
+// Group is one proxy's knowledge of a database group.
+type Group struct {
+	durability Durability
+	reports    []Report
+	heard      []bool
+	primary    int
+	term       uint64
+	newest     Sample
+	ring       *Ring
+	waiters    *Waiters
+	scratch    []position.Position
+	sent       []uint64
+	sentAt     []clock.Time
+}
+
+// NewGroup returns the knowledge of a group of size databases before any
+// has reported.
+func NewGroup(size int, d Durability) *Group {
+	return &Group{
+		durability: d, reports: make([]Report, size), heard: make([]bool, size),
+		primary: -1, ring: NewRing(), waiters: NewWaiters(),
+	}
+}
+
+// Size returns how many databases the group has.
+func (g *Group) Size() int { return len(g.reports) }
+
+// Majority returns how many databases meet every other majority.
+func (g *Group) Majority() int { return len(g.reports)/2 + 1 }
+
+// Primary returns the index and term of the database that leads the highest
+// term heard of, or -1.
+func (g *Group) Primary() (int, uint64) { return g.primary, g.term }
+
+// Report returns a database's last report and whether there is one.
+func (g *Group) Report(i int) (Report, bool) { return g.reports[i], g.heard[i] }
+
+// Ring returns the samples taken of the group's primary.
+func (g *Group) Ring() *Ring { return g.ring }
+
+// Waiting returns how many commits wait for their acknowledgement.
+func (g *Group) Waiting() int { return g.waiters.Len() }
+
+// Writable reports whether the known primary is not fenced off by a
+// majority.
+func (g *Group) Writable() bool {
+	if g.primary < 0 || !g.reports[g.primary].Status.Leads() {
+		return false
+	}
+	fenced := 0
+	for i := range g.reports {
+		if g.heard[i] && g.reports[i].Status.Fenced > g.term {
+			fenced++
+		}
+	}
+	return fenced < g.Majority()
+}
+
+// FreshSample returns the newest sample, if all of its questions were sent
+// after the event numbered after.
+func (g *Group) FreshSample(after uint64) (Sample, bool) {
+	return g.newest, g.newest.Sent > after
+}
+
+// Observe takes in a report and appends to dst the commits whose verdict it
+// decides.
+func (g *Group) Observe(r Report, dst []Release) []Release {
+	i := r.Database
+	if g.heard[i] && r.Sent < g.reports[i].Sent {
+		return dst
+	}
+	g.reports[i], g.heard[i] = r, true
+	if r.Status.Leads() && r.Status.Term > g.term {
+		g.primary, g.term = i, r.Status.Term
+		dst = g.waiters.settle(r.Status.TermStart, dst)
+	}
+	g.takeSample()
+	if p, ok := g.confirmedPosition(); ok {
+		dst = g.waiters.release(p, dst)
+	}
+	return dst
+}
+
+// Await holds a commit until Observe releases it. It returns false if the
+// commit is confirmed already.
+func (g *Group) Await(id uint64, p position.Position) bool {
+	if g.durability == DurabilityPrimary {
+		return false
+	}
+	confirmed, ok := g.confirmedPosition()
+	if ok && confirmed.Term == p.Term && confirmed.AtLeast(p) {
+		return false
+	}
+	g.waiters.Add(id, p)
+	return true
+}
+
+// Forget drops a waiter that has given up.
+func (g *Group) Forget(id uint64) { g.waiters.Remove(id) }
+
+// confirmedPosition returns the end of the log that a majority has received
+// in the current term.
+func (g *Group) confirmedPosition() (position.Position, bool) {
+	g.scratch = g.scratch[:0]
+	for i := range g.reports {
+		if received := g.reports[i].Status.Received; g.heard[i] && received.Term == g.term {
+			g.scratch = append(g.scratch, received)
+		}
+	}
+	if g.primary < 0 || len(g.scratch) < g.Majority() {
+		return position.Position{}, false
+	}
+	slices.SortFunc(g.scratch, func(a, b position.Position) int { return b.Compare(a) })
+	return g.scratch[g.Majority()-1], true
+}
+
+// takeSample keeps the primary's position if a majority, the primary among
+// it, was not fenced for a later term when asked.
+func (g *Group) takeSample() {
+	if g.primary < 0 || !g.reports[g.primary].Status.Leads() {
+		return
+	}
+	lead := g.reports[g.primary]
+	g.sent, g.sentAt = g.sent[:0], g.sentAt[:0]
+	for i, r := range g.reports {
+		if i != g.primary && g.heard[i] && r.Status.Fenced <= g.term {
+			g.sent = append(g.sent, r.Sent)
+			g.sentAt = append(g.sentAt, r.SentAt)
+		}
+	}
+	others := g.Majority() - 1
+	if len(g.sent) < others {
+		return
+	}
+	sample := Sample{Position: lead.Status.Applied, At: lead.SentAt, Sent: lead.Sent}
+	if others > 0 {
+		slices.Sort(g.sent)
+		slices.Sort(g.sentAt)
+		sample.Sent = min(sample.Sent, g.sent[len(g.sent)-others])
+		sample.At = min(sample.At, g.sentAt[len(g.sentAt)-others])
+	}
+	if sample.Sent > g.newest.Sent {
+		g.newest = sample
+		g.ring.Add(sample)
+	}
+}
--- /dev/null
+++ b/internal/process/database/registry.go
@@ -0,0 +1,82 @@
+package database
+
+import (
+	"sync"
+	"time"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// tickInterval is the time between two looks at the tables.
+const tickInterval = 5 * time.Millisecond
+
+// Ticked is a row whose time is advanced regularly.
+type Ticked interface {
+	Tick(now clock.Time)
+}
+
+// Registry advances the time of all monitors and watches of a process. Its
+// mutex is released before a row is ticked.
+type Registry struct {
+	clock clock.Clock
+	done  chan struct{}
+	ended chan struct{}
+
+	mu   sync.Mutex
+	rows map[Ticked]struct{}
+}
+
+// NewRegistry starts a registry without rows.
+func NewRegistry(c clock.Clock) *Registry {
+	r := &Registry{clock: c, done: make(chan struct{}), ended: make(chan struct{}), rows: make(map[Ticked]struct{})}
+	go r.run()
+	return r
+}
+
+// Add starts to tick a row.
+func (r *Registry) Add(row Ticked) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rows[row] = struct{}{}
+}
+
+// Remove stops ticking a row.
+func (r *Registry) Remove(row Ticked) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.rows, row)
+}
+
+func (r *Registry) run() {
+	defer close(r.ended)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var rows []Ticked
+	for {
+		select {
+		case <-ticker.C:
+		case <-r.done:
+			return
+		}
+		rows = r.snapshot(rows[:0])
+		now := r.clock.Now()
+		for _, row := range rows {
+			row.Tick(now)
+		}
+	}
+}
+
+func (r *Registry) snapshot(rows []Ticked) []Ticked {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for row := range r.rows {
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// Close stops ticking.
+func (r *Registry) Close() {
+	close(r.done)
+	<-r.ended
+}
--- /dev/null
+++ b/internal/process/database/ring.go
@@ -0,0 +1,97 @@
+package database
+
+import (
+	"sort"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+const (
+	ringCapacity = 256
+	// ringSpacing is the least time between two samples that are both kept.
+	ringSpacing = 4 * clock.Millisecond
+)
+
+// Sample is a primary's position confirmed by a majority: every commit
+// acknowledged before At lies at or before Position.
+type Sample struct {
+	Position position.Position
+	At       clock.Time
+	// Sent orders the sample's oldest question among all events of this
+	// process.
+	Sent uint64
+}
+
+// Ring keeps recent samples, dense for the near past and sparse for the
+// far one. It tells the age of a replica by this process's clock alone.
+type Ring struct {
+	samples []Sample
+}
+
+// NewRing returns an empty ring.
+func NewRing() *Ring { return &Ring{samples: make([]Sample, 0, ringCapacity)} }
+
+// Add appends a sample, which must not be older than the newest.
+func (r *Ring) Add(s Sample) {
+	n := len(r.samples)
+	switch {
+	case n > 0 && s.Position.Compare(r.samples[n-1].Position) < 0:
+		return
+	case n > 0 && r.samples[n-1].Position == s.Position:
+		r.samples[n-1] = s
+		return
+	case n > 1 && r.samples[n-1].At.Sub(r.samples[n-2].At) < ringSpacing:
+		r.samples[n-1] = s
+		return
+	case n == ringCapacity:
+		r.thin()
+	}
+	r.samples = append(r.samples, s)
+}
+
+// thin drops every other sample of the older half.
+func (r *Ring) thin() {
+	kept := r.samples[:0]
+	for i, s := range r.samples {
+		if i >= ringCapacity/2 || i%2 == 0 {
+			kept = append(kept, s)
+		}
+	}
+	r.samples = kept
+}
+
+// Age bounds from above how old the rows are that a database which has
+// applied p shows at now. It returns false if no sample covers p.
+func (r *Ring) Age(p position.Position, now clock.Time) (clock.Duration, bool) {
+	after := sort.Search(len(r.samples), func(i int) bool {
+		return r.samples[i].Position.Compare(p) > 0
+	})
+	if after == 0 {
+		return 0, false
+	}
+	// One millisecond covers the rounding of both times.
+	return now.Sub(r.samples[after-1].At) + clock.Millisecond, true
+}
+
+// ReachedAt returns when the primary was first seen at or past p.
+func (r *Ring) ReachedAt(p position.Position) (clock.Time, bool) {
+	at := sort.Search(len(r.samples), func(i int) bool {
+		return r.samples[i].Position.AtLeast(p)
+	})
+	if at == len(r.samples) {
+		return 0, false
+	}
+	return r.samples[at].At, true
+}
+
+// Floor returns the position that a database must have applied to show rows
+// no older than maxAge at now. It returns false if no sample is that young.
+func (r *Ring) Floor(now clock.Time, maxAge clock.Duration) (position.Position, bool) {
+	oldest := now.Add(clock.Millisecond - maxAge)
+	at := sort.Search(len(r.samples), func(i int) bool { return r.samples[i].At >= oldest })
+	if at == len(r.samples) {
+		return position.Position{}, false
+	}
+	return r.samples[at].Position, true
+}
--- /dev/null
+++ b/internal/process/database/waiters.go
@@ -0,0 +1,110 @@
+package database
+
+import (
+	"container/heap"
+
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+// Verdict is what became of a commit that waited for its acknowledgement.
+type Verdict uint8
+
+// The verdicts on a commit.
+const (
+	// Confirmed: any promotion's fence set holds the commit.
+	Confirmed Verdict = iota + 1
+	// Lost: the commit's term ended without it.
+	Lost
+)
+
+// Release tells a waiter its verdict.
+type Release struct {
+	Waiter  uint64
+	Verdict Verdict
+}
+
+type waiter struct {
+	id       uint64
+	position position.Position
+	index    int
+}
+
+// Waiters holds commits until their positions are confirmed.
+type Waiters struct {
+	queue waiterQueue
+	byID  map[uint64]*waiter
+}
+
+// NewWaiters returns an empty table.
+func NewWaiters() *Waiters { return &Waiters{byID: make(map[uint64]*waiter)} }
+
+// Add holds a commit at p.
+func (w *Waiters) Add(id uint64, p position.Position) {
+	item := &waiter{id: id, position: p}
+	w.byID[id] = item
+	heap.Push(&w.queue, item)
+}
+
+// Remove drops a waiter that has given up.
+func (w *Waiters) Remove(id uint64) {
+	if item, ok := w.byID[id]; ok {
+		heap.Remove(&w.queue, item.index)
+		delete(w.byID, id)
+	}
+}
+
+// Len returns how many commits wait.
+func (w *Waiters) Len() int { return len(w.queue) }
+
+// release appends to dst all waiters confirmed by a majority's log up to p.
+func (w *Waiters) release(p position.Position, dst []Release) []Release {
+	for len(w.queue) > 0 && w.queue[0].position.Term == p.Term && p.AtLeast(w.queue[0].position) {
+		dst = w.pop(dst, Confirmed)
+	}
+	return dst
+}
+
+// settle moves the waiters of earlier terms to the promotion point of a new
+// term, where it contains them. Those it does not contain are lost.
+func (w *Waiters) settle(start position.Position, dst []Release) []Release {
+	for len(w.queue) > 0 && w.queue[0].position.Term < start.Term {
+		item := w.queue[0]
+		if item.position.Term+1 != start.Term || item.position.Offset >= start.Offset {
+			dst = w.pop(dst, Lost)
+			continue
+		}
+		item.position = start
+		heap.Fix(&w.queue, 0)
+	}
+	return dst
+}
+
+func (w *Waiters) pop(dst []Release, v Verdict) []Release {
+	item := heap.Pop(&w.queue).(*waiter)
+	delete(w.byID, item.id)
+	return append(dst, Release{Waiter: item.id, Verdict: v})
+}
+
+type waiterQueue []*waiter
+
+func (q waiterQueue) Len() int           { return len(q) }
+func (q waiterQueue) Less(i, j int) bool { return q[i].position.Compare(q[j].position) < 0 }
+func (q waiterQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *waiterQueue) Push(x any) {
+	item := x.(*waiter)
+	item.index = len(*q)
+	*q = append(*q, item)
+}
+
+// Pop implements heap.Interface.
+func (q *waiterQueue) Pop() any {
+	old := *q
+	item := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return item
+}
--- /dev/null
+++ b/internal/process/database/workers.go
@@ -0,0 +1,68 @@
+package database
+
+import "sync"
+
+// Workers run submitted tasks on a fixed number of goroutines. A task may
+// take any lock: none is held while it starts.
+type Workers struct {
+	mu    sync.Mutex
+	ready *sync.Cond
+	queue []func()
+	done  chan struct{}
+	wait  sync.WaitGroup
+}
+
+// NewWorkers starts count workers.
+func NewWorkers(count int) *Workers {
+	w := &Workers{done: make(chan struct{})}
+	w.ready = sync.NewCond(&w.mu)
+	w.wait.Add(count)
+	for range count {
+		go w.run()
+	}
+	return w
+}
+
+// Submit queues a task. It never blocks; after Close the task is dropped.
+func (w *Workers) Submit(task func()) {
+	w.mu.Lock()
+	w.queue = append(w.queue, task)
+	w.mu.Unlock()
+	w.ready.Signal()
+}
+
+func (w *Workers) run() {
+	defer w.wait.Done()
+	for {
+		w.mu.Lock()
+		for len(w.queue) == 0 && !w.closed() {
+			w.ready.Wait()
+		}
+		if w.closed() {
+			w.mu.Unlock()
+			return
+		}
+		task := w.queue[0]
+		w.queue = w.queue[1:]
+		w.mu.Unlock()
+		task()
+	}
+}
+
+func (w *Workers) closed() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close drops the queue and waits for the running tasks.
+func (w *Workers) Close() {
+	w.mu.Lock()
+	close(w.done)
+	w.mu.Unlock()
+	w.ready.Broadcast()
+	w.wait.Wait()
+}
--- /dev/null
+++ b/internal/process/proxy/messages.go
@@ -0,0 +1,65 @@
+// Package proxy speaks with the other proxies: opinions and announcements
+// of failovers, cancel requests, membership and accepted declarations.
+package proxy
+
+import "github.com/oleanderflow/oleanderflow/pkg/clock"
+
+// Peer is another proxy.
+type Peer struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Address is the IP number and port for messages between proxies.
+	Address string `json:"address"`
+	// Leaving is set once the proxy takes no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// The methods of the protocol between proxies.
+const (
+	MethodOpinion  = "opinion"
+	MethodAnnounce = "announce"
+	MethodCancel   = "cancel"
+	MethodGossip   = "gossip"
+	MethodFetch    = "fetch"
+	MethodPause    = "pause"
+	MethodPromote  = "promote"
+	MethodStatus   = "status"
+)
+
+// OpinionMessage is a watcher's view of a group's primary.
+type OpinionMessage struct {
+	Group   string `json:"group"`
+	Watcher string `json:"watcher"`
+	Zone    string `json:"zone"`
+	Term    uint64 `json:"term"`
+	Suspect bool   `json:"suspect"`
+}
+
+// AnnounceMessage tells of a new primary.
+type AnnounceMessage struct {
+	Group   string `json:"group"`
+	Term    uint64 `json:"term"`
+	Primary string `json:"primary"`
+}
+
+// CancelMessage passes a cancel request on to the proxy that runs the
+// statement.
+type CancelMessage struct {
+	PID    uint32 `json:"pid"`
+	Secret []byte `json:"secret"`
+}
+
+// PauseMessage asks a proxy to start no writes in a group for a time. The
+// answer comes once no write runs there.
+type PauseMessage struct {
+	Group string         `json:"group"`
+	For   clock.Duration `json:"for"`
+	// Resume lifts the pause instead.
+	Resume bool `json:"resume,omitempty"`
+}
+
+// PauseAnswer tells whether all writes of the group have ended.
+type PauseAnswer struct {
+	Quiet   bool `json:"quiet"`
+	Running int  `json:"running"`
+}
--- /dev/null
+++ b/internal/process/proxy/peers.go
@@ -0,0 +1,265 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+)
+
+const (
+	dialTimeout = time.Second
+	// callTimeout bounds one call to a peer.
+	callTimeout = 5 * time.Second
+	// maxPending bounds the messages that wait to be sent to one peer.
+	maxPending = 64
+)
+
+// UnknownPeerError reports a message to a proxy that is not known.
+type UnknownPeerError struct{ Name string }
+
+func (e *UnknownPeerError) Error() string { return "no proxy named " + e.Name + " is known" }
+
+// Receiver takes in what peers send. The raw parameters are decoded by it.
+type Receiver interface {
+	Receive(ctx context.Context, method string, params json.RawMessage) (any, error)
+}
+
+// Peers keeps connections to other proxies and accepts theirs. Its mutex is
+// taken before a link's.
+type Peers struct {
+	receiver Receiver
+	log      *zap.Logger
+	listener net.Listener
+	done     chan struct{}
+	wait     sync.WaitGroup
+
+	mu      sync.Mutex
+	links   map[string]*link
+	servers map[*jsonrpc2.Conn]struct{}
+}
+
+// link is the outgoing connection to one peer.
+type link struct {
+	peer    Peer
+	pending chan func()
+
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// NewPeers listens for other proxies.
+func NewPeers(address string, r Receiver, log *zap.Logger) (*Peers, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for other proxies")
+	}
+	p := &Peers{
+		receiver: r, log: log, listener: l, done: make(chan struct{}),
+		links: make(map[string]*link), servers: make(map[*jsonrpc2.Conn]struct{}),
+	}
+	p.wait.Add(1)
+	go p.serve()
+	return p, nil
+}
+
+// Address returns where the proxy listens for others.
+func (p *Peers) Address() string { return p.listener.Addr().String() }
+
+// SetPeers replaces the set of known proxies.
+func (p *Peers) SetPeers(peers []Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := make(map[string]bool)
+	for _, peer := range peers {
+		wanted[peer.Name] = true
+		if l, ok := p.links[peer.Name]; ok && l.peer.Address == peer.Address {
+			l.peer = peer
+			continue
+		}
+		p.dropLocked(peer.Name)
+		p.addLocked(peer)
+	}
+	for name := range p.links {
+		if !wanted[name] {
+			p.dropLocked(name)
+		}
+	}
+}
+
+func (p *Peers) addLocked(peer Peer) {
+	l := &link{peer: peer, pending: make(chan func(), maxPending)}
+	p.links[peer.Name] = l
+	p.wait.Add(1)
+	go p.send(l)
+}
+
+func (p *Peers) dropLocked(name string) {
+	l, ok := p.links[name]
+	if !ok {
+		return
+	}
+	delete(p.links, name)
+	close(l.pending)
+	l.close()
+}
+
+// send carries out a link's messages in order, so that a peer that hangs
+// holds up no other.
+func (p *Peers) send(l *link) {
+	defer p.wait.Done()
+	for task := range l.pending {
+		task()
+	}
+}
+
+// Notify sends a message without waiting for it to arrive. Where too many
+// wait for the same peer, the message is dropped.
+func (p *Peers) Notify(name, method string, params any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.links[name]
+	if !ok {
+		return
+	}
+	task := func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		conn, err := p.connect(ctx, l)
+		if err == nil {
+			err = conn.Notify(ctx, method, params)
+		}
+		if err != nil {
+			p.log.Debug("message to a proxy not sent", zap.String("peer", name), zap.String("method", method), zap.Error(err))
+			l.close()
+		}
+	}
+	select {
+	case l.pending <- task:
+	default:
+		p.log.Debug("message to a proxy dropped: too many wait", zap.String("peer", name), zap.String("method", method))
+	}
+}
+
+// Call sends a message and waits for its answer. It returns an
+// *UnknownPeerError for a proxy that is not known.
+func (p *Peers) Call(ctx context.Context, name, method string, params, result any) error {
+	p.mu.Lock()
+	l, ok := p.links[name]
+	p.mu.Unlock()
+	if !ok {
+		return &UnknownPeerError{Name: name}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := p.connect(ctx, l)
+	if err != nil {
+		return err
+	}
+	return conn.Call(ctx, method, params, result)
+}
+
+// CallAddress sends one message to an address over a connection of its own.
+func CallAddress(ctx context.Context, address, method string, params, result any) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(c), jsonrpc2.HandlerWithError(rejectRequest))
+	defer conn.Close()
+	return conn.Call(ctx, method, params, result)
+}
+
+func (p *Peers) connect(ctx context.Context, l *link) (*jsonrpc2.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		select {
+		case <-l.conn.DisconnectNotify():
+			l.conn = nil
+		default:
+			return l.conn, nil
+		}
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", l.peer.Address)
+	if err != nil {
+		return nil, err
+	}
+	l.conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), jsonrpc2.HandlerWithError(rejectRequest))
+	return l.conn, nil
+}
+
+func rejectRequest(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "requests go the other way"}
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+func (p *Peers) serve() {
+	defer p.wait.Done()
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.accept(c)
+	}
+}
+
+func (p *Peers) accept(c net.Conn) {
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle))
+	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), handler)
+	p.mu.Lock()
+	p.servers[conn] = struct{}{}
+	p.mu.Unlock()
+	p.wait.Add(1)
+	go func() {
+		defer p.wait.Done()
+		select {
+		case <-conn.DisconnectNotify():
+		case <-p.done:
+			_ = conn.Close()
+		}
+		p.mu.Lock()
+		delete(p.servers, conn)
+		p.mu.Unlock()
+	}()
+}
+
+func (p *Peers) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	var params json.RawMessage
+	if r.Params != nil {
+		params = *r.Params
+	}
+	result, err := p.receiver.Receive(ctx, r.Method, params)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
+	}
+	return result, nil
+}
+
+// Close ends all connections and waits for their goroutines.
+func (p *Peers) Close() {
+	close(p.done)
+	_ = p.listener.Close()
+	p.mu.Lock()
+	for name := range p.links {
+		p.dropLocked(name)
+	}
+	p.mu.Unlock()
+	p.wait.Wait()
+}
--- /dev/null
+++ b/internal/request/caller/batch.go
@@ -0,0 +1,255 @@
+package caller
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/caller"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
+)
+
+const (
+	// maxBatch bounds the messages gathered before a Sync, in bytes.
+	maxBatch = 128 << 20
+	// maxPortals bounds the named portals of one batch or transaction.
+	maxPortals = 256
+)
+
+// step is one message of a batch and what its answer is.
+type step struct {
+	kind byte
+	// start and end delimit the encoded message in the batch's buffer.
+	start, end int
+	// statement is the name of the statement on database connections that
+	// the message needs, or defines.
+	statement string
+	// parse is the definition to send where the statement is missing.
+	parse *caller.Statement
+	// reply is what the proxy itself answers, nil for a message that the
+	// database answers.
+	reply []byte
+}
+
+// The kinds of steps, after the messages' own type bytes.
+const (
+	stepQuery    = 'Q'
+	stepParse    = 'P'
+	stepBind     = 'B'
+	stepDescribe = 'D'
+	stepExecute  = 'E'
+	stepClose    = 'C'
+	stepSync     = 'S'
+	stepFlush    = 'H'
+)
+
+// batch is the messages of one request, up to a Query, Sync or Flush.
+type batch struct {
+	buffer  []byte
+	steps   []step
+	kind    Kind
+	query   string
+	portals map[string]portalTarget
+	// executed is set once a statement of the batch runs in a database.
+	executed bool
+	copies   bool
+	ends     bool
+}
+
+type portalTarget struct {
+	statement *caller.Statement
+	kind      Kind
+}
+
+func (b *batch) reset() {
+	if cap(b.buffer) > 1<<16 {
+		b.buffer = nil
+	}
+	b.buffer, b.steps = b.buffer[:0], b.steps[:0]
+	b.kind, b.query = KindNone, ""
+	b.executed, b.copies, b.ends = false, false, false
+}
+
+// note folds the kind of one more statement into the batch's.
+func (b *batch) note(query string) Kind {
+	kind := Classify(query)
+	if b.query == "" {
+		b.query = query
+	}
+	b.copies = b.copies || kind == KindCopy
+	b.ends = b.ends || mayEndTransaction(query)
+	switch {
+	case b.kind == KindNone || b.kind == KindLocal || b.kind == KindSet:
+		b.kind = kind
+	case kind == KindSessionBound, b.kind == KindSessionBound:
+		b.kind = KindSessionBound
+	case kind == b.kind || kind == KindNone || kind == KindLocal || kind == KindSet:
+	case b.kind == KindBegin:
+	default:
+		b.kind = KindWrite
+	}
+	return kind
+}
+
+func mayEndTransaction(query string) bool {
+	word, _ := cutWord(skipComments(query))
+	switch word {
+	case "commit", "end", "rollback", "abort":
+		return true
+	}
+	return containsFold(query, "commit")
+}
+
+func (b *batch) encode(kind byte, m pgproto3.FrontendMessage) (*step, error) {
+	start := len(b.buffer)
+	buffer, err := m.Encode(b.buffer)
+	if err != nil {
+		return nil, &caller.ProtocolError{Code: outcome.CodeProtocol, Message: err.Error()}
+	}
+	if len(buffer) > maxBatch {
+		return nil, &caller.ProtocolError{Code: outcome.CodeProtocol, Message: "request is longer than " + strconv.Itoa(maxBatch) + " bytes"}
+	}
+	b.buffer = buffer
+	b.steps = append(b.steps, step{kind: kind, start: start, end: len(buffer)})
+	return &b.steps[len(b.steps)-1], nil
+}
+
+// local adds a step that the proxy answers itself.
+func (b *batch) local(kind byte, replies ...pgproto3.BackendMessage) error {
+	var reply []byte
+	for _, m := range replies {
+		encoded, err := m.Encode(reply)
+		if err != nil {
+			return err
+		}
+		reply = encoded
+	}
+	b.steps = append(b.steps, step{kind: kind, reply: reply})
+	return nil
+}
+
+// statementName derives the name of a statement on database connections
+// from its definition, so that callers with the same one share it.
+func statementName(m *pgproto3.Parse) string {
+	h := xxhash.New()
+	_, _ = h.WriteString(m.Query)
+	for _, oid := range m.ParameterOIDs {
+		_, _ = h.WriteString("," + strconv.FormatUint(uint64(oid), 10))
+	}
+	// The length makes an accidental collision of the 64-bit hash less likely.
+	return "of" + strconv.FormatUint(h.Sum64(), 36) + "_" + strconv.Itoa(len(m.Query))
+}
+
+// addParse records a definition in the session and rewrites its name.
+func (b *batch) addParse(s *caller.Session, m *pgproto3.Parse) error {
+	if _, ok := s.Prepared[m.Name]; !ok && len(s.Prepared) >= caller.MaxStatements {
+		return &caller.ProtocolError{Code: outcome.CodeUnsupported, Message: "too many prepared statements in one session"}
+	}
+	if s.Prepared == nil {
+		s.Prepared = make(map[string]*caller.Statement)
+	}
+	st := &caller.Statement{Query: m.Query, OIDs: append([]uint32(nil), m.ParameterOIDs...), Name: statementName(m)}
+	s.Prepared[m.Name] = st
+	if isLocal(Classify(m.Query)) {
+		b.note(m.Query)
+		return b.local(stepParse, &pgproto3.ParseComplete{})
+	}
+	b.note(m.Query)
+	added, err := b.encode(stepParse, &pgproto3.Parse{Name: st.Name, Query: m.Query, ParameterOIDs: m.ParameterOIDs})
+	if err != nil {
+		return err
+	}
+	added.statement, added.parse = st.Name, st
+	return nil
+}
+
+func isLocal(k Kind) bool { return k == KindSet || k == KindLocal || k == KindNone }
+
+func (b *batch) addBind(s *caller.Session, m *pgproto3.Bind) error {
+	st, ok := s.Prepared[m.PreparedStatement]
+	if !ok {
+		return &caller.ProtocolError{Code: "26000", Message: "prepared statement " + strconv.Quote(m.PreparedStatement) + " does not exist"}
+	}
+	kind := b.note(st.Query)
+	if b.portals == nil {
+		b.portals = make(map[string]portalTarget)
+	}
+	if len(b.portals) >= maxPortals {
+		return &caller.ProtocolError{Code: outcome.CodeUnsupported, Message: "too many open portals"}
+	}
+	b.portals[m.DestinationPortal] = portalTarget{statement: st, kind: kind}
+	if isLocal(kind) {
+		return b.local(stepBind, &pgproto3.BindComplete{})
+	}
+	renamed := *m
+	renamed.PreparedStatement = st.Name
+	added, err := b.encode(stepBind, &renamed)
+	if err != nil {
+		return err
+	}
+	added.statement, added.parse = st.Name, st
+	return nil
+}
+
+func (b *batch) addDescribe(s *caller.Session, m *pgproto3.Describe) error {
+	if m.ObjectType == 'P' {
+		if target, ok := b.portals[m.Name]; ok && isLocal(target.kind) {
+			return b.local(stepDescribe, describeLocal(target.statement.Query)...)
+		}
+		_, err := b.encode(stepDescribe, m)
+		return err
+	}
+	st, ok := s.Prepared[m.Name]
+	if !ok {
+		return &caller.ProtocolError{Code: "26000", Message: "prepared statement " + strconv.Quote(m.Name) + " does not exist"}
+	}
+	if isLocal(b.note(st.Query)) {
+		replies := append([]pgproto3.BackendMessage{&pgproto3.ParameterDescription{}}, describeLocal(st.Query)...)
+		return b.local(stepDescribe, replies...)
+	}
+	added, err := b.encode(stepDescribe, &pgproto3.Describe{ObjectType: 'S', Name: st.Name})
+	if err != nil {
+		return err
+	}
+	added.statement, added.parse = st.Name, st
+	return nil
+}
+
+func (b *batch) addExecute(s *caller.Session, m *pgproto3.Execute) error {
+	if target, ok := b.portals[m.Portal]; ok && isLocal(target.kind) {
+		replies, err := runLocal(s, target.statement.Query)
+		if err != nil {
+			return err
+		}
+		return b.local(stepExecute, replies...)
+	}
+	b.executed = true
+	_, err := b.encode(stepExecute, m)
+	return err
+}
+
+func (b *batch) addClose(s *caller.Session, m *pgproto3.Close) error {
+	if m.ObjectType == 'S' {
+		// Statements stay prepared on database connections for others.
+		delete(s.Prepared, m.Name)
+		return b.local(stepClose, &pgproto3.CloseComplete{})
+	}
+	target, ok := b.portals[m.Name]
+	delete(b.portals, m.Name)
+	if ok && isLocal(target.kind) {
+		return b.local(stepClose, &pgproto3.CloseComplete{})
+	}
+	_, err := b.encode(stepClose, m)
+	return err
+}
+
+// onlyLocal reports whether the proxy answers every step itself.
+func (b *batch) onlyLocal() bool {
+	for i := range b.steps {
+		if b.steps[i].reply == nil && b.steps[i].kind != stepSync && b.steps[i].kind != stepFlush {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/request/caller/exchange.go
@@ -0,0 +1,490 @@
+package caller
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/caller"
+	"github.com/oleanderflow/oleanderflow/internal/connection/database"
+	process "github.com/oleanderflow/oleanderflow/internal/process/database"
+)
+
+const (
+	// flushAfter is how many bytes of an answer are gathered before they are
+	// passed on.
+	flushAfter = 32 << 10
+	// maxPrepared bounds the statements prepared on one connection.
+	maxPrepared = 512
+	// codeReadOnly is a database's refusal to write in a read-only state.
+	codeReadOnly = "25006"
+	// settingsUnknown marks a connection whose settings must be reset.
+	settingsUnknown = "?"
+	// readySize is the encoded length of ReadyForQuery, in bytes.
+	readySize = 6
+)
+
+// phase is a part of an exchange that ends with ReadyForQuery.
+type phase uint8
+
+const (
+	phaseSettings phase = iota
+	phaseBefore
+	phaseBatch
+	phaseAfter
+	phaseCount
+)
+
+// errDropped stops the relay of an answer that failed its verification.
+var errDropped = errors.New("answer dropped")
+
+// awaited is an answer that the database still owes, or that the proxy
+// gives in its place.
+type awaited struct {
+	kind      byte
+	statement string
+	swallow   bool
+	reply     []byte
+}
+
+// exchange sends one batch on one connection and relays its answer. It is
+// reused from request to request.
+type exchange struct {
+	session *caller.Session
+	conn    *database.Conn
+	batch   *batch
+
+	out     []byte
+	request []byte
+	queue   []awaited
+	next    int
+	phases  [phaseCount]bool
+
+	// hold is where in out the part begins that waits for the commit's
+	// acknowledgement, or -1.
+	hold int
+	// verify decides before the first byte is passed on whether the answer
+	// may be.
+	verify   func() error
+	verified bool
+	dropped  bool
+	flushed  bool
+
+	before, after process.Status
+	hasBefore     bool
+	hasAfter      bool
+	sent          bool
+	failedCode    string
+	wrote         bool
+	txStatus      byte
+	midBatch      bool
+	copyIn        bool
+	callerErr     error
+}
+
+// lostError reports a connection that broke during an exchange.
+type lostError struct {
+	cause error
+	// sent is set if the database may have run the request.
+	sent bool
+}
+
+func (e *lostError) Error() string { return "database connection lost: " + e.cause.Error() }
+
+func (x *exchange) prepare(s *caller.Session, c *database.Conn, b *batch) {
+	x.session, x.conn, x.batch = s, c, b
+	x.out, x.request, x.queue = x.out[:0], x.request[:0], x.queue[:0]
+	x.next, x.hold = 0, -1
+	x.phases = [phaseCount]bool{}
+	x.verify, x.verified, x.dropped, x.flushed = nil, false, false, false
+	x.hasBefore, x.hasAfter, x.sent = false, false, false
+	x.failedCode, x.wrote, x.txStatus = "", false, 0
+	x.midBatch, x.copyIn, x.callerErr = false, false, nil
+}
+
+// trim gives large buffers back after a request.
+func (x *exchange) trim() {
+	if cap(x.out) > 1<<16 {
+		x.out = nil
+	}
+	if cap(x.request) > 1<<16 {
+		x.request = nil
+	}
+	x.conn, x.session, x.verify = nil, nil, nil
+}
+
+func (x *exchange) addQuery(p phase, query string) error {
+	encoded, err := (&pgproto3.Query{String: query}).Encode(x.request)
+	if err != nil {
+		return err
+	}
+	x.request = encoded
+	x.phases[p] = true
+	return nil
+}
+
+// assemble builds the request from the parts chosen by its arguments.
+func (x *exchange) assemble(before, after bool) error {
+	if want := x.session.SettingsStatement(); x.conn.Settings != want {
+		statement := want
+		if x.conn.Settings != "" {
+			statement = "RESET ALL;" + want
+		}
+		x.conn.Settings = want
+		if err := x.addQuery(phaseSettings, statement); err != nil {
+			return err
+		}
+	}
+	if before {
+		if err := x.addQuery(phaseBefore, database.StatusStatement); err != nil {
+			return err
+		}
+	}
+	if err := x.addBatch(); err != nil {
+		return err
+	}
+	if after {
+		return x.addQuery(phaseAfter, database.StatusStatement)
+	}
+	return nil
+}
+
+func (x *exchange) addBatch() error {
+	b := x.batch
+	parsed := make(map[string]bool)
+	for i := range b.steps {
+		st := &b.steps[i]
+		if st.reply != nil {
+			x.queue = append(x.queue, awaited{kind: st.kind, reply: st.reply})
+			continue
+		}
+		if st.statement != "" {
+			skip, err := x.ensurePrepared(st, parsed)
+			if err != nil {
+				return err
+			}
+			if skip {
+				continue
+			}
+		}
+		x.request = append(x.request, b.buffer[st.start:st.end]...)
+		x.queue = append(x.queue, awaited{kind: st.kind, statement: st.statement})
+	}
+	last := b.steps[len(b.steps)-1].kind
+	x.midBatch = last == stepFlush
+	x.phases[phaseBatch] = !x.midBatch
+	return nil
+}
+
+// ensurePrepared adds a Parse where the connection lacks a statement. It
+// returns true if the step needs not be sent because it defines a statement
+// that the connection has.
+func (x *exchange) ensurePrepared(st *step, parsed map[string]bool) (bool, error) {
+	_, known := x.conn.Prepared[st.statement]
+	known = known || parsed[st.statement]
+	if st.kind == stepParse {
+		if known {
+			x.queue = append(x.queue, awaited{kind: stepParse, reply: parseComplete})
+			return true, nil
+		}
+		parsed[st.statement] = true
+		return false, nil
+	}
+	if known {
+		return false, nil
+	}
+	parsed[st.statement] = true
+	p := &pgproto3.Parse{Name: st.statement, Query: st.parse.Query, ParameterOIDs: st.parse.OIDs}
+	encoded, err := p.Encode(x.request)
+	if err != nil {
+		return false, err
+	}
+	x.request = encoded
+	x.queue = append(x.queue, awaited{kind: stepParse, statement: st.statement, swallow: true})
+	return false, nil
+}
+
+var parseComplete = []byte{'1', 0, 0, 0, 4}
+
+// run sends the request and relays the answer up to its end. It returns a
+// *lostError if the connection broke.
+func (x *exchange) run() error {
+	if err := x.conn.Write(x.request); err != nil {
+		// Part of the request may have arrived.
+		x.sent = true
+		return x.lost(err)
+	}
+	x.sent = true
+	for p := range phaseCount {
+		if !x.phases[p] {
+			if p == phaseBatch && x.midBatch {
+				if err := x.relayUntilAnswered(); err != nil {
+					return err
+				}
+			}
+			continue
+		}
+		if err := x.runPhase(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (x *exchange) lost(err error) error {
+	x.conn.Doubtful = true
+	return &lostError{cause: err, sent: x.sent}
+}
+
+func (x *exchange) runPhase(p phase) error {
+	if p == phaseBatch {
+		x.emitReplies()
+	}
+	for {
+		msg, err := x.conn.Frontend.Receive()
+		if err != nil {
+			return x.lost(err)
+		}
+		done, err := x.take(p, msg)
+		if err != nil {
+			return err
+		}
+		if done {
+			return nil
+		}
+	}
+}
+
+// take handles one message of the database. It returns true at the end of
+// the phase.
+func (x *exchange) take(p phase, msg pgproto3.BackendMessage) (bool, error) {
+	switch m := msg.(type) {
+	case *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
+		return false, nil
+	case *pgproto3.DataRow:
+		if p == phaseBefore || p == phaseAfter {
+			return false, x.takeStatus(p, m)
+		}
+	case *pgproto3.ReadyForQuery:
+		if p != phaseBatch {
+			return true, nil
+		}
+		x.txStatus = m.TxStatus
+		return true, x.endBatch(m)
+	}
+	if p != phaseBatch {
+		return false, nil
+	}
+	return false, x.relay(msg)
+}
+
+func (x *exchange) takeStatus(p phase, m *pgproto3.DataRow) error {
+	status, err := database.ParseStatus(m.Values)
+	if err != nil {
+		return x.lost(err)
+	}
+	if p == phaseBefore {
+		x.before, x.hasBefore = status, true
+		return nil
+	}
+	x.after, x.hasAfter = status, true
+	return nil
+}
+
+// endBatch passes ReadyForQuery on, after the replies that the proxy gives
+// itself.
+func (x *exchange) endBatch(m *pgproto3.ReadyForQuery) error {
+	x.next = len(x.queue)
+	return x.append(m)
+}
+
+// relay passes one message of the batch's answer on.
+func (x *exchange) relay(msg pgproto3.BackendMessage) error {
+	switch m := msg.(type) {
+	case *pgproto3.ParseComplete:
+		return x.answered(msg)
+	case *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData, *pgproto3.PortalSuspended, *pgproto3.EmptyQueryResponse:
+		return x.answered(msg)
+	case *pgproto3.RowDescription:
+		if x.batch.steps[0].kind == stepQuery {
+			return x.append(msg)
+		}
+		return x.answered(msg)
+	case *pgproto3.CommandComplete:
+		x.noteTag(m.CommandTag)
+		return x.answered(msg)
+	case *pgproto3.ErrorResponse:
+		return x.failed(m)
+	case *pgproto3.CopyInResponse:
+		if err := x.append(msg); err != nil {
+			return err
+		}
+		return x.relayCopyIn()
+	case *pgproto3.CopyBothResponse:
+		return x.lost(errors.New("replication streams are not served"))
+	}
+	return x.append(msg)
+}
+
+// noteTag marks from where the answer waits for the commit, unless the
+// command cannot have written.
+func (x *exchange) noteTag(tag []byte) {
+	switch {
+	case hasPrefix(tag, "SELECT"), hasPrefix(tag, "SHOW"), hasPrefix(tag, "BEGIN"), hasPrefix(tag, "ROLLBACK"),
+		hasPrefix(tag, "SET"), hasPrefix(tag, "FETCH"), hasPrefix(tag, "SAVEPOINT"), hasPrefix(tag, "RELEASE"):
+	default:
+		x.wrote = true
+	}
+	if x.hold < 0 {
+		x.hold = len(x.out)
+	}
+}
+
+func hasPrefix(tag []byte, prefix string) bool {
+	return len(tag) >= len(prefix) && string(tag[:len(prefix)]) == prefix
+}
+
+// answered takes the next awaited answer off the queue and passes it on.
+func (x *exchange) answered(msg pgproto3.BackendMessage) error {
+	if x.batch.steps[0].kind == stepQuery {
+		return x.append(msg)
+	}
+	if x.next >= len(x.queue) {
+		return x.lost(errors.Errorf("unexpected %T from the database", msg))
+	}
+	a := x.queue[x.next]
+	x.next++
+	if a.kind == stepParse && a.statement != "" {
+		x.remember(a.statement)
+	}
+	if !a.swallow {
+		if err := x.append(msg); err != nil {
+			return err
+		}
+	}
+	x.emitReplies()
+	return nil
+}
+
+func (x *exchange) remember(statement string) {
+	if len(x.conn.Prepared) >= maxPrepared {
+		// The connection is closed after this use, which frees them all.
+		x.conn.Doubtful = true
+	}
+	x.conn.Prepared[statement] = struct{}{}
+}
+
+// emitReplies gives the answers that are the proxy's own and next in turn.
+func (x *exchange) emitReplies() {
+	for x.next < len(x.queue) && x.queue[x.next].reply != nil {
+		x.out = append(x.out, x.queue[x.next].reply...)
+		x.next++
+	}
+}
+
+// failed passes an error on. The database answers nothing more before Sync.
+func (x *exchange) failed(m *pgproto3.ErrorResponse) error {
+	x.failedCode = m.Code
+	x.next = len(x.queue)
+	return x.append(m)
+}
+
+// append adds one message to the answer and passes the answer on when it
+// has grown.
+func (x *exchange) append(msg pgproto3.BackendMessage) error {
+	if x.dropped {
+		return nil
+	}
+	encoded, err := msg.Encode(x.out)
+	if err != nil {
+		return x.lost(err)
+	}
+	x.out = encoded
+	if len(x.out) < flushAfter || x.hold >= 0 {
+		return nil
+	}
+	return x.flush()
+}
+
+// flush passes on what has been gathered, after the answer's verification.
+func (x *exchange) flush() error {
+	if x.callerErr != nil || !x.verifyOnce() {
+		x.out = x.out[:0]
+		return nil
+	}
+	x.flushed = true
+	if err := x.session.Write(x.out); err != nil {
+		// The rest of the answer is read all the same, so that the connection
+		// can be used again.
+		x.callerErr = err
+	}
+	x.out = x.out[:0]
+	return nil
+}
+
+func (x *exchange) verifyOnce() bool {
+	if x.verify != nil && !x.verified {
+		x.verified = true
+		x.dropped = x.verify() != nil
+	}
+	return !x.dropped
+}
+
+// relayUntilAnswered serves a Flush: it relays until nothing is owed.
+func (x *exchange) relayUntilAnswered() error {
+	x.emitReplies()
+	for x.next < len(x.queue) && x.queue[x.next].kind != stepFlush {
+		msg, err := x.conn.Frontend.Receive()
+		if err != nil {
+			return x.lost(err)
+		}
+		if _, err := x.take(phaseBatch, msg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// relayCopyIn passes the caller's rows to the database until the caller
+// ends them.
+func (x *exchange) relayCopyIn() error {
+	x.copyIn = true
+	if err := x.flush(); err != nil {
+		return err
+	}
+	if x.callerErr != nil {
+		return x.failCopy("caller went away")
+	}
+	for {
+		msg, err := x.session.Backend.Receive()
+		if err != nil {
+			x.callerErr = err
+			return x.failCopy("caller went away")
+		}
+		switch m := msg.(type) {
+		case *pgproto3.CopyData, *pgproto3.Flush:
+			x.conn.Frontend.Send(m)
+			if err := x.conn.Frontend.Flush(); err != nil {
+				return x.lost(err)
+			}
+		case *pgproto3.CopyDone, *pgproto3.CopyFail:
+			x.conn.Frontend.Send(m)
+			return x.wrapFlush()
+		case *pgproto3.Sync:
+		default:
+			x.callerErr = errors.Errorf("unexpected %T during COPY", m)
+			return x.failCopy("protocol error")
+		}
+	}
+}
+
+func (x *exchange) failCopy(reason string) error {
+	x.conn.Frontend.Send(&pgproto3.CopyFail{Message: reason})
+	return x.wrapFlush()
+}
+
+func (x *exchange) wrapFlush() error {
+	if err := x.conn.Frontend.Flush(); err != nil {
+		return x.lost(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/caller/tags.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"net/url"
+	"strings"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
+
+	"time"
+)
+
+// maxTagText bounds the comment that is read for tags, in bytes.
+const maxTagText = 2048
+
+// maxRequestID bounds a request id, in bytes.
+const maxRequestID = 128
+
+// Tags are what a statement's comment declares, in the sqlcommenter form
+// /*maxAge='2s',requestId='a1'*/.
+type Tags struct {
+	MaxAge    clock.Duration
+	RequestID string
+	Read      string
+	Class     string
+}
+
+// TagError reports a tag with an unacceptable value.
+type TagError struct {
+	Tag      string
+	Value    string
+	Expected string
+}
+
+func (e *TagError) Error() string {
+	return "invalid tag " + e.Tag + " '" + e.Value + "'; expected " + e.Expected
+}
+
+// Code returns the SQLSTATE of the error.
+func (e *TagError) Code() string { return outcome.CodeInvalid }
+
+// ParseTags reads the tags of a comment at the start or the end of a
+// statement. Comments of other forms are passed over; an own tag with a bad
+// value is a *TagError.
+func ParseTags(query string) (Tags, error) {
+	var t Tags
+	trimmed := strings.TrimRight(query, " \t\r\n;")
+	if strings.HasSuffix(trimmed, "*/") {
+		if at := strings.LastIndex(trimmed, "/*"); at >= 0 {
+			if err := t.parse(trimmed[at+2 : len(trimmed)-2]); err != nil {
+				return t, err
+			}
+		}
+	}
+	trimmed = strings.TrimLeft(query, " \t\r\n")
+	if strings.HasPrefix(trimmed, "/*") {
+		if end := strings.Index(trimmed, "*/"); end > 0 {
+			return t, t.parse(trimmed[2:end])
+		}
+	}
+	return t, nil
+}
+
+func (t *Tags) parse(comment string) error {
+	if len(comment) > maxTagText {
+		return nil
+	}
+	for pair := range strings.SplitSeq(comment, ",") {
+		key, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		if !ok || len(value) < 2 || value[0] != '\'' || value[len(value)-1] != '\'' {
+			continue
+		}
+		text, err := url.QueryUnescape(value[1 : len(value)-1])
+		if err != nil {
+			continue
+		}
+		if err := t.set(strings.TrimSpace(key), text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Tags) set(key, value string) error {
+	switch key {
+	case "maxAge":
+		d, err := time.ParseDuration(value)
+		if err != nil || d <= 0 {
+			return &TagError{Tag: key, Value: value, Expected: "a time such as 500ms or 2s"}
+		}
+		t.MaxAge = clock.FromStd(d)
+	case "requestId":
+		if value == "" || len(value) > maxRequestID {
+			return &TagError{Tag: key, Value: value, Expected: "1 to 128 characters"}
+		}
+		t.RequestID = value
+	case "read":
+		t.Read = value
+	case "class":
+		t.Class = value
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/database/route.go
@@ -0,0 +1,194 @@
+// Package database decides, for one request, which database of a group
+// serves it, and verifies that the answer may be passed on.
+package database
+
+import (
+	"github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+// Read is what a read accepts.
+type Read struct {
+	// Floor is the position that the read must see.
+	Floor position.Position
+	// MaxAge is the declared age, zero for a fresh read.
+	MaxAge clock.Duration
+	// Arrived is the event number of the read's arrival.
+	Arrived uint64
+}
+
+// Reason says why a request went where it did. It appears in logs and
+// counters.
+type Reason string
+
+// The reasons of a choice.
+const (
+	ReasonReplica       Reason = "replica"
+	ReasonReplicaWaited Reason = "replica: waited"
+	ReasonWrite         Reason = "primary: write"
+	ReasonFresh         Reason = "primary: fresh read"
+	ReasonFloor         Reason = "primary: floor not reached"
+	ReasonAge           Reason = "primary: replicas too old"
+	ReasonEjected       Reason = "primary: replicas ejected"
+	ReasonRefusedWrite  Reason = "primary: replica refused a write"
+	ReasonNoPrimary     Reason = "held: no primary"
+	ReasonTransaction   Reason = "transaction"
+)
+
+// Choice is where a request goes.
+type Choice interface{ choice() }
+
+// Use sends the request to a database, after a wait in which it is expected
+// to qualify.
+type Use struct {
+	Database int
+	Wait     clock.Duration
+	Reason   Reason
+}
+
+// Hold keeps the request until more is known of the group.
+type Hold struct{ Reason Reason }
+
+func (Use) choice()  {}
+func (Hold) choice() {}
+
+// Set is a set of databases of one group.
+type Set uint16
+
+// Add puts a database into the set.
+func (s *Set) Add(i int) { *s |= 1 << i }
+
+// Has reports whether a database is in the set.
+func (s Set) Has(i int) bool { return s&(1<<i) != 0 }
+
+// Router chooses databases for the requests of one group. The monitor's
+// lock guards it.
+type Router struct {
+	zones       []string
+	zone        string
+	replicaWait clock.Duration
+	health      []health
+	turn        int
+}
+
+// NewRouter returns a router of a proxy in zone for databases that stand in
+// zones.
+func NewRouter(zones []string, zone string, replicaWait clock.Duration) *Router {
+	return &Router{zones: zones, zone: zone, replicaWait: replicaWait, health: make([]health, len(zones))}
+}
+
+// Write chooses the database for a request that may write.
+func (r *Router) Write(g *database.Group) Choice {
+	primary, _ := g.Primary()
+	if primary < 0 || !g.Writable() {
+		return Hold{Reason: ReasonNoPrimary}
+	}
+	return Use{Database: primary, Reason: ReasonWrite}
+}
+
+// Read chooses the database for a read. Databases in tried are passed over.
+func (r *Router) Read(now clock.Time, read Read, g *database.Group, tried Set) Choice {
+	if read.MaxAge == 0 {
+		return r.fresh(g)
+	}
+	best, reason := r.bestReplica(now, read, g, tried)
+	if best.Database >= 0 {
+		return best
+	}
+	primary, _ := g.Primary()
+	if primary < 0 {
+		return Hold{Reason: ReasonNoPrimary}
+	}
+	return Use{Database: primary, Reason: reason}
+}
+
+func (r *Router) fresh(g *database.Group) Choice {
+	primary, _ := g.Primary()
+	if primary < 0 || !g.Writable() {
+		return Hold{Reason: ReasonNoPrimary}
+	}
+	return Use{Database: primary, Reason: ReasonFresh}
+}
+
+// bestReplica returns the replica expected to qualify first, the nearest
+// among equals, or one with a negative index and the reason for none.
+func (r *Router) bestReplica(now clock.Time, read Read, g *database.Group, tried Set) (Use, Reason) {
+	best := Use{Database: -1}
+	reason := ReasonAge
+	primary, _ := g.Primary()
+	r.turn++
+	for n := range r.zones {
+		i := (n + r.turn) % len(r.zones)
+		if i == primary || tried.Has(i) {
+			continue
+		}
+		if !r.health[i].admits(now) {
+			reason = ReasonEjected
+			continue
+		}
+		wait, ok, why := r.expectedWait(now, read, g, i)
+		if !ok {
+			reason = why
+			continue
+		}
+		if best.Database < 0 || wait < best.Wait || (wait == best.Wait && r.nearer(i, best.Database)) {
+			best = Use{Database: i, Wait: wait, Reason: ReasonReplica}
+		}
+	}
+	if best.Wait > 0 {
+		best.Reason = ReasonReplicaWaited
+	}
+	if best.Database >= 0 {
+		r.health[best.Database].admit(now)
+	}
+	return best, reason
+}
+
+func (r *Router) nearer(a, b int) bool { return r.zones[a] == r.zone && r.zones[b] != r.zone }
+
+// expectedWait estimates when a replica qualifies, from its last report and
+// its usual distance behind the primary.
+func (r *Router) expectedWait(now clock.Time, read Read, g *database.Group, i int) (clock.Duration, bool, Reason) {
+	report, heard := g.Report(i)
+	if !heard {
+		return 0, false, ReasonAge
+	}
+	behind, known := g.Ring().Age(report.Status.Applied, report.SentAt)
+	if !known || behind > read.MaxAge {
+		return 0, false, ReasonAge
+	}
+	behind = max(behind-clock.Millisecond, 0)
+	if report.Status.Applied.AtLeast(read.Floor) {
+		return 0, true, ReasonReplica
+	}
+	reached, known := g.Ring().ReachedAt(read.Floor)
+	if !known {
+		return 0, false, ReasonFloor
+	}
+	wait := reached.Add(behind + clock.Millisecond).Sub(now)
+	if wait > r.replicaWait {
+		return 0, false, ReasonFloor
+	}
+	return max(wait, 0), true, ReasonReplica
+}
+
+// Verify reports whether a database that showed status before it ran the
+// read may answer it. It is the promise that estimates cannot give.
+func Verify(now clock.Time, read Read, s database.Status, g *database.Group) bool {
+	if !s.Applied.AtLeast(read.Floor) {
+		return false
+	}
+	if read.MaxAge > 0 {
+		age, known := g.Ring().Age(s.Applied, now)
+		return known && age <= read.MaxAge
+	}
+	sample, ok := g.FreshSample(read.Arrived)
+	if !ok {
+		return false
+	}
+	// A primary asked after the read's arrival has all that its own term
+	// acknowledged before; the sample shows that no later term had begun.
+	leads := s.Leads() && s.Term == sample.Position.Term
+	return leads || s.Applied.AtLeast(sample.Position)
+}
--- /dev/null
+++ b/internal/request/database/serving.go
@@ -0,0 +1,57 @@
+package database
+
+import (
+	connection "github.com/oleanderflow/oleanderflow/internal/connection/database"
+	process "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// Age is a declared age of reads. Empty fields match every read.
+type Age struct {
+	Application string
+	Tag         string
+	MaxAge      clock.Duration
+}
+
+// Serving is a database group as one accepted configuration serves it. A
+// request keeps the one that it began with.
+type Serving struct {
+	Name       string
+	Monitor    *process.Monitor
+	Pools      []*connection.Pool
+	Router     *Router
+	Ages       []Age
+	Durability process.Durability
+	// CommitWait bounds the wait for a commit's confirmation.
+	CommitWait clock.Duration
+	// WriteWait bounds the wait for a primary and a connection.
+	WriteWait clock.Duration
+}
+
+// DeclaredAge returns the tightest age that the operators declare for a
+// read, zero for none.
+func (s *Serving) DeclaredAge(application, tag string) clock.Duration {
+	var tightest clock.Duration
+	for _, a := range s.Ages {
+		if a.Application != "" && a.Application != application {
+			continue
+		}
+		if a.Tag != "" && a.Tag != tag {
+			continue
+		}
+		tightest = Tighter(tightest, a.MaxAge)
+	}
+	return tightest
+}
+
+// Tighter returns the smaller of two ages, of which zero is none.
+func Tighter(a, b clock.Duration) clock.Duration {
+	switch {
+	case a == 0:
+		return b
+	case b == 0:
+		return a
+	default:
+		return min(a, b)
+	}
+}
--- /dev/null
+++ b/internal/version/operator/document.go
@@ -0,0 +1,275 @@
+// Package operator reads what operators declare: one base file for all
+// sites and an overlay for each, merged, checked and compared.
+package operator
+
+import (
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// MaxLength bounds a declaration file, in bytes.
+const MaxLength = 1 << 20
+
+// Source is where a value was declared.
+type Source struct {
+	File string
+	Line int
+}
+
+// String formats the source as "file:line".
+func (s Source) String() string { return fmt.Sprintf("%s:%d", s.File, s.Line) }
+
+// Value is one declared key.
+type Value struct {
+	Key    string
+	Text   string
+	Source Source
+}
+
+// Section is one section of a file, such as [group.shop1].
+type Section struct {
+	Name   string
+	Source Source
+	Values []Value
+}
+
+// Kind returns the part of the section's name before the first dot.
+func (s *Section) Kind() string {
+	kind, _, _ := strings.Cut(s.Name, ".")
+	return kind
+}
+
+// Subject returns the part of the section's name after the first dot.
+func (s *Section) Subject() string {
+	_, subject, _ := strings.Cut(s.Name, ".")
+	return subject
+}
+
+func (s *Section) find(key string) *Value {
+	for i := range s.Values {
+		if s.Values[i].Key == key {
+			return &s.Values[i]
+		}
+	}
+	return nil
+}
+
+// Document is the sections of a file, in order.
+type Document struct {
+	Sections []Section
+}
+
+func (d *Document) find(name string) *Section {
+	for i := range d.Sections {
+		if d.Sections[i].Name == name {
+			return &d.Sections[i]
+		}
+	}
+	return nil
+}
+
+// Problem is one fault of a declaration.
+type Problem struct {
+	Source   Source
+	Section  string
+	Key      string
+	Message  string
+	Expected string
+	// Nearest is a known name close to a misspelt one.
+	Nearest string
+}
+
+// String formats the problem in one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	b.WriteString(p.Source.String() + ": ")
+	if p.Section != "" {
+		b.WriteString("[" + p.Section + "] ")
+	}
+	if p.Key != "" {
+		b.WriteString(p.Key + ": ")
+	}
+	b.WriteString(p.Message)
+	if p.Expected != "" {
+		b.WriteString("; expected " + p.Expected)
+	}
+	if p.Nearest != "" {
+		b.WriteString("; did you mean " + p.Nearest + "?")
+	}
+	return b.String()
+}
+
+// InvalidError reports all faults of a declaration.
+type InvalidError struct {
+	Problems []Problem
+}
+
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads the sections of a file. It returns an *InvalidError for text
+// that is no INI file, is too long, or declares a name twice.
+func Parse(file string, content []byte) (*Document, error) {
+	if len(content) > MaxLength {
+		return nil, invalid(Source{File: file, Line: 1}, "", "", fmt.Sprintf("file has %d bytes", len(content)), fmt.Sprintf("at most %d", MaxLength))
+	}
+	parsed, err := ini.LoadSources(ini.LoadOptions{
+		KeyValueDelimiters: "=", IgnoreInlineComment: false, SkipUnrecognizableLines: false,
+	}, content)
+	if err != nil {
+		return nil, invalid(Source{File: file, Line: 1}, "", "", err.Error(), "an INI file")
+	}
+	lines := indexLines(string(content))
+	if len(lines.duplicates) > 0 {
+		return nil, &InvalidError{Problems: lines.problems(file)}
+	}
+	d := &Document{}
+	for _, s := range parsed.Sections() {
+		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
+			continue
+		}
+		section := Section{Name: s.Name(), Source: Source{File: file, Line: lines.of(s.Name(), "")}}
+		for _, k := range s.Keys() {
+			section.Values = append(section.Values, Value{
+				Key: k.Name(), Text: k.String(), Source: Source{File: file, Line: lines.of(s.Name(), k.Name())},
+			})
+		}
+		d.Sections = append(d.Sections, section)
+	}
+	return d, nil
+}
+
+func invalid(at Source, section, key, message, expected string) *InvalidError {
+	return &InvalidError{Problems: []Problem{{Source: at, Section: section, Key: key, Message: message, Expected: expected}}}
+}
+
+type lineKey struct{ section, key string }
+
+type lineIndex struct {
+	lines      map[lineKey]int
+	duplicates []duplicate
+}
+
+type duplicate struct {
+	at          lineKey
+	first, line int
+}
+
+// indexLines notes the line of each section and key, which the INI library
+// does not keep.
+func indexLines(content string) *lineIndex {
+	index := &lineIndex{lines: make(map[lineKey]int)}
+	section := ini.DefaultSection
+	number := 0
+	for line := range strings.Lines(content) {
+		number++
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || line[0] == ';' || line[0] == '#':
+		case line[0] == '[' && strings.Contains(line, "]"):
+			section = strings.TrimSpace(line[1:strings.Index(line, "]")])
+			index.note(lineKey{section, ""}, number)
+		default:
+			if key, _, ok := strings.Cut(line, "="); ok {
+				index.note(lineKey{section, strings.TrimSpace(key)}, number)
+			}
+		}
+	}
+	return index
+}
+
+func (i *lineIndex) note(at lineKey, line int) {
+	if first, ok := i.lines[at]; ok {
+		i.duplicates = append(i.duplicates, duplicate{at: at, first: first, line: line})
+		return
+	}
+	i.lines[at] = line
+}
+
+func (i *lineIndex) of(section, key string) int {
+	if line, ok := i.lines[lineKey{section, key}]; ok {
+		return line
+	}
+	return 1
+}
+
+func (i *lineIndex) problems(file string) []Problem {
+	var problems []Problem
+	for _, d := range i.duplicates {
+		problems = append(problems, Problem{
+			Source: Source{File: file, Line: d.line}, Section: d.at.section, Key: d.at.key,
+			Message: fmt.Sprintf("declared twice, first in line %d", d.first),
+		})
+	}
+	return problems
+}
+
+// Merge lays an overlay over a base. The overlay may only change what the
+// base declares, and name its site.
+func Merge(base, overlay *Document) (*Document, error) {
+	merged := &Document{}
+	for _, s := range base.Sections {
+		s.Values = append([]Value(nil), s.Values...)
+		merged.Sections = append(merged.Sections, s)
+	}
+	if overlay == nil {
+		return merged, nil
+	}
+	var problems []Problem
+	for _, s := range overlay.Sections {
+		problems = append(problems, merged.overlay(s)...)
+	}
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return merged, nil
+}
+
+func (d *Document) overlay(s Section) []Problem {
+	target := d.find(s.Name)
+	if target == nil && s.Name == "site" {
+		d.Sections = append(d.Sections, s)
+		return nil
+	}
+	if target == nil {
+		return []Problem{{
+			Source: s.Source, Section: s.Name, Message: "the base file has no such section",
+			Expected: "a section that the base declares", Nearest: nearest(s.Name, d.sectionNames()),
+		}}
+	}
+	var problems []Problem
+	for _, v := range s.Values {
+		if old := target.find(v.Key); old != nil {
+			*old = v
+			continue
+		}
+		problems = append(problems, Problem{
+			Source: v.Source, Section: s.Name, Key: v.Key, Message: "the base file has no such key",
+			Expected: "a key that the base declares", Nearest: nearest(v.Key, target.keys()),
+		})
+	}
+	return problems
+}
+
+func (d *Document) sectionNames() []string {
+	names := make([]string, len(d.Sections))
+	for i, s := range d.Sections {
+		names[i] = s.Name
+	}
+	return names
+}
+
+func (s *Section) keys() []string {
+	names := make([]string, len(s.Values))
+	for i, v := range s.Values {
+		names[i] = v.Key
+	}
+	return names
+}
--- /dev/null
+++ b/pkg/clock/clock.go
@@ -0,0 +1,75 @@
+// Package clock provides time in milliseconds, read from a clock that is
+// passed in, so that every decision also runs in virtual time.
+package clock
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Time is a point on one clock, in milliseconds since that clock's origin.
+// Times of two clocks are not comparable.
+type Time int64
+
+// Duration is a length of time in milliseconds.
+type Duration int64
+
+// Units of Duration.
+const (
+	Millisecond Duration = 1
+	Second               = 1000 * Millisecond
+	Minute               = 60 * Second
+	Hour                 = 60 * Minute
+)
+
+// Add returns t moved by d.
+func (t Time) Add(d Duration) Time { return t + Time(d) }
+
+// Sub returns the duration from u to t.
+func (t Time) Sub(u Time) Duration { return Duration(t - u) }
+
+// Std converts d for use with the standard library.
+func (d Duration) Std() time.Duration { return time.Duration(d) * time.Millisecond }
+
+// String formats d as the standard library does, such as "1.5s".
+func (d Duration) String() string { return d.Std().String() }
+
+// FromStd converts a standard duration, rounding up to a whole millisecond.
+func FromStd(d time.Duration) Duration {
+	return Duration((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Clock tells the time.
+type Clock interface {
+	Now() Time
+}
+
+// System is the process's monotonic clock. Its origin is its creation.
+type System struct {
+	origin time.Time
+}
+
+// NewSystem returns a clock that starts now.
+func NewSystem() *System { return &System{origin: time.Now()} }
+
+// Now returns the time elapsed since the clock was created.
+func (s *System) Now() Time { return Time(time.Since(s.origin).Milliseconds()) }
+
+// Virtual is a clock that moves only when told to. It is safe for
+// concurrent use.
+type Virtual struct {
+	now atomic.Int64
+}
+
+// NewVirtual returns a virtual clock that stands at start.
+func NewVirtual(start Time) *Virtual {
+	v := &Virtual{}
+	v.now.Store(int64(start))
+	return v
+}
+
+// Now returns the virtual time.
+func (v *Virtual) Now() Time { return Time(v.now.Load()) }
+
+// Advance moves the clock forward by d.
+func (v *Virtual) Advance(d Duration) { v.now.Add(int64(d)) }
--- /dev/null
+++ b/pkg/position/position.go
@@ -0,0 +1,71 @@
+// Package position provides positions in the log of a database group.
+package position
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Position is a place in a database group's log. Positions are ordered by
+// term first: one acknowledged in an earlier term is contained in every
+// database whose log has reached the promotion point of a later term.
+type Position struct {
+	Term   uint64
+	Offset uint64
+}
+
+// Compare returns -1, 0 or +1 as p lies before, at or after q.
+func (p Position) Compare(q Position) int {
+	if c := cmp.Compare(p.Term, q.Term); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.Offset, q.Offset)
+}
+
+// AtLeast reports whether p is at or after q.
+func (p Position) AtLeast(q Position) bool { return p.Compare(q) >= 0 }
+
+// IsZero reports whether p lies before every log entry.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Max returns the later of p and q.
+func (p Position) Max(q Position) Position {
+	if q.Compare(p) > 0 {
+		return q
+	}
+	return p
+}
+
+// String formats p as "term/offset" in decimal.
+func (p Position) String() string {
+	return strconv.FormatUint(p.Term, 10) + "/" + strconv.FormatUint(p.Offset, 10)
+}
+
+// FormatError reports text that is no position.
+type FormatError struct {
+	Text string
+}
+
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("invalid log position %q: expected term/offset in decimal", e.Text)
+}
+
+// Parse reads the format that String writes. It returns a *FormatError for
+// any other text.
+func Parse(s string) (Position, error) {
+	term, offset, ok := strings.Cut(s, "/")
+	if !ok {
+		return Position{}, &FormatError{Text: s}
+	}
+	t, err := strconv.ParseUint(term, 10, 64)
+	if err != nil {
+		return Position{}, &FormatError{Text: s}
+	}
+	o, err := strconv.ParseUint(offset, 10, 64)
+	if err != nil {
+		return Position{}, &FormatError{Text: s}
+	}
+	return Position{Term: t, Offset: o}, nil
+}
