--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,9 @@
 	closer   io.Closer
 	reporter prometheus.Reporter
 
+	replicaReads atomic.Int64
+	primaryReads atomic.Int64
+
 	mu       sync.RWMutex
 	counters map[counterKey]tally.Counter
 }
@@ -55,6 +59,24 @@
 		counter = m.addCounter(key)
 	}
 	counter.Inc(1)
+	m.countDeclared(d)
+}
+
+func (m *Metrics) countDeclared(d callerrequest.Decision) {
+	if !d.Declared || d.Outcome != "answered" {
+		return
+	}
+	if d.Reason == dbrequest.ReasonReplica || d.Reason == dbrequest.ReasonReplicaWaited {
+		m.replicaReads.Add(1)
+		return
+	}
+	m.primaryReads.Add(1)
+}
+
+// DeclaredReads returns how many reads with a stated age replicas and
+// primaries have answered.
+func (m *Metrics) DeclaredReads() (replica, primary int64) {
+	return m.replicaReads.Load(), m.primaryReads.Load()
 }
 
 func (m *Metrics) addCounter(key counterKey) tally.Counter {
