Make promotions survive a split vote, a lost answer and a stale connection

Cause, read off the placement log of two demonstrations: (1) two watchers that heard each other late fenced one replica each in the same term, and neither gave up before the step's timeout; (2) a control connection that the database had closed long ago lost the first fence; (3) a reader kept trying the partitioned database as a replica, by its last report.

Change: watchers act in a fixed order, a repeated fence by its owner is accepted, a promoter that cannot win gives up at once, control connections are checked before use, reports older than 250 ms choose no replica, and the token is reported with the next answer after any change.

--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -53,6 +53,8 @@
 	Arrived uint64
 	// Floor is the position that the session's reads must have reached.
 	Floor position.Position
+	// reported is the floor of the token that the caller was last given.
+	reported position.Position
 	// FloorKnown is set once Floor covers all that was acknowledged to the
 	// caller before it arrived.
 	FloorKnown bool
@@ -192,6 +194,16 @@
 	return true
 }
 
+// TakeToken returns the session's token if the floor has changed since the
+// caller was last given one.
+func (s *Session) TakeToken() (string, bool) {
+	if s.Floor == s.reported {
+		return "", false
+	}
+	s.reported = s.Floor
+	return s.Token(), true
+}
+
 // Token returns the session's token.
 func (s *Session) Token() string { return token.Token{Group: s.Group, Floor: s.Floor}.String() }
 
--- a/internal/connection/database/control.go
+++ b/internal/connection/database/control.go
@@ -67,6 +67,10 @@
 func (c *Control) run(ctx context.Context, operation, statement string) (process.Status, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.conn != nil && !c.conn.alive() {
+		c.conn.Close()
+		c.conn = nil
+	}
 	if c.conn == nil {
 		conn, err := Dial(ctx, c.target)
 		if err != nil {
--- a/internal/connection/database/pool.go
+++ b/internal/connection/database/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -132,7 +133,12 @@
 	return false
 }
 
+// dialTimeout bounds the start of one connection.
+const dialTimeout = time.Second
+
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	c, err := Dial(ctx, p.target)
 	if err != nil {
 		p.forget()
--- a/internal/core/demo.go
+++ b/internal/core/demo.go
@@ -126,13 +126,18 @@
 	return r.GapsMeasured == r.FaultsCaused
 }
 
-func runDemo(ctx context.Context, o *DemoOptions, _ *zap.Logger) int {
+func runDemo(ctx context.Context, all *Options, log *zap.Logger) int {
+	o := all.Demo
+	if all.LogLevel != "debug" {
+		// The decisions would drown the progress.
+		log = zap.NewNop()
+	}
 	progress := func(line string) {
 		if !o.JSON {
 			fmt.Printf("%s  %s\n", time.Now().Format("15:04:05.000"), line)
 		}
 	}
-	result, err := RunDemo(ctx, o, zap.NewNop(), progress)
+	result, err := RunDemo(ctx, o, log, progress)
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -32,7 +32,7 @@
 	case o.Dev != nil:
 		return runDev(ctx, o.Dev, log)
 	case o.Demo != nil:
-		return runDemo(ctx, o.Demo, log)
+		return runDemo(ctx, o, log)
 	case o.Check != nil:
 		return runCheck(o.Check)
 	case o.Show != nil:
--- a/internal/process/database/failover.go
+++ b/internal/process/database/failover.go
@@ -32,7 +32,7 @@
 		SuspectAfter:  800 * clock.Millisecond,
 		RefusedAfter:  300 * clock.Millisecond,
 		StepTimeout:   400 * clock.Millisecond,
-		RankDelay:     200 * clock.Millisecond,
+		RankDelay:     100 * clock.Millisecond,
 		RetryDelay:    150 * clock.Millisecond,
 	}
 }
@@ -148,6 +148,7 @@
 	term         uint64
 	target       int
 	phaseSince   clock.Time
+	askedAt      clock.Time
 	notBefore    clock.Time
 	agreedSince  clock.Time
 	agreed       bool
@@ -267,15 +268,41 @@
 		return dst
 	}
 	if !accepted {
-		if s.Fenced > f.term || s.Term >= f.term {
-			f.retreat(now)
-		}
-		return dst
+		return f.considerRetreat(now, s, dst)
 	}
 	v.fencedBy = term
 	return f.considerPromoting(now, dst)
 }
 
+// considerRetreat gives an attempt up once a later term is known, or too
+// many databases are fenced for another promoter in the same term.
+func (f *Failover) considerRetreat(now clock.Time, s Status, dst []Action) []Action {
+	lost := 0
+	for i := range f.views {
+		if f.views[i].heard && f.views[i].status.Fenced >= f.term && f.views[i].fencedBy != f.term {
+			lost++
+		}
+	}
+	if s.Fenced > f.term || s.Term >= f.term || lost > len(f.views)-f.majority() || f.cannotWin(now) {
+		f.retreat(now)
+	}
+	return dst
+}
+
+// cannotWin reports whether the databases that can be reached and are not
+// fenced for another promoter are fewer than a majority.
+func (f *Failover) cannotWin(now clock.Time) bool {
+	open := 0
+	for _, v := range f.views {
+		taken := v.status.Fenced >= f.term && v.fencedBy != f.term
+		reachable := v.heard && !v.refusing && now.Sub(v.aliveAt) < f.settings.SuspectAfter
+		if !taken && reachable {
+			open++
+		}
+	}
+	return open < f.majority()
+}
+
 // HandlePromote takes in a database's answer to Promote.
 func (f *Failover) HandlePromote(now clock.Time, database int, term uint64, s Status, accepted bool, dst []Action) []Action {
 	v := &f.views[database]
@@ -378,8 +405,8 @@
 	if !f.agreed {
 		f.agreed, f.agreedSince = true, now
 	}
-	turn := f.agreedSince.Add(clock.Duration(f.rankAmongSuspects(now)) * f.settings.RankDelay)
-	if now < turn || now < f.notBefore || !f.reachesMajority(now) {
+	turn := f.agreedSince.Add(clock.Duration(f.rank) * f.settings.RankDelay)
+	if now < turn || now < f.notBefore || !f.reachesMajority(now) || f.rank >= len(f.watchers) {
 		return dst
 	}
 	return f.startFencing(now, f.highestTerm()+1, dst)
@@ -415,19 +442,6 @@
 	return 0
 }
 
-func (f *Failover) rankAmongSuspects(now clock.Time) int {
-	rank := 0
-	for _, w := range f.watchers {
-		if w == f.self {
-			break
-		}
-		if f.suspects(w, now) {
-			rank++
-		}
-	}
-	return rank
-}
-
 func (f *Failover) reachesMajority(now clock.Time) bool {
 	reached := 0
 	for _, v := range f.views {
@@ -439,11 +453,8 @@
 }
 
 func (f *Failover) startFencing(now clock.Time, term uint64, dst []Action) []Action {
-	f.phase, f.term, f.phaseSince, f.target = Fencing, term, now, -1
-	for i := range f.views {
-		dst = append(dst, Fence{Database: i, Term: term})
-	}
-	return dst
+	f.phase, f.term, f.phaseSince, f.askedAt, f.target = Fencing, term, now, now, -1
+	return f.fenceRest(dst)
 }
 
 // considerPromoting promotes the fenced database with the longest log, once
@@ -462,7 +473,7 @@
 	if fenced < f.majority() {
 		return dst
 	}
-	f.phase, f.phaseSince, f.target = Promoting, now, best
+	f.phase, f.phaseSince, f.askedAt, f.target = Promoting, now, now, best
 	return append(dst, Promote{Database: best, Term: f.term})
 }
 
@@ -492,16 +503,30 @@
 	f.notBefore = now.Add(f.settings.RetryDelay + jitter)
 }
 
-// expireStep repeats a promotion whose answer is missing once, and gives a
-// step up after its timeout.
+// expireStep repeats a step whose answer is missing, and gives it up after
+// its timeout.
 func (f *Failover) expireStep(now clock.Time, dst []Action) []Action {
-	waited := now.Sub(f.phaseSince)
-	switch {
-	case waited >= f.settings.StepTimeout:
+	if now.Sub(f.phaseSince) >= f.settings.StepTimeout {
 		f.retreat(now)
-	case f.phase == Promoting && waited >= f.settings.StepTimeout/2:
+		return dst
+	}
+	if now.Sub(f.askedAt) < f.settings.StepTimeout/4 {
+		return dst
+	}
+	f.askedAt = now
+	if f.phase == Promoting {
 		return append(dst, Promote{Database: f.target, Term: f.term})
 	}
+	return f.fenceRest(dst)
+}
+
+// fenceRest asks the databases that have not accepted the fence yet.
+func (f *Failover) fenceRest(dst []Action) []Action {
+	for i := range f.views {
+		if f.views[i].fencedBy != f.term {
+			dst = append(dst, Fence{Database: i, Term: f.term})
+		}
+	}
 	return dst
 }
 
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -285,11 +285,21 @@
 	if strings.HasPrefix(strings.ToLower(skipComments(query)), "show") {
 		replies = append(describeLocal(query), replies...)
 	}
-	for _, m := range replies {
-		w.session.Backend.Send(m)
+	var out []byte
+	for _, m := range append(replies, &pgproto3.ReadyForQuery{TxStatus: 'I'}) {
+		if out, err = m.Encode(out); err != nil {
+			return err
+		}
 	}
-	w.session.Backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-	return w.session.Backend.Flush()
+	return w.writeLocal(out)
+}
+
+func (w *worker) writeLocal(out []byte) error {
+	out, err := w.withToken(out)
+	if err != nil {
+		return err
+	}
+	return w.session.Write(out)
 }
 
 func (w *worker) answerLocalBatch() error {
@@ -300,7 +310,7 @@
 	if w.batch.steps[len(w.batch.steps)-1].kind == stepSync {
 		out = append(out, 'Z', 0, 0, 0, 5, w.transactionStatus())
 	}
-	return w.session.Write(out)
+	return w.writeLocal(out)
 }
 
 // abandonTransaction closes the connection of a transaction whose caller
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -72,9 +72,29 @@
 		return outcome.NewRefused(outcome.CodeRefused, "no primary confirmed the session's floor in time")
 	}
 	r.read.Floor = w.session.Floor
+	w.awaitReports(r)
 	return nil
 }
 
+// reportWait bounds the wait for reports of a group that was not in use.
+const reportWait = 50 * clock.Millisecond
+
+// awaitReports has a group that was not in use asked anew, so that the
+// first reads find its replicas.
+func (w *worker) awaitReports(r *request) {
+	var known bool
+	r.serving.Monitor.View(func(g *process.Group) {
+		_, known = g.Ring().Floor(w.clock.Now(), r.read.MaxAge)
+	})
+	if known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, reportWait.Std())
+	defer cancel()
+	// Without a sample in time, the router goes by what it knows.
+	_, _ = r.serving.Monitor.AwaitFresh(ctx, r.read.Arrived)
+}
+
 // learnFloor samples the floor of a session that brought no token.
 func (w *worker) learnFloor(r *request) error {
 	after := w.session.Arrived
@@ -341,7 +361,11 @@
 			return w.refuseBatch(err, false)
 		}
 	}
-	return w.deliver(needed && w.session.RaiseFloor(commit))
+	if needed {
+		w.session.RaiseFloor(commit)
+		w.session.FloorKnown = true
+	}
+	return w.deliver()
 }
 
 // hold keeps the connection for an open transaction.
@@ -358,7 +382,7 @@
 			return w.refuseBatch(outcome.NewRefused(outcome.CodeRefused, "the transaction was begun on a primary that has been replaced"), false)
 		}
 	}
-	return w.deliver(false)
+	return w.deliver()
 }
 
 // verifyBegin makes sure that a transaction reads from a primary that had
@@ -455,21 +479,33 @@
 
 // deliver passes the gathered answer on, with the session's token before
 // ReadyForQuery if the floor has changed.
-func (w *worker) deliver(floorChanged bool) error {
+func (w *worker) deliver() error {
 	x := &w.x
 	if x.callerErr != nil {
 		return x.callerErr
 	}
-	if floorChanged && len(x.out) >= readySize {
-		ready := [readySize]byte(x.out[len(x.out)-readySize:])
-		token := &pgproto3.ParameterStatus{Name: "oleanderflow.token", Value: w.session.Token()}
-		out, err := token.Encode(x.out[:len(x.out)-readySize])
-		if err != nil {
-			return err
-		}
-		x.out = append(out, ready[:]...)
+	out, err := w.withToken(x.out)
+	if err != nil {
+		return err
+	}
+	x.out = out
+	return w.session.Write(out)
+}
+
+// withToken puts the session's token before the ReadyForQuery that ends an
+// answer, if the caller does not have it yet.
+func (w *worker) withToken(out []byte) ([]byte, error) {
+	if len(out) < readySize || out[len(out)-readySize] != 'Z' {
+		return out, nil
+	}
+	value, changed := w.session.TakeToken()
+	if !changed {
+		return out, nil
 	}
-	return w.session.Write(x.out)
+	ready := [readySize]byte(out[len(out)-readySize:])
+	token := &pgproto3.ParameterStatus{Name: "oleanderflow.token", Value: value}
+	out, err := token.Encode(out[:len(out)-readySize])
+	return append(out, ready[:]...), err
 }
 
 // runHeld runs a batch on the connection that the session holds.
--- a/internal/request/database/route.go
+++ b/internal/request/database/route.go
@@ -18,6 +18,10 @@
 	Arrived uint64
 }
 
+// reportLife is how old a replica's last report may be for a read to be
+// tried there. Reports come far more often while a group is in use.
+const reportLife = 250 * clock.Millisecond
+
 // Reason says why a request went where it did. It appears in logs and
 // counters.
 type Reason string
@@ -30,6 +34,7 @@
 	ReasonFresh         Reason = "primary: fresh read"
 	ReasonFloor         Reason = "primary: floor not reached"
 	ReasonAge           Reason = "primary: replicas too old"
+	ReasonSilent        Reason = "primary: replicas silent"
 	ReasonEjected       Reason = "primary: replicas ejected"
 	ReasonRefusedWrite  Reason = "primary: replica refused a write"
 	ReasonNoPrimary     Reason = "held: no primary"
@@ -151,8 +156,8 @@
 // its usual distance behind the primary.
 func (r *Router) expectedWait(now clock.Time, read Read, g *database.Group, i int) (clock.Duration, bool, Reason) {
 	report, heard := g.Report(i)
-	if !heard {
-		return 0, false, ReasonAge
+	if !heard || now.Sub(report.SentAt) > reportLife {
+		return 0, false, ReasonSilent
 	}
 	behind, known := g.Ring().Age(report.Status.Applied, report.SentAt)
 	if !known || behind > read.MaxAge {
--- a/internal/standin/database/log.go
+++ b/internal/standin/database/log.go
@@ -102,11 +102,13 @@
 }
 
 // Fence makes the database refuse all writes and log of earlier terms. The
-// term must be greater than any that the database has seen.
+// term must be greater than any that the database has seen. The same owner
+// may repeat a fence whose answer was lost.
 func (s *State) Fence(term uint64, owner string) (Status, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if term <= s.fenced || term <= s.term {
+	repeated := term == s.fenced && owner == s.owner && term > s.term
+	if !repeated && (term <= s.fenced || term <= s.term) {
 		return s.statusLocked(), &TermError{Operation: "fence", Term: term, Fenced: s.fenced}
 	}
 	s.fenced = term
