--- a/internal/process/database/group.go
+++ b/internal/process/database/group.go
@@ -102,18 +102,26 @@
 	return dst
 }
 
-// Await holds a commit until Observe releases it. It returns false if the
-// commit is confirmed already.
-func (g *Group) Await(id uint64, p position.Position) bool {
+// Await holds a commit until Observe releases it. It returns a verdict that
+// is known already, or zero for a commit that is held.
+func (g *Group) Await(id uint64, p position.Position) Verdict {
 	if g.durability == DurabilityPrimary {
-		return false
+		return Confirmed
+	}
+	// The answer may have come after the term that it belongs to ended.
+	if p.Term < g.term {
+		start := g.reports[g.primary].Status.TermStart
+		if !containsAcross(start, p) {
+			return Lost
+		}
+		p = start
 	}
 	confirmed, ok := g.confirmedPosition()
 	if ok && confirmed.Term == p.Term && confirmed.AtLeast(p) {
-		return false
+		return Confirmed
 	}
 	g.waiters.Add(id, p)
-	return true
+	return 0
 }
 
 // Forget drops a waiter that has given up.
--- a/internal/process/database/monitor.go
+++ b/internal/process/database/monitor.go
@@ -304,9 +304,9 @@
 	id := m.sequence.Next()
 	ch := make(chan Decided, 1)
 	m.mu.Lock()
-	if !m.group.Await(id, p) {
+	if v := m.group.Await(id, p); v != 0 {
 		m.mu.Unlock()
-		return Decided{Verdict: Confirmed, At: m.clock.Now()}, nil
+		return Decided{Verdict: v, At: m.clock.Now()}, nil
 	}
 	m.waiting[id] = ch
 	m.refreshLocked()
--- a/internal/process/database/waiters.go
+++ b/internal/process/database/waiters.go
@@ -69,7 +69,7 @@
 func (w *Waiters) settle(start position.Position, dst []Release) []Release {
 	for len(w.queue) > 0 && w.queue[0].position.Term < start.Term {
 		item := w.queue[0]
-		if item.position.Term+1 != start.Term || item.position.Offset >= start.Offset {
+		if !containsAcross(start, item.position) {
 			dst = w.pop(dst, Lost)
 			continue
 		}
@@ -79,6 +79,13 @@
 	return dst
 }
 
+// containsAcross reports whether the promotion point start of a term is
+// known to contain p of an earlier term. Across more than one promotion it is
+// not known.
+func containsAcross(start, p position.Position) bool {
+	return p.Term+1 == start.Term && p.Offset < start.Offset
+}
+
 func (w *Waiters) pop(dst []Release, v Verdict) []Release {
 	item := heap.Pop(&w.queue).(*waiter)
 	delete(w.byID, item.id)
--- /dev/null
+++ b/internal/process/database/waiters_test.go
@@ -0,0 +1,59 @@
+package database_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+// report is a database's status with its log received and applied to p.
+func report(i int, sent uint64, role database.Role, p, start position.Position) database.Report {
+	return database.Report{Database: i, Sent: sent, Status: database.Status{
+		Role: role, Term: p.Term, Fenced: p.Term, Received: p, Applied: p, TermStart: start,
+	}}
+}
+
+func groupOfThree(t *testing.T) *database.Group {
+	t.Helper()
+	g := database.NewGroup(3, database.DurabilityGroup)
+	start := position.Position{Term: 1, Offset: 1}
+	g.Observe(report(0, 1, database.RolePrimary, position.Position{Term: 1, Offset: 10}, start), nil)
+	g.Observe(report(1, 2, database.RoleReplica, position.Position{Term: 1, Offset: 9}, start), nil)
+	return g
+}
+
+func TestCommitIsConfirmedByMajorityOnly(t *testing.T) {
+	g := groupOfThree(t)
+	p := position.Position{Term: 1, Offset: 10}
+	require.Zero(t, g.Await(1, p))
+	require.Empty(t, g.Observe(report(0, 3, database.RolePrimary, position.Position{Term: 1, Offset: 12}, position.Position{}), nil))
+	got := g.Observe(report(2, 4, database.RoleReplica, p, position.Position{}), nil)
+	require.Equal(t, []database.Release{{Waiter: 1, Verdict: database.Confirmed}}, got)
+}
+
+// A paused primary's answer reached a proxy after its term had ended. The
+// commit was held at the head of the queue and held up all others.
+func TestLateCommitOfAnEndedTermHoldsUpNoOther(t *testing.T) {
+	g := groupOfThree(t)
+	start := position.Position{Term: 2, Offset: 10}
+	g.Observe(report(1, 3, database.RolePrimary, position.Position{Term: 2, Offset: 10}, start), nil)
+	require.Equal(t, database.Lost, g.Await(1, position.Position{Term: 1, Offset: 10}))
+	require.Zero(t, g.Await(2, position.Position{Term: 1, Offset: 9}), "contained in the new term, not confirmed there yet")
+	require.Zero(t, g.Await(3, position.Position{Term: 2, Offset: 11}))
+	got := g.Observe(report(2, 4, database.RoleReplica, position.Position{Term: 2, Offset: 10}, start), nil)
+	require.Equal(t, []database.Release{{Waiter: 2, Verdict: database.Confirmed}}, got)
+	g.Observe(report(1, 5, database.RolePrimary, position.Position{Term: 2, Offset: 11}, start), nil)
+	got = g.Observe(report(2, 6, database.RoleReplica, position.Position{Term: 2, Offset: 11}, start), nil)
+	require.Equal(t, []database.Release{{Waiter: 3, Verdict: database.Confirmed}}, got)
+}
+
+func TestWaitersSettleAtPromotion(t *testing.T) {
+	g := groupOfThree(t)
+	require.Zero(t, g.Await(1, position.Position{Term: 1, Offset: 10}))
+	start := position.Position{Term: 2, Offset: 10}
+	got := g.Observe(report(1, 3, database.RolePrimary, start, start), nil)
+	require.Equal(t, []database.Release{{Waiter: 1, Verdict: database.Lost}}, got)
+}
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -15,7 +15,6 @@
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
-	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
 const (
@@ -85,7 +84,7 @@
 	}
 	for _, d := range g.Databases {
 		g.wait.Add(3)
-		go d.serve()
+		go d.serve(d.listener)
 		go d.replicate()
 		go d.applyLog()
 	}
@@ -120,7 +119,7 @@
 		return nil, errors.Wrap(errors.Join(err, e.close()), "listen for the stand-in database")
 	}
 	d := &Database{
-		settings: s, state: newState(s.Name), engine: e, group: g, listener: l,
+		settings: s, state: NewState(s.Name), engine: e, group: g, listener: l,
 		log: log, sessions: make(map[*session]struct{}),
 	}
 	healed := make(chan struct{})
@@ -137,7 +136,9 @@
 		close(g.done)
 	}
 	for _, d := range g.Databases {
+		d.mu.Lock()
 		d.listener.Close()
+		d.mu.Unlock()
 		d.closeSessions()
 	}
 	g.wait.Wait()
@@ -186,9 +187,13 @@
 // SetLag delays the application of received log entries.
 func (d *Database) SetLag(lag clock.Duration) { d.lag.Store(int64(lag)) }
 
-// Stop ends all sessions and refuses new ones until Heal.
+// Stop ends all sessions and refuses connections until Heal, as a server
+// process that has ended.
 func (d *Database) Stop() {
 	d.stopped.Store(true)
+	d.mu.Lock()
+	_ = d.listener.Close()
+	d.mu.Unlock()
 	d.closeSessions()
 }
 
@@ -200,13 +205,29 @@
 
 // Heal ends all faults of the database.
 func (d *Database) Heal() {
-	d.stopped.Store(false)
+	if d.stopped.Swap(false) {
+		d.listenAgain()
+	}
 	d.cutZones.Store(nil)
 	d.SetLag(0)
 	fresh := make(chan struct{})
 	close(*d.healed.Swap(&fresh))
 }
 
+// listenAgain serves on the same address as before a stop.
+func (d *Database) listenAgain() {
+	l, err := net.Listen("tcp", d.listener.Addr().String())
+	if err != nil {
+		d.log.Error("stand-in does not listen again", zap.Error(err))
+		return
+	}
+	d.mu.Lock()
+	d.listener = l
+	d.mu.Unlock()
+	d.group.wait.Add(1)
+	go d.serve(l)
+}
+
 func (d *Database) isCutFrom(zone string) bool {
 	z := d.cutZones.Load()
 	return z != nil && z.except != zone
@@ -255,36 +276,22 @@
 }
 
 func (d *Database) copyFromPrimary() <-chan struct{} {
-	d.state.mu.Lock()
-	following, role, fenced, have := d.state.following, d.state.role, d.state.fenced, len(d.state.entries)
-	d.state.mu.Unlock()
-	source := d.group.Find(following)
-	if role != Replica || source == nil || !d.connected(source) {
+	source := d.group.Find(d.state.Following())
+	if source == nil || !d.connected(source) {
 		return nil
 	}
-	status := source.state.Status()
-	if status.Role != Primary || status.Term < fenced {
-		return nil
-	}
-	log, appended, ok := source.state.logAfter(status.Term, 0)
+	transfer, appended, ok := source.state.Transfer(d.state)
 	if !ok {
 		return nil
 	}
-	common := have
-	if common > len(log) || (common > 0 && d.positionOf(common) != log[common-1].Position) {
-		d.state.mu.Lock()
-		common = d.state.commonPrefix(log)
-		d.state.mu.Unlock()
-	}
-	if common == len(log) && common == have && d.state.Status().Term == status.Term {
+	if !d.state.NeedsTransfer(transfer) {
 		return appended
 	}
 	d.sleep(d.settings.ReplicationDelay)
 	if !d.connected(source) {
 		return nil
 	}
-	rebuild, ok := d.state.receive(status.Term, following, status.TermStart, common, log[common:])
-	if ok && rebuild {
+	if rebuild, ok := d.state.Accept(transfer); ok && rebuild {
 		d.rebuild()
 	}
 	return appended
@@ -304,15 +311,6 @@
 	}
 }
 
-func (d *Database) positionOf(count int) position.Position {
-	d.state.mu.Lock()
-	defer d.state.mu.Unlock()
-	if count > len(d.state.entries) {
-		return position.Position{}
-	}
-	return d.state.positionAt(count)
-}
-
 func (d *Database) connected(source *Database) bool {
 	return !source.stopped.Load() && !d.stopped.Load() &&
 		!source.isCutFrom(d.settings.Zone) && !d.isCutFrom(source.settings.Zone)
@@ -335,9 +333,7 @@
 	if err := d.engine.reset(); err != nil {
 		d.log.Error("stand-in rows not reset", zap.Error(err))
 	}
-	d.state.mu.Lock()
-	d.state.rebuilding = false
-	d.state.mu.Unlock()
+	d.state.FinishRebuild()
 }
 
 // applyLog applies received entries in order, each once it is older than
@@ -354,7 +350,7 @@
 		if d.replayAll.Load() {
 			lag = 0
 		}
-		entry, due := d.state.nextToApply(d.group.clock.Now(), lag)
+		entry, due := d.state.NextToApply(d.group.clock.Now(), lag)
 		if !due {
 			d.awaitEntry()
 			continue
@@ -364,7 +360,7 @@
 			d.sleep(reconnectBackoff)
 			continue
 		}
-		d.state.markApplied(entry.Position)
+		d.state.MarkApplied(entry.Position)
 	}
 }
 
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -88,7 +88,7 @@
 	if len(s.pending) == 0 {
 		return s.endTransaction("COMMIT", "COMMIT")
 	}
-	_, err := s.database.state.commit(s.database.group.clock.Now(), s.pending, func() error {
+	_, err := s.database.state.Commit(s.database.group.clock.Now(), s.pending, func() error {
 		_, err := s.sql.ExecContext(context.Background(), "COMMIT")
 		return err
 	})
--- a/internal/standin/database/log.go
+++ b/internal/standin/database/log.go
@@ -71,7 +71,8 @@
 	return e.Operation + " refused: the database is fenced for another term"
 }
 
-func newState(name string) *State {
+// NewState returns the state of an empty database.
+func NewState(name string) *State {
 	return &State{name: name, role: Replica, appended: make(chan struct{})}
 }
 
@@ -161,9 +162,9 @@
 	s.appended = make(chan struct{})
 }
 
-// commit runs apply and appends its statements as one entry, unless the
+// Commit runs apply and appends its statements as one entry, unless the
 // database does not lead its term any more.
-func (s *State) commit(now clock.Time, statements []Statement, apply func() error) (position.Position, error) {
+func (s *State) Commit(now clock.Time, statements []Statement, apply func() error) (position.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.role != Primary || s.fenced > s.term {
@@ -178,18 +179,45 @@
 	return p, nil
 }
 
-// logAfter returns the entries after count and a channel closed at the next
-// append. It returns false if the database does not lead term.
-func (s *State) logAfter(term uint64, count int) ([]Entry, <-chan struct{}, bool) {
+// Transfer is the part of a primary's log that a replica lacks.
+type Transfer struct {
+	Term    uint64
+	Primary string
+	Start   position.Position
+	// Keep is how many entries the replica keeps before Entries.
+	Keep    int
+	Entries []Entry
+}
+
+// Following returns the name of the primary that a replica follows, "" for
+// none.
+func (s *State) Following() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.role != Primary || s.term != term {
-		return nil, nil, false
+	if s.role != Replica {
+		return ""
+	}
+	return s.following
+}
+
+// Transfer returns what target lacks of s's log, and a channel closed at
+// the next append. It returns false if s does not lead.
+func (s *State) Transfer(target *State) (Transfer, <-chan struct{}, bool) {
+	s.mu.Lock()
+	t := Transfer{Term: s.term, Primary: s.name, Start: s.termStart}
+	leads, log, appended := s.role == Primary, s.entries[:len(s.entries):len(s.entries)], s.appended
+	s.mu.Unlock()
+	if !leads {
+		return t, nil, false
 	}
-	if count > len(s.entries) {
-		count = len(s.entries)
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	if t.Term < target.fenced {
+		return t, nil, false
 	}
-	return s.entries[count:len(s.entries):len(s.entries)], s.appended, true
+	t.Keep = target.commonPrefix(log)
+	t.Entries = log[t.Keep:]
+	return t, appended, true
 }
 
 // commonPrefix returns how many leading entries of s are also in log.
@@ -201,35 +229,69 @@
 	return n
 }
 
-// receive appends entries sent by the primary of term, after the first
-// count entries. It drops entries that the primary does not have and
-// reports whether an applied one was among them.
-func (s *State) receive(term uint64, primary string, start position.Position, count int, entries []Entry) (rebuild, ok bool) {
+// NeedsTransfer reports whether accepting t would change the log.
+func (s *State) NeedsTransfer(t Transfer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(t.Entries) > 0 || t.Keep < len(s.entries) || s.term != t.Term
+}
+
+// Accept appends a transfer to the log of a replica that still follows its
+// sender. Entries that the sender does not have are dropped. It reports
+// whether an applied one was among them, so that the rows must be rebuilt.
+func (s *State) Accept(t Transfer) (rebuild, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.role != Replica || s.following != primary || term < s.fenced || count > len(s.entries) {
+	if s.role != Replica || s.following != t.Primary || t.Term < s.fenced || t.Term < s.term || t.Keep > len(s.entries) {
+		return false, false
+	}
+	if t.Keep > 0 && len(t.Entries) > 0 && s.entries[t.Keep-1].Position.Compare(t.Entries[0].Position) >= 0 {
 		return false, false
 	}
-	if count < len(s.entries) {
-		s.entries = s.entries[:count:count]
-		if s.applied > count {
+	if t.Keep < len(s.entries) && s.sharesEntries(t) {
+		return false, true
+	}
+	if t.Keep < len(s.entries) {
+		s.entries = s.entries[:t.Keep:t.Keep]
+		if s.applied > t.Keep {
 			s.applied = 0
 			s.rebuilding = true
 			rebuild = true
 		}
 	}
-	s.term = term
-	s.fenced = max(s.fenced, term)
-	s.termStart = start
-	for _, e := range entries {
+	s.term = t.Term
+	s.fenced = max(s.fenced, t.Term)
+	s.termStart = t.Start
+	for _, e := range t.Entries {
 		s.appendLocked(e)
 	}
 	return rebuild, true
 }
 
-// nextToApply returns the first entry not yet applied, if it is older than
-// lag.
-func (s *State) nextToApply(now clock.Time, lag clock.Duration) (Entry, bool) {
+// sharesEntries reports whether the log holds all of a delayed transfer
+// already.
+func (s *State) sharesEntries(t Transfer) bool {
+	if s.term != t.Term || t.Keep+len(t.Entries) > len(s.entries) {
+		return false
+	}
+	for i, e := range t.Entries {
+		if s.entries[t.Keep+i].Position != e.Position {
+			return false
+		}
+	}
+	return len(t.Entries) > 0
+}
+
+// FinishRebuild lets entries be applied again after the rows were reset.
+func (s *State) FinishRebuild() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rebuilding = false
+}
+
+// NextToApply returns the first entry not yet applied, and whether it is
+// older than lag.
+func (s *State) NextToApply(now clock.Time, lag clock.Duration) (Entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.role != Replica || s.rebuilding || s.applied >= len(s.entries) {
@@ -239,10 +301,25 @@
 	return e, lag == 0 || now.Sub(e.At) >= lag
 }
 
-func (s *State) markApplied(p position.Position) {
+// MarkApplied notes that the first unapplied entry, at p, is applied.
+func (s *State) MarkApplied(p position.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.applied < len(s.entries) && s.entries[s.applied].Position == p {
 		s.applied++
 	}
 }
+
+// Entries returns the log.
+func (s *State) Entries() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[:len(s.entries):len(s.entries)]
+}
+
+// AppliedEntries returns the part of the log that reads see.
+func (s *State) AppliedEntries() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[:s.applied:s.applied]
+}
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -87,10 +87,10 @@
 
 func (e *sqlError) Error() string { return e.Message }
 
-func (d *Database) serve() {
+func (d *Database) serve(l net.Listener) {
 	defer d.group.wait.Done()
 	for {
-		conn, err := d.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
