Wait for the replica that will soon qualify, by its tightest lag

Cause: a replica's lag was taken from its last report, which bounds it only to the time between two samples; most untokened reads found the expected wait too long and went to the primary, and one vain try excluded a replica. After a failover the outage itself was taken for lag. Change: the lag is the least of the last four bounds, taken only by fresh samples; a vain try feeds its status back and is repeated after 3, then 12 ms, within the 20 ms that a read may wait.

--- a/internal/process/database/group.go
+++ b/internal/process/database/group.go
@@ -29,6 +29,7 @@
 	newest     Sample
 	ring       *Ring
 	waiters    *Waiters
+	lags       []lagWindow
 	scratch    []position.Position
 	sent       []uint64
 	sentAt     []clock.Time
@@ -39,7 +40,7 @@
 func NewGroup(size int, d Durability) *Group {
 	return &Group{
 		durability: d, reports: make([]Report, size), heard: make([]bool, size),
-		primary: -1, ring: NewRing(), waiters: NewWaiters(),
+		primary: -1, ring: NewRing(), waiters: NewWaiters(), lags: make([]lagWindow, size),
 	}
 }
 
@@ -96,12 +97,50 @@
 		dst = g.waiters.settle(r.Status.TermStart, dst)
 	}
 	g.takeSample()
+	g.measureLag(r)
 	if p, ok := g.confirmedPosition(); ok {
 		dst = g.waiters.release(p, dst)
 	}
 	return dst
 }
 
+// lagWindowLength is how many reports a replica's lag is estimated from.
+const lagWindowLength = 4
+
+// sampleLife is how old the newest sample may be for a lag to be measured by
+// it.
+const sampleLife = 15 * clock.Millisecond
+
+// lagWindow keeps a replica's last bounds from above on its lag.
+type lagWindow struct {
+	bounds [lagWindowLength]clock.Duration
+	count  int
+}
+
+// measureLag bounds a replica's lag by the age of the rows that it showed.
+// The bound is loose by up to the time between two samples.
+func (g *Group) measureLag(r Report) {
+	// While no primary is sampled, the age of rows says nothing of the lag.
+	if r.Database == g.primary || r.SentAt.Sub(g.newest.At) > sampleLife {
+		return
+	}
+	w := &g.lags[r.Database]
+	if age, ok := g.ring.Age(r.Status.Applied, r.SentAt); ok {
+		w.bounds[w.count%lagWindowLength] = max(age-clock.Millisecond, 0)
+		w.count++
+	}
+}
+
+// Lag estimates how far a database is behind the primary, by the tightest of
+// its last bounds. It returns false if none is known.
+func (g *Group) Lag(i int) (clock.Duration, bool) {
+	w := &g.lags[i]
+	if w.count == 0 {
+		return 0, false
+	}
+	return slices.Min(w.bounds[:min(w.count, lagWindowLength)]), true
+}
+
 // Await holds a commit until Observe releases it. It returns a verdict that
 // is known already, or zero for a commit that is held.
 func (g *Group) Await(id uint64, p position.Position) Verdict {
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -32,7 +32,10 @@
 	read    database.Read
 	began   clock.Time
 	ctx     context.Context
-	tried   database.Set
+	tries   database.Tries
+	// sent and sentAt are when the read was last sent to a database.
+	sent   uint64
+	sentAt clock.Time
 }
 
 // runNew routes a batch that no transaction holds.
@@ -118,7 +121,7 @@
 	for {
 		var choice database.Choice
 		now := w.clock.Now()
-		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Read(now, r.read, g, r.tried) })
+		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Read(now, r.read, g, &r.tries) })
 		switch c := choice.(type) {
 		case database.Hold:
 			if err := w.awaitPrimary(r, c.Reason); err != nil {
@@ -147,6 +150,7 @@
 // to another.
 func (w *worker) tryRead(r *request, use database.Use) (bool, error) {
 	primary := w.isPrimary(r, use.Database)
+	r.tries.Waited(use.Wait)
 	if use.Wait > 0 && !pause(r.ctx, use.Wait) {
 		return true, w.refuseBatch(outcome.NewRefused(outcome.CodeOverloaded, "no replica qualified in time"), false)
 	}
@@ -158,6 +162,7 @@
 	x := &w.x
 	x.prepare(w.session, conn, &w.batch)
 	x.verify = func() error { return w.verifyRead(r, primary) }
+	r.sent, r.sentAt = w.sequence.Next(), w.clock.Now()
 	err = x.assemble(true, primary && !w.batch.copies)
 	if err == nil {
 		err = w.runExchange(conn)
@@ -232,7 +237,7 @@
 	}
 	if !primary {
 		r.serving.Monitor.View(func(*process.Group) { r.serving.Router.Failed(w.clock.Now(), i) })
-		r.tried.Add(i)
+		r.tries.Exclude(i)
 		return false, nil
 	}
 	return w.retryLater(r)
@@ -262,7 +267,7 @@
 		return true, w.refuseBatch(outcome.NewUnknown(err.Error()), false)
 	}
 	r.serving.Monitor.View(func(*process.Group) { r.serving.Router.Failed(w.clock.Now(), i) })
-	r.tried.Add(i)
+	r.tries.Exclude(i)
 	return false, nil
 }
 
@@ -274,7 +279,10 @@
 	}
 	pool.Release(conn)
 	if !primary {
-		r.tried.Add(i)
+		r.tries.Missed(i)
+		if w.x.hasBefore {
+			r.serving.Monitor.Observe(process.Report{Database: i, Sent: r.sent, SentAt: r.sentAt, Status: w.x.before})
+		}
 		return false, nil
 	}
 	if w.x.hasAfter && w.x.before.Applied == w.x.after.Applied {
--- a/internal/request/database/route.go
+++ b/internal/request/database/route.go
@@ -58,14 +58,30 @@
 func (Use) choice()  {}
 func (Hold) choice() {}
 
-// Set is a set of databases of one group.
-type Set uint16
+const (
+	// maxDatabases bounds the databases of one group.
+	maxDatabases = 9
+	// maxTries bounds the tries of one read on one replica.
+	maxTries = 3
+	// retryWait is the least wait before the first further try on a replica,
+	// which grows with the square of the tries.
+	retryWait = 3 * clock.Millisecond
+)
+
+// Tries is what one read has tried in vain.
+type Tries struct {
+	counts [maxDatabases]uint8
+	waited clock.Duration
+}
 
-// Add puts a database into the set.
-func (s *Set) Add(i int) { *s |= 1 << i }
+// Missed notes that a replica's answer did not pass its verification.
+func (t *Tries) Missed(i int) { t.counts[i]++ }
 
-// Has reports whether a database is in the set.
-func (s Set) Has(i int) bool { return s&(1<<i) != 0 }
+// Exclude keeps a replica that cannot be reached from being tried again.
+func (t *Tries) Exclude(i int) { t.counts[i] = maxTries }
+
+// Waited notes a wait.
+func (t *Tries) Waited(d clock.Duration) { t.waited += d }
 
 // Router chooses databases for the requests of one group. The monitor's
 // lock guards it.
@@ -92,12 +108,12 @@
 	return Use{Database: primary, Reason: ReasonWrite}
 }
 
-// Read chooses the database for a read. Databases in tried are passed over.
-func (r *Router) Read(now clock.Time, read Read, g *database.Group, tried Set) Choice {
+// Read chooses the database for a read, after the tries that were in vain.
+func (r *Router) Read(now clock.Time, read Read, g *database.Group, tries *Tries) Choice {
 	if read.MaxAge == 0 {
 		return r.fresh(g)
 	}
-	best, reason := r.bestReplica(now, read, g, tried)
+	best, reason := r.bestReplica(now, read, g, tries)
 	if best.Database >= 0 {
 		return best
 	}
@@ -118,21 +134,21 @@
 
 // bestReplica returns the replica expected to qualify first, the nearest
 // among equals, or one with a negative index and the reason for none.
-func (r *Router) bestReplica(now clock.Time, read Read, g *database.Group, tried Set) (Use, Reason) {
+func (r *Router) bestReplica(now clock.Time, read Read, g *database.Group, tries *Tries) (Use, Reason) {
 	best := Use{Database: -1}
 	reason := ReasonAge
 	primary, _ := g.Primary()
 	r.turn++
 	for n := range r.zones {
 		i := (n + r.turn) % len(r.zones)
-		if i == primary || tried.Has(i) {
+		if i == primary || tries.counts[i] >= maxTries {
 			continue
 		}
 		if !r.health[i].admits(now) {
 			reason = ReasonEjected
 			continue
 		}
-		wait, ok, why := r.expectedWait(now, read, g, i)
+		wait, ok, why := r.expectedWait(now, read, g, i, tries)
 		if !ok {
 			reason = why
 			continue
@@ -153,29 +169,31 @@
 func (r *Router) nearer(a, b int) bool { return r.zones[a] == r.zone && r.zones[b] != r.zone }
 
 // expectedWait estimates when a replica qualifies, from its last report and
-// its usual distance behind the primary.
-func (r *Router) expectedWait(now clock.Time, read Read, g *database.Group, i int) (clock.Duration, bool, Reason) {
+// its usual lag.
+func (r *Router) expectedWait(now clock.Time, read Read, g *database.Group, i int, tries *Tries) (clock.Duration, bool, Reason) {
 	report, heard := g.Report(i)
 	if !heard || now.Sub(report.SentAt) > reportLife {
 		return 0, false, ReasonSilent
 	}
-	behind, known := g.Ring().Age(report.Status.Applied, report.SentAt)
-	if !known || behind > read.MaxAge {
+	lag, known := g.Lag(i)
+	if !known || lag >= read.MaxAge {
 		return 0, false, ReasonAge
 	}
-	behind = max(behind-clock.Millisecond, 0)
-	if report.Status.Applied.AtLeast(read.Floor) {
-		return 0, true, ReasonReplica
+	var wait clock.Duration
+	if !report.Status.Applied.AtLeast(read.Floor) {
+		reached, known := g.Ring().ReachedAt(read.Floor)
+		if !known {
+			return 0, false, ReasonFloor
+		}
+		wait = max(reached.Add(lag+clock.Millisecond).Sub(now), 0)
 	}
-	reached, known := g.Ring().ReachedAt(read.Floor)
-	if !known {
-		return 0, false, ReasonFloor
+	if n := clock.Duration(tries.counts[i]); n > 0 {
+		wait = max(wait, n*n*retryWait)
 	}
-	wait := reached.Add(behind + clock.Millisecond).Sub(now)
-	if wait > r.replicaWait {
+	if tries.waited+wait > r.replicaWait {
 		return 0, false, ReasonFloor
 	}
-	return max(wait, 0), true, ReasonReplica
+	return wait, true, ReasonReplica
 }
 
 // Verify reports whether a database that showed status before it ran the
