--- a/internal/request/database/share_test.go
+++ b/internal/request/database/share_test.go
@@ -177,7 +177,6 @@
 	sent    uint64
 	sentAt  clock.Time
 	counted *tally
-	primary bool
 	// servable is set once the oracle knows a replica that qualifies.
 	servable bool
 	answered bool
