Find other proxies by pings and rumors, and run on the accepted declarations

Members ping each other in turn over UDP, ask others for help before they suspect, and compare tables by parts; the platform's lagging list only makes them known. The development system now runs on declarations accepted through the stand-ins.

--- a/internal/core/dev.go
+++ b/internal/core/dev.go
@@ -12,14 +12,18 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	standin "github.com/oleanderflow/oleanderflow/internal/standin/database"
+	standinplatform "github.com/oleanderflow/oleanderflow/internal/standin/platform"
 	"github.com/oleanderflow/oleanderflow/internal/version/operator"
+	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 // The ports of a development system, after the first proxy's.
 const (
+	devPlatformPort = 8
 	devControlPort  = 9
 	devPeerPort     = 10
 	devDatabasePort = 20
@@ -40,13 +44,14 @@
 	ReplicationDelay time.Duration
 }
 
-// Dev is a running development system: a database group's stand-in and
-// proxies, one for each zone in turn.
+// Dev is a running development system: stand-ins for a database group and
+// the platform's services, and proxies, one for each zone in turn.
 type Dev struct {
-	Group   *standin.Group
-	Proxies []*Proxy
-	folder  string
-	control *proxy.Peers
+	Group    *standin.Group
+	Platform *standinplatform.Server
+	Proxies  []*Proxy
+	folder   string
+	control  *proxy.Peers
 }
 
 // NewDev starts a development system.
@@ -79,11 +84,14 @@
 	for _, database := range g.Databases[1:] {
 		database.SetLag(s.Lag)
 	}
-	config, err := d.configuration()
+	d.Platform, err = standinplatform.NewServer(s.address(devPlatformPort))
 	if err != nil {
 		return err
 	}
-	if err := d.startProxies(s, config, log); err != nil {
+	if err := d.declare(context.Background()); err != nil {
+		return err
+	}
+	if err := d.startProxies(s, log); err != nil {
 		return err
 	}
 	d.control, err = proxy.NewPeers(s.address(devControlPort), &faultReceiver{dev: d}, log)
@@ -98,38 +106,57 @@
 	return netip.AddrPortFrom(s.Listen.Addr(), uint16(port)).String()
 }
 
-// configuration declares the stand-ins as an operator would.
-func (d *Dev) configuration() (*operator.Configuration, error) {
+// declare has the stand-ins accepted as an operator would.
+func (d *Dev) declare(ctx context.Context) error {
 	var b strings.Builder
 	b.WriteString("[group." + devGroup + "]\ncustomer = tyre ballast shop\nconnections = 50\n")
 	for _, database := range d.Group.Databases {
 		fmt.Fprintf(&b, "[database.%s.%s]\naddress = %s\nzone = %s\n", devGroup, database.Name(), database.Address(), database.Zone())
 	}
 	b.WriteString("[read.stock]\napplication = stock\nmaxAge = 2s\n")
-	config, _, err := operator.Load("dev.ini", []byte(b.String()), "", nil)
-	return config, err
+	_, err := d.history().Apply(ctx, versionplatform.Change{
+		ID: "dev", By: "dev", Bundle: operator.Bundle{Base: operator.File{Name: "dev.ini", Text: b.String()}},
+	})
+	return err
+}
+
+func (d *Dev) access() platform.Access {
+	return platform.Access{
+		Endpoint: d.Platform.Endpoint(), Region: "local", KeyID: "dev", Secret: "dev",
+		Table: "oleanderflow", Bucket: "oleanderflow",
+	}
+}
+
+func (d *Dev) history() *versionplatform.History {
+	return versionplatform.NewHistory(platform.NewDynamoTable(d.access()), platform.NewS3Objects(d.access()))
 }
 
-func (d *Dev) startProxies(s DevSettings, config *operator.Configuration, log *zap.Logger) error {
-	var live []proxy.Peer
+func (d *Dev) startProxies(s DevSettings, log *zap.Logger) error {
 	for i := range s.Proxies {
 		p, err := NewProxy(Instance{
 			Name: fmt.Sprintf("proxy-%d", i+1), Zone: devZones[i%len(devZones)],
 			Listen: s.address(i), PeerListen: s.address(devPeerPort + i),
-		}, config, log)
+		}, operator.Default(), log, WithHistory(d.history()), WithList(platform.NewHTTPList(d.Platform.Endpoint()+"/instances")))
 		if err != nil {
 			return err
 		}
 		d.Proxies = append(d.Proxies, p)
-		live = append(live, p.Self())
-	}
-	for _, p := range d.Proxies {
-		p.SetLive(live)
+		d.listProxies()
 		go p.Serve()
 	}
 	return nil
 }
 
+// listProxies enters the proxies in the platform's list.
+func (d *Dev) listProxies() {
+	var instances []platform.Instance
+	for _, p := range d.Proxies {
+		self := p.Self()
+		instances = append(instances, platform.Instance{Name: self.Name, Zone: self.Zone, Address: self.Address})
+	}
+	d.Platform.SetInstances(instances)
+}
+
 // Close stops the system.
 func (d *Dev) Close() {
 	if d.control != nil {
@@ -138,6 +165,9 @@
 	for _, p := range d.Proxies {
 		p.Close()
 	}
+	if d.Platform != nil {
+		d.Platform.Close()
+	}
 	if d.Group != nil {
 		d.Group.Close()
 	}
@@ -179,6 +209,8 @@
 		d.Group.Primary().Stop()
 	case "partitionPrimary":
 		d.Group.Primary().Partition()
+	case "storeDown", "storeUp":
+		d.Platform.SetDown(kind == "storeDown")
 	case "heal":
 		for _, database := range d.Group.Databases {
 			database.Heal()
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -18,10 +18,12 @@
 	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
 	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	callerrequest "github.com/oleanderflow/oleanderflow/internal/request/caller"
 	dbrequest "github.com/oleanderflow/oleanderflow/internal/request/database"
 	"github.com/oleanderflow/oleanderflow/internal/version/operator"
+	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -40,8 +42,10 @@
 
 // Instance is what one proxy's own settings say of it.
 type Instance struct {
-	Name       string
-	Zone       string
+	Name string
+	Zone string
+	// Site selects the overlay that the proxy runs on.
+	Site       string
 	Listen     string
 	PeerListen string
 }
@@ -60,6 +64,11 @@
 	listener net.Listener
 	acceptor *callerconn.Acceptor
 
+	members *members
+	spread  *spread
+	list    platform.List
+	history *versionplatform.History
+
 	force atomic.Pointer[inForce]
 	done  chan struct{}
 	wait  sync.WaitGroup
@@ -102,6 +111,12 @@
 	return func(p *Proxy) { p.acceptor.TLS, p.acceptor.RequireTLS = current, required }
 }
 
+// WithList makes the proxy find others through the platform's list.
+func WithList(l platform.List) Option { return func(p *Proxy) { p.list = l } }
+
+// WithHistory makes the proxy run on the accepted declarations.
+func WithHistory(h *versionplatform.History) Option { return func(p *Proxy) { p.history = h } }
+
 // NewProxy listens on the instance's addresses and puts a configuration in
 // force. Serve starts to accept callers.
 func NewProxy(instance Instance, config *operator.Configuration, log *zap.Logger, options ...Option) (*Proxy, error) {
@@ -125,9 +140,28 @@
 	p.registry = dbprocess.NewRegistry(p.clock)
 	p.live = []proxy.Peer{p.self()}
 	p.PutInForce(config)
+	if err := p.join(); err != nil {
+		p.Close()
+		return nil, err
+	}
 	return p, nil
 }
 
+// join begins the work with other proxies.
+func (p *Proxy) join() error {
+	if p.history != nil {
+		p.spread = newSpread(p, p.history)
+	}
+	m, err := newMembers(p, p.list)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.members = m
+	p.mu.Unlock()
+	return nil
+}
+
 func (p *Proxy) listen() error {
 	l, err := net.Listen("tcp", p.instance.Listen)
 	if err != nil {
@@ -163,6 +197,9 @@
 		}
 	}
 	p.peers.SetPeers(others)
+	if p.spread != nil {
+		p.spread.setLive(live)
+	}
 	p.assignWatches()
 	p.shareBudgets()
 }
@@ -471,6 +508,7 @@
 // Shutdown takes no new work, lets what runs finish within limit and closes
 // the proxy. It returns false if requests were cut at the limit.
 func (p *Proxy) Shutdown(limit clock.Duration) bool {
+	p.members.leave()
 	p.mu.Lock()
 	p.leaving = true
 	for _, s := range p.sessions {
@@ -479,6 +517,7 @@
 	p.mu.Unlock()
 	_ = p.listener.Close()
 	finished := p.awaitSessions(limit)
+	p.members.left()
 	p.Close()
 	return finished
 }
@@ -520,6 +559,9 @@
 	_ = p.listener.Close()
 	p.closeSessions()
 	p.registry.Close()
+	if p.members != nil {
+		p.members.close()
+	}
 	for _, g := range p.force.Load().groups {
 		for _, pool := range g.serving.Pools {
 			pool.Interrupt()
--- a/internal/core/receiver.go
+++ b/internal/core/receiver.go
@@ -26,9 +26,34 @@
 			r.proxy.cancel(callerconn.CancelKey{PID: m.PID, Secret: m.Secret}, false)
 		})
 	}
+	return r.receiveShared(method, params)
+}
+
+// receiveShared serves what proxies keep in common: members, declarations
+// and status.
+func (r *receiver) receiveShared(method string, params json.RawMessage) (any, error) {
+	switch method {
+	case proxy.MethodMembers:
+		return answer(params, r.proxy.differingMembers)
+	case proxy.MethodTell:
+		return answer(params, r.proxy.told)
+	case proxy.MethodFetch:
+		return answer(params, r.proxy.fetched)
+	case proxy.MethodStatus:
+		return r.proxy.Status(), nil
+	}
 	return nil, errors.Errorf("unknown method %q", method)
 }
 
+// answer decodes a message for handle and returns its answer.
+func answer[M, A any](params json.RawMessage, handle func(M) A) (any, error) {
+	var m M
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, errors.Wrap(err, "decode message")
+	}
+	return handle(m), nil
+}
+
 // with decodes a message for handle.
 func with[M any](params json.RawMessage, handle func(M)) error {
 	var m M
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -14,8 +15,21 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 )
 
-// AwaitReady waits until the proxy knows the primary of every group.
+// readyInterval is the time between two looks at what is in force.
+const readyInterval = 10 * time.Millisecond
+
+// AwaitReady waits until declarations are in force and the proxy knows the
+// primary of every group.
 func (p *Proxy) AwaitReady(ctx context.Context) error {
+	for len(p.force.Load().groups) == 0 {
+		timer := time.NewTimer(readyInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return errors.Wrap(ctx.Err(), "no declarations in force")
+		}
+	}
 	for name, g := range p.force.Load().groups {
 		if err := g.monitor.Await(ctx, (*dbprocess.Group).Writable); err != nil {
 			return errors.Wrap(err, "group "+name)
--- /dev/null
+++ b/internal/core/spread.go
@@ -0,0 +1,232 @@
+package core
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/version/operator"
+	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
+	versionproxy "github.com/oleanderflow/oleanderflow/internal/version/proxy"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+const (
+	fetchTimeout = 2 * clock.Second
+	storeTimeout = 5 * time.Second
+)
+
+// spread drives how one proxy learns of accepted versions. Its mutex is
+// taken before the proxy's.
+type spread struct {
+	proxy   *Proxy
+	history *versionplatform.History
+
+	mu      sync.Mutex
+	spread  *versionproxy.Spread
+	content []byte
+	hash    string
+	polling bool
+}
+
+func newSpread(p *Proxy, h *versionplatform.History) *spread {
+	figures := p.Configuration().Spread
+	source := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(p.proxyNumber())))
+	s := &spread{proxy: p, history: h, spread: versionproxy.NewSpread(versionproxy.Settings{
+		PollInterval: figures.PollInterval, GossipInterval: figures.GossipInterval,
+		Fanout: figures.Fanout, FetchTimeout: fetchTimeout,
+	}, source)}
+	p.registry.Add(s)
+	return s
+}
+
+// setLive tells who can be told of versions, and whether this proxy polls.
+func (s *spread) setLive(live []proxy.Peer) {
+	var names []string
+	for _, p := range live {
+		if p.Name != s.proxy.instance.Name {
+			names = append(names, p.Name)
+		}
+	}
+	pollers := proxy.ChooseWatchers("declarations", live, s.proxy.Configuration().Spread.Pollers)
+	mine := slices.ContainsFunc(pollers, func(p proxy.Peer) bool { return p.Name == s.proxy.instance.Name })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spread.SetPeers(names, mine)
+}
+
+// Tick implements the registry's row.
+func (s *spread) Tick(now clock.Time) {
+	s.decide(func(dst []versionproxy.Action) []versionproxy.Action { return s.spread.Tick(now, dst) })
+}
+
+func (s *spread) decide(step func([]versionproxy.Action) []versionproxy.Action) {
+	s.mu.Lock()
+	actions := step(nil)
+	s.mu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case versionproxy.PutInForce:
+			s.putInForce(a)
+		case versionproxy.Poll:
+			s.submit(s.poll)
+		case versionproxy.Tell:
+			s.submit(func() { s.tell(a) })
+		case versionproxy.FetchFromPeer:
+			s.submit(func() { s.fetchFromPeer(a) })
+		case versionproxy.FetchFromStore:
+			s.submit(func() { s.fetchFromStore(a) })
+		}
+	}
+}
+
+func (s *spread) submit(task func()) { s.proxy.workers.Submit(task) }
+
+func (s *spread) poll() {
+	s.mu.Lock()
+	if s.polling {
+		s.mu.Unlock()
+		return
+	}
+	s.polling = true
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	head, err := s.history.Head(ctx)
+	s.mu.Lock()
+	s.polling = false
+	s.mu.Unlock()
+	if err != nil {
+		s.proxy.log.Debug("head of the declarations not read", zap.Error(err))
+		return
+	}
+	s.decide(func(dst []versionproxy.Action) []versionproxy.Action {
+		return s.spread.HandlePolled(s.proxy.clock.Now(), versionproxy.Head(head), dst)
+	})
+}
+
+func (s *spread) tell(a versionproxy.Tell) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout.Std())
+	defer cancel()
+	message := proxy.TellMessage{From: s.proxy.instance.Name, Version: a.Head.Version, Hash: a.Head.Hash, ChangeID: a.Head.ChangeID}
+	var heard proxy.TellMessage
+	if err := s.proxy.peers.Call(ctx, a.Peer, proxy.MethodTell, message, &heard); err != nil {
+		s.proxy.log.Debug("peer not told of the version", zap.String("peer", a.Peer), zap.Error(err))
+		return
+	}
+	s.hear(heard)
+}
+
+func (s *spread) hear(m proxy.TellMessage) {
+	head := versionproxy.Head{Version: m.Version, Hash: m.Hash, ChangeID: m.ChangeID}
+	s.decide(func(dst []versionproxy.Action) []versionproxy.Action {
+		return s.spread.HandleTold(s.proxy.clock.Now(), m.From, head, dst)
+	})
+}
+
+func (s *spread) fetchFromPeer(a versionproxy.FetchFromPeer) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout.Std())
+	defer cancel()
+	var got proxy.FetchAnswer
+	if err := s.proxy.peers.Call(ctx, a.Peer, proxy.MethodFetch, proxy.FetchMessage{Hash: a.Hash}, &got); err != nil || len(got.Content) == 0 {
+		s.proxy.log.Debug("declarations not fetched from a peer", zap.String("peer", a.Peer), zap.Error(err))
+		return
+	}
+	s.receive(a.Hash, got.Content)
+}
+
+func (s *spread) fetchFromStore(a versionproxy.FetchFromStore) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	content, err := s.history.Content(ctx, a.Hash)
+	if err != nil {
+		s.proxy.log.Info("declarations not fetched from the store", zap.Error(err))
+		return
+	}
+	s.receive(a.Hash, content)
+}
+
+// receive checks content before it is put in force.
+func (s *spread) receive(hash string, content []byte) {
+	bundle, err := operator.DecodeBundle(content, hash)
+	if err != nil {
+		s.proxy.log.Warn("declarations refused", zap.Error(err))
+		return
+	}
+	_, _, err = bundle.ForSite(s.proxy.instance.Site)
+	if err != nil {
+		s.proxy.log.Error("accepted declarations cannot be put in force", zap.String("hash", hash), zap.Error(err))
+	}
+	s.decide(func(dst []versionproxy.Action) []versionproxy.Action {
+		return s.spread.HandleContent(hash, content, err == nil, dst)
+	})
+}
+
+func (s *spread) putInForce(a versionproxy.PutInForce) {
+	bundle, err := operator.DecodeBundle(a.Content, a.Head.Hash)
+	if err != nil {
+		s.proxy.log.Error("declarations not put in force", zap.Error(err))
+		return
+	}
+	config, _, err := bundle.ForSite(s.proxy.instance.Site)
+	if err != nil {
+		s.proxy.log.Error("declarations not put in force", zap.Error(err))
+		return
+	}
+	s.mu.Lock()
+	stale := s.spread.InForce().Version > a.Head.Version
+	if !stale {
+		s.content, s.hash = a.Content, a.Head.Hash
+	}
+	s.mu.Unlock()
+	if stale {
+		return
+	}
+	s.proxy.PutInForce(config)
+	s.proxy.log.Info("version in force", zap.Uint64("version", a.Head.Version), zap.String("hash", a.Head.Hash))
+}
+
+// current returns the version in force and the one refused.
+func (s *spread) current() (force, refused versionproxy.Head) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spread.InForce(), s.spread.Refused()
+}
+
+// told answers a peer that tells its version.
+func (p *Proxy) told(m proxy.TellMessage) proxy.TellMessage {
+	if p.spread == nil {
+		return proxy.TellMessage{From: p.instance.Name}
+	}
+	p.spread.hear(m)
+	force, _ := p.spread.current()
+	return proxy.TellMessage{From: p.instance.Name, Version: force.Version, Hash: force.Hash, ChangeID: force.ChangeID}
+}
+
+// fetched answers a peer that asks for content.
+func (p *Proxy) fetched(m proxy.FetchMessage) proxy.FetchAnswer {
+	if p.spread == nil {
+		return proxy.FetchAnswer{}
+	}
+	p.spread.mu.Lock()
+	defer p.spread.mu.Unlock()
+	if p.spread.hash != m.Hash {
+		return proxy.FetchAnswer{}
+	}
+	return proxy.FetchAnswer{Content: p.spread.content}
+}
+
+func (p *Proxy) differingMembers(m proxy.MembersMessage) proxy.MembersAnswer {
+	p.mu.Lock()
+	members := p.members
+	p.mu.Unlock()
+	if members == nil {
+		return proxy.MembersAnswer{}
+	}
+	return proxy.MembersAnswer{Members: members.differing(m.Buckets)}
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,49 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+)
+
+// Status returns what the proxy says of itself.
+func (p *Proxy) Status() proxy.StatusAnswer {
+	p.mu.Lock()
+	answer := proxy.StatusAnswer{
+		Name: p.instance.Name, Zone: p.instance.Zone, Leaving: p.leaving, Sessions: len(p.sessions),
+	}
+	members := p.members
+	p.mu.Unlock()
+	if members != nil {
+		answer.Members = members.table()
+	}
+	if p.spread != nil {
+		force, refused := p.spread.current()
+		answer.Version, answer.Hash, answer.Refused = force.Version, force.Hash, refused.Version
+	}
+	for _, g := range p.force.Load().groups {
+		answer.Groups = append(answer.Groups, p.groupStatus(g))
+	}
+	slices.SortFunc(answer.Groups, func(a, b proxy.GroupStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return answer
+}
+
+func (p *Proxy) groupStatus(g *group) proxy.GroupStatus {
+	status := proxy.GroupStatus{Name: g.declared.Name}
+	p.mu.Lock()
+	status.Watching = g.watching
+	p.mu.Unlock()
+	g.monitor.View(func(known *dbprocess.Group) {
+		primary, term := known.Primary()
+		status.Term, status.Writable = term, known.Writable()
+		if primary >= 0 {
+			status.Primary = g.monitor.Members()[primary].Name
+		}
+	})
+	if status.Watching {
+		status.Phase = g.watch.Phase().String()
+	}
+	return status
+}
--- a/internal/process/database/watch.go
+++ b/internal/process/database/watch.go
@@ -76,6 +76,14 @@
 	w.failover.HandleAnnounce(w.clock.Now(), a)
 }
 
+// Phase returns what the failover is doing.
+func (w *Watch) Phase() Phase {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	phase, _ := w.failover.Phase()
+	return phase
+}
+
 // SetWatchers replaces the set of watchers.
 func (w *Watch) SetWatchers(watchers []Watcher) {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/process/proxy/membership_test.go
@@ -0,0 +1,205 @@
+package proxy_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/standin/virtual"
+)
+
+const membershipTick = 50 * time.Millisecond
+
+type memberNode struct {
+	node       virtual.Node
+	membership *proxy.Membership
+}
+
+type memberWorld struct {
+	world     *virtual.World
+	nodes     []*memberNode
+	datagrams int
+	syncs     int
+}
+
+func newMemberWorld(seed uint64, count int) *memberWorld {
+	w := &memberWorld{world: virtual.NewWorld(seed, virtual.Network{OneWay: time.Millisecond, Near: 100 * time.Microsecond})}
+	for i := range count {
+		w.nodes = append(w.nodes, w.newNode(i, 1))
+	}
+	for _, n := range w.nodes {
+		w.join(n)
+	}
+	return w
+}
+
+func (w *memberWorld) newNode(i int, incarnation uint64) *memberNode {
+	name := fmt.Sprint("proxy", i)
+	n := &memberNode{node: virtual.Node{Name: name, Zone: string(rune('a' + i%3))}}
+	self := proxy.Member{Name: name, Zone: n.node.Zone, Address: name, Incarnation: incarnation}
+	n.membership = proxy.NewMembership(self, proxy.DefaultMembershipSettings(), rand.New(rand.NewPCG(w.world.Rand.Uint64(), 1)))
+	return n
+}
+
+// join gives a node the platform's list, which names only the first three.
+func (w *memberWorld) join(n *memberNode) {
+	var list []proxy.Member
+	for _, other := range w.nodes[:3] {
+		list = append(list, proxy.Member{Name: other.node.Name, Zone: other.node.Zone, Address: other.node.Name})
+	}
+	w.perform(n, n.membership.HandleList(w.world.Now(), list, nil))
+	w.world.Every(&n.node, membershipTick, func() { w.perform(n, n.membership.Tick(w.world.Now(), nil)) })
+}
+
+func (w *memberWorld) find(address string) *memberNode {
+	for _, n := range w.nodes {
+		if n.node.Name == address {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *memberWorld) perform(n *memberNode, actions []proxy.MembershipAction) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case proxy.Send:
+			w.datagrams++
+			to := w.find(a.Address)
+			w.world.Send(&n.node, &to.node, func() {
+				w.perform(to, to.membership.HandleDatagram(w.world.Now(), a.Datagram, nil))
+			})
+		case proxy.Sync:
+			w.syncs++
+			to := w.find(a.Peer.Address)
+			w.world.Send(&n.node, &to.node, func() {
+				answer := to.membership.Differing(a.Buckets)
+				w.world.Send(&to.node, &n.node, func() {
+					w.perform(n, n.membership.HandleTable(w.world.Now(), answer, nil))
+				})
+			})
+		}
+	}
+}
+
+func (w *memberWorld) run(d time.Duration) { w.world.Run(w.world.Elapsed()+d, nil) }
+
+// agree reports whether every node that is up knows exactly count members.
+func (w *memberWorld) agree(count int) bool {
+	for _, n := range w.nodes {
+		if !n.node.Down && len(n.membership.Members()) != count {
+			return false
+		}
+	}
+	return true
+}
+
+// until runs the world until condition holds and returns the time it took.
+func (w *memberWorld) until(limit time.Duration, condition func() bool) (time.Duration, bool) {
+	began := w.world.Elapsed()
+	for w.world.Elapsed()-began < limit {
+		if condition() {
+			return w.world.Elapsed() - began, true
+		}
+		w.run(100 * time.Millisecond)
+	}
+	return limit, condition()
+}
+
+func TestMembersFindEachOtherAndNoticeDeath(t *testing.T) {
+	for _, count := range []int{16, 64} {
+		w := newMemberWorld(1, count)
+		joined, ok := w.until(time.Minute, func() bool { return w.agree(count) })
+		require.True(t, ok)
+		w.nodes[7].node.Down = true
+		noticed, ok := w.until(time.Minute, func() bool { return w.agree(count - 1) })
+		require.True(t, ok)
+		before := w.datagrams
+		w.run(20 * time.Second)
+		t.Logf("%d members: joined after %v, death known to all after %v, %.1f datagrams a second each", count, joined, noticed,
+			float64(w.datagrams-before)/20/float64(count))
+	}
+}
+
+func TestPausedMemberRefutesItsDeath(t *testing.T) {
+	w := newMemberWorld(2, 16)
+	_, ok := w.until(time.Minute, func() bool { return w.agree(16) })
+	require.True(t, ok)
+	w.world.Pause(&w.nodes[5].node, 15*time.Second)
+	w.run(12 * time.Second)
+	require.Len(t, w.nodes[0].membership.Members(), 15)
+	_, ok = w.until(time.Minute, func() bool { return w.agree(16) })
+	require.True(t, ok, "the member did not come back")
+}
+
+func TestLossyNetworkKillsNobody(t *testing.T) {
+	w := newMemberWorld(3, 16)
+	_, ok := w.until(time.Minute, func() bool { return w.agree(16) })
+	require.True(t, ok)
+	w.world.Network.Drop = 0.05
+	for range 60 {
+		w.run(time.Second)
+		require.True(t, w.agree(16), "a live member was declared dead")
+	}
+}
+
+func TestRestartedMemberReplacesItsEarlierLife(t *testing.T) {
+	w := newMemberWorld(4, 16)
+	_, ok := w.until(time.Minute, func() bool { return w.agree(16) })
+	require.True(t, ok)
+	w.nodes[9].node.Down = true
+	_, ok = w.until(time.Minute, func() bool { return w.agree(15) })
+	require.True(t, ok)
+	w.nodes[9] = w.newNode(9, 2)
+	w.join(w.nodes[9])
+	_, ok = w.until(time.Minute, func() bool { return w.agree(16) })
+	require.True(t, ok)
+}
+
+func TestLeavingIsKnownEverywhereWithinSeconds(t *testing.T) {
+	w := newMemberWorld(5, 16)
+	_, ok := w.until(time.Minute, func() bool { return w.agree(16) })
+	require.True(t, ok)
+	w.perform(w.nodes[4], w.nodes[4].membership.Leave(w.world.Now(), nil))
+	took, ok := w.until(10*time.Second, func() bool {
+		for _, n := range w.nodes {
+			for _, m := range n.membership.Members() {
+				if m.Name == "proxy4" && !m.Leaving {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	require.True(t, ok)
+	t.Logf("leaving known to 16 members after %v", took)
+}
+
+func TestWatchersStandInDifferentZones(t *testing.T) {
+	var live []proxy.Peer
+	for i := range 15 {
+		live = append(live, proxy.Peer{Name: fmt.Sprint("proxy", i), Zone: string(rune('a' + i%3))})
+	}
+	counts := make(map[string]int)
+	for g := range 300 {
+		watchers := proxy.ChooseWatchers(fmt.Sprint("group", g), live, 3)
+		require.Len(t, watchers, 3)
+		zones := make(map[string]bool)
+		for _, w := range watchers {
+			zones[w.Zone] = true
+			counts[w.Name]++
+		}
+		require.Len(t, zones, 3)
+	}
+	for name, n := range counts {
+		require.Less(t, n, 120, "%s watches too much", name)
+	}
+	live[3].Leaving = true
+	for _, w := range proxy.ChooseWatchers("group1", live, 3) {
+		require.NotEqual(t, "proxy3", w.Name)
+	}
+}
--- a/internal/process/proxy/messages.go
+++ b/internal/process/proxy/messages.go
@@ -19,8 +19,9 @@
 	MethodOpinion  = "opinion"
 	MethodAnnounce = "announce"
 	MethodCancel   = "cancel"
-	MethodGossip   = "gossip"
+	MethodTell     = "tell"
 	MethodFetch    = "fetch"
+	MethodMembers  = "members"
 	MethodPause    = "pause"
 	MethodPromote  = "promote"
 	MethodStatus   = "status"
@@ -63,3 +64,54 @@
 	Quiet   bool `json:"quiet"`
 	Running int  `json:"running"`
 }
+
+// TellMessage carries the version that a proxy has in force.
+type TellMessage struct {
+	From     string `json:"from"`
+	Version  uint64 `json:"version"`
+	Hash     string `json:"hash"`
+	ChangeID string `json:"changeId"`
+}
+
+// FetchMessage asks for the content that a hash names.
+type FetchMessage struct {
+	Hash string `json:"hash"`
+}
+
+// FetchAnswer is the content, empty if the proxy does not have it.
+type FetchAnswer struct {
+	Content []byte `json:"content"`
+}
+
+// MembersMessage asks for the rows of the table's parts that differ.
+type MembersMessage struct {
+	Buckets []uint64 `json:"buckets"`
+}
+
+// MembersAnswer holds the rows asked for.
+type MembersAnswer struct {
+	Members []Member `json:"members"`
+}
+
+// StatusAnswer is what a proxy says of itself.
+type StatusAnswer struct {
+	Name     string        `json:"name"`
+	Zone     string        `json:"zone"`
+	Version  uint64        `json:"version"`
+	Hash     string        `json:"hash"`
+	Refused  uint64        `json:"refusedVersion,omitempty"`
+	Leaving  bool          `json:"leaving,omitempty"`
+	Sessions int           `json:"sessions"`
+	Groups   []GroupStatus `json:"groups"`
+	Members  []Member      `json:"members"`
+}
+
+// GroupStatus is what a proxy knows of a database group.
+type GroupStatus struct {
+	Name     string `json:"name"`
+	Primary  string `json:"primary"`
+	Term     uint64 `json:"term"`
+	Writable bool   `json:"writable"`
+	Watching bool   `json:"watching"`
+	Phase    string `json:"phase,omitempty"`
+}
--- a/internal/version/operator/configuration.go
+++ b/internal/version/operator/configuration.go
@@ -109,6 +109,10 @@
 	return nil
 }
 
+// Default returns the configuration of a proxy that has no accepted version
+// yet: the default figures, and no groups.
+func Default() *Configuration { return defaults() }
+
 // defaults returns the figures that hold where nothing is declared.
 func defaults() *Configuration {
 	return &Configuration{
