Drive declarations from the command line: plan, apply, history, rollback, status

apply names the version that plan was made on, so that the second of two racing operators is refused and shown what the first changed; a change whose answer was lost is asked for by its id.

--- a/internal/core/dev_test.go
+++ b/internal/core/dev_test.go
@@ -12,6 +12,9 @@
 	_ "github.com/lib/pq"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/version/operator"
+	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
 )
 
 func startDev(t *testing.T, settings DevSettings) *Dev {
@@ -72,3 +75,49 @@
 	require.NoError(t, db.QueryRow("SELECT tyre FROM fills WHERE id = $1", 1).Scan(&tyre))
 	require.Equal(t, "front", tyre)
 }
+
+// operatorArguments reach the development system's platform.
+func operatorArguments(d *Dev) PlatformOptions {
+	a := d.access()
+	return PlatformOptions{Endpoint: a.Endpoint, Region: a.Region, KeyID: a.KeyID, Secret: a.Secret, Table: a.Table, Bucket: a.Bucket}
+}
+
+func TestAcceptedChangeIsInForceEverywhereWithoutCuttingARequest(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	ctx := context.Background()
+	h := operatorArguments(d).history()
+	head, err := h.Head(ctx)
+	require.NoError(t, err)
+	bundle, err := h.Bundle(ctx, head)
+	require.NoError(t, err)
+	c := connect(t, d.Proxies[1], "")
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	bundle.Base.Text += "[read.fast]\napplication = fast\nmaxAge = 1s\n"
+	_, err = h.Apply(ctx, versionplatform.Change{ID: "second", Bundle: bundle, Onto: head.Version})
+	require.NoError(t, err)
+	for _, p := range d.Proxies {
+		require.Eventually(t, func() bool { return p.Status().Version == 2 }, 9*time.Second, 10*time.Millisecond)
+		require.Len(t, p.Configuration().Ages, 2)
+	}
+	_, err = tx.Exec(ctx, "CREATE TABLE t (id INTEGER)")
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit(ctx))
+}
+
+func TestFreshProxyStartsFromPeersWhileTheStoreIsDown(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	d.Platform.SetDown(true)
+	peers := fixedList{d.Proxies[0].Self()}
+	p, err := NewProxy(Instance{Name: "fresh", Zone: "zone-a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0"},
+		operator.Default(), zap.NewNop(), WithHistory(d.history()), WithList(peers))
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	go p.Serve()
+	ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
+	defer cancel()
+	require.NoError(t, p.AwaitReady(ctx))
+	require.Equal(t, uint64(1), p.Status().Version)
+	var one int
+	require.NoError(t, connect(t, p, "").QueryRow(ctx, "SELECT 1").Scan(&one))
+}
--- /dev/null
+++ b/internal/core/operator.go
@@ -0,0 +1,109 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+)
+
+const (
+	// statusTimeout bounds the question to one proxy.
+	statusTimeout = 3 * time.Second
+	// statusWorkers is how many proxies are asked at once.
+	statusWorkers = 32
+)
+
+// ProxyStatus is one proxy's answer, or the word that none came.
+type ProxyStatus struct {
+	Name  string              `json:"name"`
+	State string              `json:"state"`
+	Error string              `json:"error,omitempty"`
+	Says  *proxy.StatusAnswer `json:"says,omitempty"`
+}
+
+func runStatus(ctx context.Context, o *StatusOptions) int {
+	first, err := askProxy(ctx, o.Peer)
+	if err != nil {
+		return fail(errors.Wrap(err, "ask the proxy at "+o.Peer))
+	}
+	all := askAll(ctx, first.Members)
+	if o.JSON {
+		return printResult(all)
+	}
+	if err := printStatus(first, all); err != nil {
+		return fail(err)
+	}
+	return ExitOK
+}
+
+func askProxy(ctx context.Context, address string) (*proxy.StatusAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var answer proxy.StatusAnswer
+	if err := proxy.CallAddress(ctx, address, proxy.MethodStatus, struct{}{}, &answer); err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
+
+// askAll asks all members that may be alive, several at once.
+func askAll(ctx context.Context, members []proxy.Member) []ProxyStatus {
+	all := make([]ProxyStatus, len(members))
+	turns := make(chan struct{}, statusWorkers)
+	var wait sync.WaitGroup
+	for i, m := range members {
+		all[i] = ProxyStatus{Name: m.Name, State: m.State.String()}
+		if m.State >= proxy.Dead {
+			continue
+		}
+		wait.Add(1)
+		turns <- struct{}{}
+		go func() {
+			defer wait.Done()
+			defer func() { <-turns }()
+			says, err := askProxy(ctx, m.Address)
+			if err != nil {
+				all[i].Error = err.Error()
+				return
+			}
+			says.Members = nil
+			all[i].Says = says
+		}()
+	}
+	wait.Wait()
+	return all
+}
+
+func printStatus(first *proxy.StatusAnswer, all []ProxyStatus) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "proxy\tzone\tstate\tversion\tsessions\tnote")
+	for _, s := range all {
+		if s.Says == nil {
+			fmt.Fprintf(table, "%s\t\t%s\t\t\tnot heard from: %s\n", s.Name, s.State, s.Error)
+			continue
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\n", s.Name, s.Says.Zone, s.State, s.Says.Version, s.Says.Sessions, note(s.Says))
+	}
+	fmt.Fprintln(table, "\ngroup\tprimary\tterm\twritable")
+	for _, g := range first.Groups {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%t\n", g.Name, g.Primary, g.Term, g.Writable)
+	}
+	return table.Flush()
+}
+
+func note(s *proxy.StatusAnswer) string {
+	switch {
+	case s.Leaving:
+		return "leaving"
+	case s.Refused > s.Version:
+		return fmt.Sprintf("cannot put version %d in force", s.Refused)
+	}
+	return ""
+}
--- a/internal/core/options.go
+++ b/internal/core/options.go
@@ -38,6 +38,12 @@
 	Check *CheckOptions `arg:"subcommand:check" help:"check a base file and an overlay"`
 	Show  *ShowOptions  `arg:"subcommand:show" help:"show the merged declaration and where each value comes from"`
 
+	Plan     *PlanOptions     `arg:"subcommand:plan" help:"show what declared files would change"`
+	Apply    *ApplyOptions    `arg:"subcommand:apply" help:"have declared files accepted at all sites"`
+	History  *HistoryOptions  `arg:"subcommand:history" help:"list the accepted versions"`
+	Rollback *RollbackOptions `arg:"subcommand:rollback" help:"accept the content of an earlier version anew"`
+	Status   *StatusOptions   `arg:"subcommand:status" help:"show which proxy runs on which version, and each group's primary"`
+
 	LogLevel string `arg:"--log-level,env:OLEANDERFLOW_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 }
 
@@ -47,9 +53,70 @@
 	Overlay string `arg:"--overlay" placeholder:"FILE" help:"overlay of the site, which changes only what differs"`
 }
 
+// Bundled names a base file and the overlays of all sites.
+type Bundled struct {
+	Base     string   `arg:"--base,required" placeholder:"FILE" help:"base file, shared by all sites"`
+	Overlays []string `arg:"--overlay,separate" placeholder:"FILE" help:"overlay of a site (repeat for several)"`
+}
+
+// PlatformOptions say how to reach the platform's services.
+type PlatformOptions struct {
+	Endpoint string `arg:"--platform-endpoint,env:OLEANDERFLOW_PLATFORM_ENDPOINT" placeholder:"URL" help:"table service and object store"`
+	Region   string `arg:"--platform-region,env:OLEANDERFLOW_PLATFORM_REGION" default:"local" help:"region of the services"`
+	Table    string `arg:"--platform-table,env:OLEANDERFLOW_PLATFORM_TABLE" default:"oleanderflow" help:"table that holds what is agreed"`
+	Bucket   string `arg:"--platform-bucket,env:OLEANDERFLOW_PLATFORM_BUCKET" default:"oleanderflow" help:"bucket that holds what is kept"`
+	KeyID    string `arg:"--,env:OLEANDERFLOW_PLATFORM_KEY_ID"`
+	Secret   string `arg:"--,env:OLEANDERFLOW_PLATFORM_SECRET"`
+}
+
+// PlanOptions are the arguments of plan.
+type PlanOptions struct {
+	Bundled
+	PlatformOptions
+	JSON bool `arg:"--json" help:"print the plan as JSON"`
+}
+
+// ApplyOptions are the arguments of apply.
+type ApplyOptions struct {
+	Bundled
+	PlatformOptions
+	Onto     *uint64 `arg:"--onto,required" placeholder:"VERSION" help:"version that the change was planned on, as plan printed it"`
+	ChangeID string  `arg:"--change-id" placeholder:"ID" help:"id of the change; repeat it to ask again after a lost answer"`
+	By       string  `arg:"--by,env:USER" help:"who makes the change"`
+	Note     string  `arg:"--note" help:"why"`
+	JSON     bool    `arg:"--json" help:"print the accepted version as JSON"`
+}
+
+// HistoryOptions are the arguments of history.
+type HistoryOptions struct {
+	PlatformOptions
+	Limit int  `arg:"--limit" default:"20" help:"how many versions to list"`
+	JSON  bool `arg:"--json" help:"print the versions as JSON"`
+}
+
+// RollbackOptions are the arguments of rollback.
+type RollbackOptions struct {
+	PlatformOptions
+	To       uint64  `arg:"positional,required" placeholder:"VERSION" help:"version whose content comes back, as a new version"`
+	Onto     *uint64 `arg:"--onto" placeholder:"VERSION" help:"the accepted version, as the preview without --onto printed it"`
+	ChangeID string  `arg:"--change-id" placeholder:"ID" help:"id of the change; repeat it to ask again after a lost answer"`
+	By       string  `arg:"--by,env:USER" help:"who makes the change"`
+	JSON     bool    `arg:"--json" help:"print the result as JSON"`
+}
+
+// StatusOptions are the arguments of status.
+type StatusOptions struct {
+	Peer string `arg:"--peer" default:"127.0.0.1:16442" placeholder:"IP:PORT" help:"where any proxy listens for others"`
+	JSON bool   `arg:"--json" help:"print the status as JSON"`
+}
+
 // ProxyOptions are the arguments of one proxy.
 type ProxyOptions struct {
-	Declarations
+	PlatformOptions
+	Base       string   `arg:"--base" placeholder:"FILE" help:"base file, for a proxy that runs on files instead of accepted versions"`
+	Overlay    string   `arg:"--overlay" placeholder:"FILE" help:"overlay of the site, with --base"`
+	Site       string   `arg:"--site,env:OLEANDERFLOW_SITE" help:"site whose overlay is used, of the accepted versions"`
+	List       string   `arg:"--list,env:OLEANDERFLOW_LIST" placeholder:"URL" help:"the platform's list of instances"`
 	Name       string   `arg:"--name,required,env:OLEANDERFLOW_NAME" help:"the instance's name"`
 	Zone       string   `arg:"--zone,required,env:OLEANDERFLOW_ZONE" help:"the instance's availability zone"`
 	Listen     string   `arg:"--listen,env:OLEANDERFLOW_LISTEN" default:"127.0.0.1:16432" placeholder:"IP:PORT" help:"where callers connect"`
@@ -132,7 +199,12 @@
 func (o *Options) check() error {
 	switch {
 	case o.Proxy != nil:
+		if (o.Proxy.Base == "") == (o.Proxy.Endpoint == "") {
+			return &OptionError{Option: "--base", Value: o.Proxy.Base, Expected: "either --base or --platform-endpoint"}
+		}
 		return checkAddresses(o.Proxy.Listen, o.Proxy.PeerListen, o.Proxy.Metrics)
+	case o.Status != nil:
+		return checkAddresses(o.Status.Peer)
 	case o.Dev != nil:
 		if o.Dev.Proxies < 0 || o.Dev.Proxies > maxDevProxies {
 			return &OptionError{Option: "--proxies", Value: fmt.Sprint(o.Dev.Proxies), Expected: "0 to 9"}
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -11,7 +11,9 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/version/operator"
+	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
 )
 
 // Run carries out the command that the options name and returns the
@@ -38,6 +40,24 @@
 	case o.Show != nil:
 		return runShow(o.Show)
 	}
+	return runOperator(ctx, o)
+}
+
+// runOperator carries out the commands that speak with the platform or with
+// proxies.
+func runOperator(ctx context.Context, o *Options) int {
+	switch {
+	case o.Plan != nil:
+		return runPlan(ctx, o.Plan)
+	case o.Apply != nil:
+		return runApply(ctx, o.Apply)
+	case o.History != nil:
+		return runHistory(ctx, o.History)
+	case o.Rollback != nil:
+		return runRollback(ctx, o.Rollback)
+	case o.Status != nil:
+		return runStatus(ctx, o.Status)
+	}
 	return ExitUsage
 }
 
@@ -46,8 +66,15 @@
 	fmt.Fprintln(os.Stderr, "oleanderflow:", err)
 	var invalid *operator.InvalidError
 	var option *OptionError
-	if errors.As(err, &invalid) || errors.As(err, &option) {
+	var overtaken *versionplatform.OvertakenError
+	var away *platform.UnavailableError
+	switch {
+	case errors.As(err, &invalid), errors.As(err, &option):
 		return ExitUsage
+	case errors.As(err, &overtaken):
+		return ExitConflict
+	case errors.As(err, &away):
+		return ExitUnavailable
 	}
 	return ExitFailed
 }
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -12,7 +12,9 @@
 	"go.uber.org/zap"
 
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/version/operator"
 )
 
 // readyInterval is the time between two looks at what is in force.
@@ -39,31 +41,57 @@
 }
 
 func runProxy(ctx context.Context, o *ProxyOptions, log *zap.Logger) int {
-	config, _, err := o.load()
-	if err != nil {
-		return fail(err)
-	}
 	if err := o.requireLoopback(); err != nil {
 		return fail(err)
 	}
-	peers, err := parsePeers(o.Peers)
-	if err != nil {
-		return fail(err)
-	}
-	p, err := NewProxy(Instance{Name: o.Name, Zone: o.Zone, Listen: o.Listen, PeerListen: o.PeerListen}, config, log)
+	p, err := startProxy(o, log)
 	if err != nil {
 		return fail(err)
 	}
-	p.SetLive(append(peers, p.Self()))
 	go p.Serve()
 	fmt.Println("ready: proxy", o.Name, "at", p.Address())
 	<-ctx.Done()
-	if !p.Shutdown(config.Limits.ShutdownLimit) {
+	if !p.Shutdown(p.Configuration().Limits.ShutdownLimit) {
 		return fail(errors.New("requests were cut at the shutdown limit"))
 	}
 	return ExitOK
 }
 
+// startProxy starts a proxy on declared files, or on the accepted versions.
+func startProxy(o *ProxyOptions, log *zap.Logger) (*Proxy, error) {
+	peers, err := parsePeers(o.Peers)
+	if err != nil {
+		return nil, err
+	}
+	config := operator.Default()
+	var options []Option
+	if o.Base != "" {
+		if config, _, err = (Declarations{Base: o.Base, Overlay: o.Overlay}).load(); err != nil {
+			return nil, err
+		}
+	} else {
+		options = append(options, WithHistory(o.history()))
+	}
+	var list platform.List = fixedList(peers)
+	if o.List != "" {
+		list = platform.NewHTTPList(o.List)
+	}
+	instance := Instance{Name: o.Name, Zone: o.Zone, Site: o.Site, Listen: o.Listen, PeerListen: o.PeerListen}
+	return NewProxy(instance, config, log, append(options, WithList(list))...)
+}
+
+// fixedList is a list of instances given by arguments.
+type fixedList []proxy.Peer
+
+// Instances implements platform.List.
+func (l fixedList) Instances(context.Context) ([]platform.Instance, error) {
+	instances := make([]platform.Instance, len(l))
+	for i, p := range l {
+		instances[i] = platform.Instance{Name: p.Name, Zone: p.Zone, Address: p.Address}
+	}
+	return instances, nil
+}
+
 // requireLoopback refuses to trust callers from elsewhere.
 func (o *ProxyOptions) requireLoopback() error {
 	listen, err := netip.ParseAddrPort(o.Listen)
