--- /dev/null
+++ b/internal/core/capacity_test.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	callerrequest "github.com/oleanderflow/oleanderflow/internal/request/caller"
+	dbrequest "github.com/oleanderflow/oleanderflow/internal/request/database"
+)
+
+// BenchmarkCapacityDecisionLog gives the cost of one decision's log line and
+// counter.
+func BenchmarkCapacityDecisionLog(b *testing.B) {
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	p := &Proxy{metrics: NewMetrics(), log: zap.New(zapcore.NewCore(encoder, zapcore.AddSync(io.Discard), zap.InfoLevel)).With(zap.String("proxy", "entry-1"))}
+	defer p.metrics.Close()
+	d := callerrequest.Decision{Group: "shop1", Database: "b", Reason: dbrequest.ReasonReplica, Outcome: "answered", Waited: 3, Declared: true}
+	b.ReportAllocs()
+	for range b.N {
+		p.record(d)
+	}
+}
+
+// TestCapacityMessageSizes logs the bytes of the messages that control work
+// repeats.
+func TestCapacityMessageSizes(t *testing.T) {
+	row := &pgproto3.DataRow{}
+	description := &pgproto3.RowDescription{}
+	for _, c := range [][2]string{
+		{"name", "a"}, {"role", "replica"}, {"term", "12"}, {"fenced", "12"},
+		{"received", "12/1234567"}, {"applied", "12/1234567"}, {"termStart", "12/1200000"},
+	} {
+		row.Values = append(row.Values, []byte(c[1]))
+		description.Fields = append(description.Fields, pgproto3.FieldDescription{Name: []byte(c[0])})
+	}
+	question := size(t, &pgproto3.Query{String: dbconn.StatusStatement})
+	answer := size(t, description) + size(t, row) + size(t, &pgproto3.CommandComplete{CommandTag: []byte("SHOW")}) + size(t, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	tell, err := json.Marshal(proxy.TellMessage{From: "entry-00001", Version: 123456, Hash: strings.Repeat("a", 64), ChangeID: strings.Repeat("b", 26)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("status question %d bytes, answer %d bytes; version told %d bytes before framing", question, answer, len(tell))
+}
+
+func size(t *testing.T, m pgproto3.Message) int {
+	t.Helper()
+	encoded, err := m.Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(encoded)
+}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -42,7 +42,7 @@
 		// Wall time makes each life's incarnation greater than the last's.
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
-	source := rand.New(rand.NewPCG(self.Incarnation, uint64(p.proxyNumber())))
+	source := rand.New(rand.NewPCG(self.Incarnation, uint64(proxyNumber(p.instance.Name))))
 	m := &members{
 		proxy: p, list: list, listedAt: clock.Time(-listInterval),
 		membership: proxy.NewMembership(self, proxy.DefaultMembershipSettings(), source),
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -31,8 +31,30 @@
 	replicaReads atomic.Int64
 	primaryReads atomic.Int64
 
+	sessions tally.Gauge
+
 	mu       sync.RWMutex
 	counters map[counterKey]tally.Counter
+	groups   map[string]tally.Scope
+}
+
+// groupGauges are the values of one group that are read at intervals.
+type groupGauges struct {
+	connections, waiting, term, writable float64
+}
+
+func (m *Metrics) groupGauges(name string, g groupGauges) {
+	m.mu.Lock()
+	scope, ok := m.groups[name]
+	if !ok {
+		scope = m.scope.Tagged(map[string]string{"group": name})
+		m.groups[name] = scope
+	}
+	m.mu.Unlock()
+	scope.Gauge("group_connections").Update(g.connections)
+	scope.Gauge("group_waiting").Update(g.waiting)
+	scope.Gauge("group_term").Update(g.term)
+	scope.Gauge("group_writable").Update(g.writable)
 }
 
 // NewMetrics returns the counters of a proxy, all zero.
@@ -43,7 +65,10 @@
 		Prefix: "oleanderflow", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		OmitCardinalityMetrics: true,
 	}, metricsInterval)
-	return &Metrics{scope: scope, closer: closer, reporter: reporter, counters: make(map[counterKey]tally.Counter)}
+	return &Metrics{
+		scope: scope, closer: closer, reporter: reporter, sessions: scope.Gauge("sessions"),
+		counters: make(map[counterKey]tally.Counter), groups: make(map[string]tally.Scope),
+	}
 }
 
 // Handler serves the counters in the usual text format.
--- a/internal/core/options.go
+++ b/internal/core/options.go
@@ -35,6 +35,7 @@
 	Proxy *ProxyOptions `arg:"subcommand:proxy" help:"run one proxy"`
 	Dev   *DevOptions   `arg:"subcommand:dev" help:"run proxies and stand-ins in one process, to try things out"`
 	Demo  *DemoOptions  `arg:"subcommand:demo" help:"run the harvest rush with faults and check every promise"`
+	Load  *LoadOptions  `arg:"subcommand:load" help:"measure one kind of statement through a proxy, or straight at a database"`
 	Check *CheckOptions `arg:"subcommand:check" help:"check a base file and an overlay"`
 	Show  *ShowOptions  `arg:"subcommand:show" help:"show the merged declaration and where each value comes from"`
 
@@ -150,6 +151,33 @@
 	Sessions int           `arg:"--sessions" default:"12" help:"how many callers run at once"`
 }
 
+// LoadOptions are the arguments of load.
+type LoadOptions struct {
+	Target   string        `arg:"--target" default:"127.0.0.1:16432" placeholder:"IP:PORT" help:"proxy or database; only loopback addresses are accepted"`
+	Group    string        `arg:"--group" default:"shop1" help:"the database group"`
+	Sessions int           `arg:"--sessions" default:"1" help:"how many sessions run at once, at most 5000"`
+	Duration time.Duration `arg:"--duration" default:"5s" help:"how long the load runs, at most 10m"`
+	Prepared bool          `arg:"--prepared" help:"use prepared statements"`
+	Writes   bool          `arg:"--writes" help:"update rows instead of reading them"`
+	Tag      string        `arg:"--tag" help:"comment added to each statement, such as /*maxAge='2s'*/"`
+	Idle     bool          `arg:"--idle" help:"hold sessions that send nothing"`
+	JSON     bool          `arg:"--json" help:"print the result as JSON"`
+}
+
+func (o *LoadOptions) check() error {
+	target, err := netip.ParseAddrPort(o.Target)
+	if err != nil || !target.Addr().IsLoopback() {
+		return &OptionError{Option: "--target", Value: o.Target, Expected: "a loopback address and port"}
+	}
+	if o.Sessions < 1 || o.Sessions > 5000 {
+		return &OptionError{Option: "--sessions", Value: fmt.Sprint(o.Sessions), Expected: "1 to 5000"}
+	}
+	if o.Duration <= 0 || o.Duration > 10*time.Minute {
+		return &OptionError{Option: "--duration", Value: o.Duration.String(), Expected: "up to 10m"}
+	}
+	return nil
+}
+
 // CheckOptions are the arguments of check.
 type CheckOptions struct {
 	Declarations
@@ -203,6 +231,8 @@
 			return &OptionError{Option: "--base", Value: o.Proxy.Base, Expected: "either --base or --platform-endpoint"}
 		}
 		return checkAddresses(o.Proxy.Listen, o.Proxy.PeerListen, o.Proxy.Metrics)
+	case o.Load != nil:
+		return o.Load.check()
 	case o.Status != nil:
 		return checkAddresses(o.Status.Peer)
 	case o.Dev != nil:
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -5,23 +5,19 @@
 import (
 	"context"
 	"crypto/tls"
-	"hash/fnv"
-	"math/rand/v2"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
-	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	callerrequest "github.com/oleanderflow/oleanderflow/internal/request/caller"
-	dbrequest "github.com/oleanderflow/oleanderflow/internal/request/database"
 	"github.com/oleanderflow/oleanderflow/internal/version/operator"
 	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -69,9 +65,9 @@
 	list    platform.List
 	history *versionplatform.History
 
-	force atomic.Pointer[inForce]
-	done  chan struct{}
-	wait  sync.WaitGroup
+	groups *groups
+	done   chan struct{}
+	wait   sync.WaitGroup
 
 	// mu guards the fields below. It is taken before the locks of the groups
 	// and sessions.
@@ -82,21 +78,6 @@
 	leaving  bool
 }
 
-// inForce is one accepted configuration with the groups that serve it.
-type inForce struct {
-	config *operator.Configuration
-	groups map[string]*group
-}
-
-// group is one database group in service.
-type group struct {
-	declared operator.Group
-	serving  *dbrequest.Serving
-	monitor  *dbprocess.Monitor
-	watch    *dbprocess.Watch
-	watching bool
-}
-
 // Option changes a Proxy at its construction.
 type Option func(*Proxy)
 
@@ -139,6 +120,7 @@
 	p.workers = dbprocess.NewWorkers(controlWorkers)
 	p.registry = dbprocess.NewRegistry(p.clock)
 	p.live = []proxy.Peer{p.self()}
+	p.groups = newGroups(p)
 	p.PutInForce(config)
 	if err := p.join(); err != nil {
 		p.Close()
@@ -159,9 +141,27 @@
 	p.mu.Lock()
 	p.members = m
 	p.mu.Unlock()
+	p.registry.Add(&gauges{proxy: p})
 	return nil
 }
 
+// gaugeInterval is the time between two updates of the gauges.
+const gaugeInterval = clock.Second
+
+// gauges is the registry's row that updates a proxy's gauges.
+type gauges struct {
+	proxy *Proxy
+	at    clock.Time
+}
+
+// Tick implements the registry's row.
+func (g *gauges) Tick(now clock.Time) {
+	if now.Sub(g.at) >= gaugeInterval {
+		g.at = now
+		g.proxy.reportGauges()
+	}
+}
+
 func (p *Proxy) listen() error {
 	l, err := net.Listen("tcp", p.instance.Listen)
 	if err != nil {
@@ -200,8 +200,7 @@
 	if p.spread != nil {
 		p.spread.setLive(live)
 	}
-	p.assignWatches()
-	p.shareBudgets()
+	p.groups.setLive(live)
 }
 
 // Serve accepts callers until the proxy is closed.
@@ -248,11 +247,13 @@
 	}
 }
 
-// proxyNumber is the part of a process number that tells the proxy.
-func (p *Proxy) proxyNumber() uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(p.instance.Name))
-	return h.Sum32() & 0xffff0000
+// proxyNumberMask covers the part of a process number that tells the proxy.
+const proxyNumberMask = 0xffff0000
+
+// proxyNumber is a proxy's part of its sessions' process numbers. Two
+// proxies may share one.
+func proxyNumber(name string) uint32 {
+	return uint32(xxhash.Sum64String(name)) & proxyNumberMask
 }
 
 func (p *Proxy) register(s *callerconn.Session) {
@@ -260,7 +261,7 @@
 	defer p.mu.Unlock()
 	for {
 		p.nextSlot++
-		s.PID = p.proxyNumber() | uint32(p.nextSlot)
+		s.PID = proxyNumber(p.instance.Name) | uint32(p.nextSlot)
 		if _, taken := p.sessions[s.PID]; !taken {
 			break
 		}
@@ -290,213 +291,20 @@
 		}
 		return
 	}
-	if forward {
-		p.eachPeer(func(peer proxy.Peer) {
-			p.peers.Notify(peer.Name, proxy.MethodCancel, proxy.CancelMessage{PID: key.PID, Secret: key.Secret})
-		})
-	}
-}
-
-func (p *Proxy) eachPeer(f func(proxy.Peer)) {
-	p.mu.Lock()
-	live := p.live
-	p.mu.Unlock()
-	for _, peer := range live {
-		if peer.Name != p.instance.Name {
-			f(peer)
-		}
-	}
-}
-
-func (p *Proxy) hasGroup(name string) bool { return p.Serving(name) != nil }
-
-// Serving implements the request package's Groups.
-func (p *Proxy) Serving(name string) *dbrequest.Serving {
-	force := p.force.Load()
-	if force == nil {
-		return nil
-	}
-	g, ok := force.groups[name]
-	if !ok {
-		return nil
-	}
-	return g.serving
-}
-
-// PutInForce makes a configuration serve all requests that begin from now
-// on. Groups that did not change keep their connections.
-func (p *Proxy) PutInForce(config *operator.Configuration) {
-	p.mu.Lock()
-	old := p.force.Load()
-	next := &inForce{config: config, groups: make(map[string]*group)}
-	for _, declared := range config.Groups {
-		if old != nil && sameDatabases(old.groups[declared.Name], declared) {
-			next.groups[declared.Name] = p.keepGroup(old.groups[declared.Name], declared, config)
-			continue
-		}
-		next.groups[declared.Name] = p.newGroup(declared, config)
-	}
-	p.force.Store(next)
-	p.mu.Unlock()
-	p.assignWatches()
-	p.shareBudgets()
-	p.retire(old, next)
-}
-
-// Configuration returns what is in force.
-func (p *Proxy) Configuration() *operator.Configuration { return p.force.Load().config }
-
-func sameDatabases(old *group, declared operator.Group) bool {
-	if old == nil || len(old.declared.Databases) != len(declared.Databases) ||
-		old.declared.User != declared.User || old.declared.TLS != declared.TLS || old.declared.PasswordFile != declared.PasswordFile ||
-		old.declared.Durability != declared.Durability {
-		return false
-	}
-	for i, d := range declared.Databases {
-		o := old.declared.Databases[i]
-		if o.Name != d.Name || o.Address != d.Address || o.Zone != d.Zone {
-			return false
-		}
-	}
-	return true
-}
-
-// keepGroup serves a changed declaration with the connections of the old.
-func (p *Proxy) keepGroup(old *group, declared operator.Group, config *operator.Configuration) *group {
-	kept := *old
-	kept.declared = declared
-	serving := *old.serving
-	serving.Ages = declaredAges(declared.Name, config)
-	serving.CommitWait, serving.WriteWait = declared.CommitWait, declared.WriteWait
-	kept.serving = &serving
-	return &kept
-}
-
-func declaredAges(name string, config *operator.Configuration) []dbrequest.Age {
-	var ages []dbrequest.Age
-	for _, r := range config.Ages {
-		if r.Group == "" || r.Group == name {
-			ages = append(ages, dbrequest.Age{Application: r.Application, Tag: r.Tag, MaxAge: r.MaxAge})
-		}
-	}
-	return ages
-}
-
-func (p *Proxy) newGroup(declared operator.Group, config *operator.Configuration) *group {
-	members := make([]dbprocess.Member, len(declared.Databases))
-	probes := make([]dbprocess.Operations, len(members))
-	zones := make([]string, len(members))
-	pools := make([]*dbconn.Pool, len(members))
-	for i, d := range declared.Databases {
-		members[i] = dbprocess.Member{Name: d.Name, Zone: d.Zone, Address: d.Address}
-		probes[i] = dbconn.NewControl(p.target(declared, d))
-		zones[i] = d.Zone
-		pools[i] = dbconn.NewPool(p.target(declared, d), dbconn.PoolSettings{MaxConnections: minimumShare, MaxQueue: config.Limits.QueueLength})
-	}
-	monitor := dbprocess.NewMonitor(dbprocess.MonitorSettings{
-		Group: declared.Name, Members: members, Durability: declared.Durability,
-		ProbeTimeout: config.Reads.ProbeTimeout, SampleInterval: config.Reads.SampleInterval,
-		IdleAfter: idleAfter, UnreachableAfter: unreachableAfter,
-	}, p.clock, p.sequence, p.workers, probes, p.log)
-	g := &group{declared: declared, monitor: monitor}
-	g.serving = &dbrequest.Serving{
-		Name: declared.Name, Monitor: monitor, Pools: pools,
-		Router:     dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
-		Ages:       declaredAges(declared.Name, config),
-		Durability: declared.Durability, CommitWait: declared.CommitWait, WriteWait: declared.WriteWait,
-	}
-	g.watch = p.newWatch(g, config)
-	monitor.SetEvents(func(e dbprocess.Event) { interrupt(pools, e) })
-	monitor.SetObserver(g.watch.HandleProbe)
-	p.registry.Add(monitor)
-	return g
-}
-
-// interrupt gives up the connections to a primary that was replaced or a
-// database that does not answer.
-func interrupt(pools []*dbconn.Pool, e dbprocess.Event) {
-	switch e := e.(type) {
-	case dbprocess.PrimaryChanged:
-		if e.From >= 0 && e.From != e.To {
-			pools[e.From].Interrupt()
-		}
-		pools[e.To].Reset()
-	case dbprocess.Unreachable:
-		pools[e.Database].Interrupt()
-	}
-}
-
-func (p *Proxy) target(g operator.Group, d operator.Database) dbconn.Target {
-	return dbconn.Target{
-		Address: d.Address, Database: g.Name, User: g.User,
-		Application: "oleanderflow/" + p.instance.Zone,
-	}
-}
-
-func (p *Proxy) newWatch(g *group, config *operator.Configuration) *dbprocess.Watch {
-	operations := make([]dbprocess.Operations, len(g.declared.Databases))
-	for i, d := range g.declared.Databases {
-		operations[i] = dbconn.NewControl(p.target(g.declared, d))
+	if !forward {
+		return
 	}
-	self := dbprocess.Watcher{Name: p.instance.Name, Zone: p.instance.Zone}
-	source := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(p.proxyNumber())))
-	failover := dbprocess.NewFailover(len(operations), self, []dbprocess.Watcher{self}, config.Failover, source)
-	return dbprocess.NewWatch(g.monitor, failover, operations, p.instance.Name, &colleagues{proxy: p}, p.log)
-}
-
-// assignWatches makes this proxy watch the groups whose watcher it is.
-func (p *Proxy) assignWatches() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	force := p.force.Load()
-	for name, g := range force.groups {
-		watchers := proxy.ChooseWatchers(name, p.live, force.config.Watchers)
-		mine := false
-		list := make([]dbprocess.Watcher, len(watchers))
-		for i, w := range watchers {
-			list[i] = dbprocess.Watcher{Name: w.Name, Zone: w.Zone}
-			mine = mine || w.Name == p.instance.Name
-		}
-		g.watch.SetWatchers(list)
-		switch {
-		case mine && !g.watching:
-			p.registry.Add(g.watch)
-		case !mine && g.watching:
-			p.registry.Remove(g.watch)
+	for _, peer := range p.livePeers() {
+		if peer.Name != p.instance.Name && proxyNumber(peer.Name) == key.PID&proxyNumberMask {
+			p.peers.Notify(peer.Name, proxy.MethodCancel, proxy.CancelMessage{PID: key.PID, Secret: key.Secret})
 		}
-		g.watching = mine
 	}
 }
 
-// shareBudgets divides each database's connections among the live proxies.
-func (p *Proxy) shareBudgets() {
+func (p *Proxy) livePeers() []proxy.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	force := p.force.Load()
-	for _, g := range force.groups {
-		share := max(g.declared.Connections/max(len(p.live), 1), minimumShare)
-		for _, pool := range g.serving.Pools {
-			pool.Resize(dbconn.PoolSettings{MaxConnections: share, MaxQueue: force.config.Limits.QueueLength})
-		}
-	}
-}
-
-// retire closes the groups of an old configuration that the new one does
-// not share. Requests that run on them finish.
-func (p *Proxy) retire(old, next *inForce) {
-	if old == nil {
-		return
-	}
-	for name, g := range old.groups {
-		if kept, ok := next.groups[name]; ok && kept.monitor == g.monitor {
-			continue
-		}
-		p.registry.Remove(g.monitor)
-		p.registry.Remove(g.watch)
-		for _, pool := range g.serving.Pools {
-			pool.Close()
-		}
-	}
+	return p.live
 }
 
 func (p *Proxy) record(d callerrequest.Decision) {
@@ -562,18 +370,10 @@
 	if p.members != nil {
 		p.members.close()
 	}
-	for _, g := range p.force.Load().groups {
-		for _, pool := range g.serving.Pools {
-			pool.Interrupt()
-			pool.Close()
-		}
-	}
+	p.groups.interruptAll()
 	p.wait.Wait()
 	p.peers.Close()
-	for _, g := range p.force.Load().groups {
-		g.watch.Close()
-		g.monitor.Close()
-	}
+	p.groups.close()
 	p.workers.Close()
 	p.metrics.Close()
 }
--- a/internal/core/receiver.go
+++ b/internal/core/receiver.go
@@ -64,16 +64,8 @@
 	return nil
 }
 
-func (p *Proxy) findGroup(name string) *group {
-	force := p.force.Load()
-	if force == nil {
-		return nil
-	}
-	return force.groups[name]
-}
-
 func (r *receiver) opinion(m proxy.OpinionMessage) {
-	if g := r.proxy.findGroup(m.Group); g != nil {
+	if g := r.proxy.groups.opened(m.Group); g != nil {
 		g.watch.HandleOpinion(dbprocess.Opinion{
 			Watcher: dbprocess.Watcher{Name: m.Watcher, Zone: m.Zone}, Term: m.Term, Suspect: m.Suspect,
 		})
@@ -82,7 +74,7 @@
 
 // announce believes no announcement: it asks the databases at once.
 func (r *receiver) announce(m proxy.AnnounceMessage) {
-	g := r.proxy.findGroup(m.Group)
+	g := r.proxy.groups.opened(m.Group)
 	if g == nil {
 		return
 	}
@@ -99,22 +91,26 @@
 
 // ShareOpinion implements the database package's Colleagues.
 func (c *colleagues) ShareOpinion(group string, o dbprocess.Opinion) {
-	p := c.proxy
-	p.mu.Lock()
-	live, watchers := p.live, p.force.Load().config.Watchers
-	p.mu.Unlock()
-	for _, w := range proxy.ChooseWatchers(group, live, watchers) {
-		if w.Name != p.instance.Name {
-			p.peers.Notify(w.Name, proxy.MethodOpinion, proxy.OpinionMessage{
-				Group: group, Watcher: o.Watcher.Name, Zone: o.Watcher.Zone, Term: o.Term, Suspect: o.Suspect,
-			})
+	message := proxy.OpinionMessage{Group: group, Watcher: o.Watcher.Name, Zone: o.Watcher.Zone, Term: o.Term, Suspect: o.Suspect}
+	for _, w := range c.proxy.groups.watchers(group) {
+		if w.Name != c.proxy.instance.Name {
+			c.proxy.peers.Notify(w.Name, proxy.MethodOpinion, message)
 		}
 	}
 }
 
+// maxAnnounced bounds the proxies that are told of a new primary. The others
+// learn of it by the questions that they ask while they use the group.
+const maxAnnounced = 64
+
 // AnnouncePrimary implements the database package's Colleagues.
 func (c *colleagues) AnnouncePrimary(group string, term uint64, primary string) {
-	c.proxy.eachPeer(func(peer proxy.Peer) {
-		c.proxy.peers.Notify(peer.Name, proxy.MethodAnnounce, proxy.AnnounceMessage{Group: group, Term: term, Primary: primary})
-	})
+	message := proxy.AnnounceMessage{Group: group, Term: term, Primary: primary}
+	told := map[string]bool{c.proxy.instance.Name: true}
+	for _, peer := range append(c.proxy.groups.watchers(group), c.proxy.livePeers()...) {
+		if len(told) <= maxAnnounced && !told[peer.Name] {
+			told[peer.Name] = true
+			c.proxy.peers.Notify(peer.Name, proxy.MethodAnnounce, message)
+		}
+	}
 }
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -35,6 +35,8 @@
 		return runDev(ctx, o.Dev, log)
 	case o.Demo != nil:
 		return runDemo(ctx, o, log)
+	case o.Load != nil:
+		return runLoad(ctx, o.Load)
 	case o.Check != nil:
 		return runCheck(o.Check)
 	case o.Show != nil:
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -23,7 +23,7 @@
 // AwaitReady waits until declarations are in force and the proxy knows the
 // primary of every group.
 func (p *Proxy) AwaitReady(ctx context.Context) error {
-	for len(p.force.Load().groups) == 0 {
+	for len(p.Configuration().Groups) == 0 {
 		timer := time.NewTimer(readyInterval)
 		select {
 		case <-timer.C:
@@ -32,9 +32,13 @@
 			return errors.Wrap(ctx.Err(), "no declarations in force")
 		}
 	}
-	for name, g := range p.force.Load().groups {
-		if err := g.monitor.Await(ctx, (*dbprocess.Group).Writable); err != nil {
-			return errors.Wrap(err, "group "+name)
+	for _, declared := range p.Configuration().Groups {
+		serving := p.Serving(declared.Name)
+		if serving == nil {
+			continue
+		}
+		if err := serving.Monitor.Await(ctx, (*dbprocess.Group).Writable); err != nil {
+			return errors.Wrap(err, "group "+declared.Name)
 		}
 	}
 	return nil
@@ -48,6 +52,14 @@
 	if err != nil {
 		return fail(err)
 	}
+	if o.Metrics != "" {
+		endpoint, err := NewEndpoint(o.Metrics, p)
+		if err != nil {
+			p.Close()
+			return fail(err)
+		}
+		defer endpoint.Close()
+	}
 	go p.Serve()
 	fmt.Println("ready: proxy", o.Name, "at", p.Address())
 	<-ctx.Done()
--- a/internal/core/spread.go
+++ b/internal/core/spread.go
@@ -36,7 +36,7 @@
 
 func newSpread(p *Proxy, h *versionplatform.History) *spread {
 	figures := p.Configuration().Spread
-	source := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(p.proxyNumber())))
+	source := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(proxyNumber(p.instance.Name))))
 	s := &spread{proxy: p, history: h, spread: versionproxy.NewSpread(versionproxy.Settings{
 		PollInterval: figures.PollInterval, GossipInterval: figures.GossipInterval,
 		Fanout: figures.Fanout, FetchTimeout: fetchTimeout,
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -23,7 +23,7 @@
 		force, refused := p.spread.current()
 		answer.Version, answer.Hash, answer.Refused = force.Version, force.Hash, refused.Version
 	}
-	for _, g := range p.force.Load().groups {
+	for _, g := range p.groups.all() {
 		answer.Groups = append(answer.Groups, p.groupStatus(g))
 	}
 	slices.SortFunc(answer.Groups, func(a, b proxy.GroupStatus) int { return cmp.Compare(a.Name, b.Name) })
@@ -31,10 +31,8 @@
 }
 
 func (p *Proxy) groupStatus(g *group) proxy.GroupStatus {
-	status := proxy.GroupStatus{Name: g.declared.Name}
-	p.mu.Lock()
-	status.Watching = g.watching
-	p.mu.Unlock()
+	status := proxy.GroupStatus{Name: g.serving.Name}
+	status.Watching = p.groups.watching(g)
 	g.monitor.View(func(known *dbprocess.Group) {
 		primary, term := known.Primary()
 		status.Term, status.Writable = term, known.Writable()
--- /dev/null
+++ b/internal/process/database/capacity_test.go
@@ -0,0 +1,131 @@
+package database_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+// heldBytes returns the heap that build's result holds.
+func heldBytes(build func() any) (any, float64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	held := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return held, float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkCapacityReports gives what is held of groups whose rings are
+// full, and the cost of one report.
+func BenchmarkCapacityReports(b *testing.B) {
+	for _, n := range []int{4, 16, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			built, bytes := heldBytes(func() any {
+				groups := make([]*database.Group, n)
+				for i := range groups {
+					groups[i] = fullGroup()
+				}
+				return groups
+			})
+			groups := built.([]*database.Group)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				at := clock.Time(10_000 + i*5)
+				role := database.RoleReplica
+				if i%3 == 0 {
+					role = database.RolePrimary
+				}
+				p := position.Position{Term: 1, Offset: uint64(10_000 + i)}
+				groups[i%n].Observe(database.Report{Database: i % 3, Sent: uint64(10_000 + i), SentAt: at, Status: database.Status{
+					Role: role, Term: 1, Fenced: 1, Received: p, Applied: p,
+				}}, nil)
+			}
+			b.ReportMetric(bytes/float64(n), "bytes/group")
+			runtime.KeepAlive(groups)
+		})
+	}
+}
+
+func fullGroup() *database.Group {
+	g := database.NewGroup(3, database.DurabilityGroup)
+	for i := range 1200 {
+		p := position.Position{Term: 1, Offset: uint64(i + 1)}
+		role := database.RoleReplica
+		if i%3 == 0 {
+			role = database.RolePrimary
+		}
+		g.Observe(database.Report{Database: i % 3, Sent: uint64(i + 1), SentAt: clock.Time(i * 5), Status: database.Status{
+			Role: role, Term: 1, Fenced: 1, Received: p, Applied: p,
+		}}, nil)
+	}
+	return g
+}
+
+// BenchmarkCapacityWatch gives what is held for watched groups, and the cost
+// of one tick of all of them.
+func BenchmarkCapacityWatch(b *testing.B) {
+	for _, n := range []int{1, 4, 16} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			self := database.Watcher{Name: "self", Zone: "a"}
+			others := []database.Watcher{self, {Name: "second", Zone: "b"}, {Name: "third", Zone: "c"}}
+			built, bytes := heldBytes(func() any {
+				watches := make([]*database.Failover, n)
+				for i := range watches {
+					watches[i] = database.NewFailover(3, self, others, database.DefaultFailoverSettings(), rand.New(rand.NewPCG(1, uint64(i))))
+				}
+				return watches
+			})
+			watches := built.([]*database.Failover)
+			actions := make([]database.Action, 0, 16)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := clock.Time(i * 5)
+				for _, f := range watches {
+					actions = f.Tick(now, actions[:0])
+					for d := range 3 {
+						role := database.RoleReplica
+						if d == 0 {
+							role = database.RolePrimary
+						}
+						if i%20 == 0 {
+							actions = f.HandleReport(now, database.Report{Database: d, Status: database.Status{Role: role, Term: 1, Fenced: 1}}, actions[:0])
+						}
+					}
+				}
+			}
+			b.ReportMetric(bytes/float64(n), "bytes/group")
+			runtime.KeepAlive(watches)
+		})
+	}
+}
+
+// BenchmarkCapacityWaiters gives the cost of a commit that waits, with
+// others waiting.
+func BenchmarkCapacityWaiters(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := fullGroup()
+			offset := uint64(100_000)
+			for range n {
+				offset++
+				g.Await(offset, position.Position{Term: 1, Offset: offset})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				offset++
+				g.Await(offset, position.Position{Term: 1, Offset: offset})
+				g.Forget(offset - uint64(n))
+			}
+		})
+	}
+}
--- a/internal/process/database/registry.go
+++ b/internal/process/database/registry.go
@@ -8,7 +8,7 @@
 )
 
 // tickInterval is the time between two looks at the tables.
-const tickInterval = 5 * time.Millisecond
+const tickInterval = 20 * time.Millisecond
 
 // Ticked is a row whose time is advanced regularly.
 type Ticked interface {
--- a/internal/process/database/ring.go
+++ b/internal/process/database/ring.go
@@ -30,7 +30,7 @@
 }
 
 // NewRing returns an empty ring.
-func NewRing() *Ring { return &Ring{samples: make([]Sample, 0, ringCapacity)} }
+func NewRing() *Ring { return &Ring{} }
 
 // Add appends a sample, which must not be older than the newest.
 func (r *Ring) Add(s Sample) {
--- a/internal/process/database/watch.go
+++ b/internal/process/database/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -34,7 +35,9 @@
 	mu       sync.Mutex
 	failover *Failover
 	actions  []Action
-	closed   bool
+	// active is set while this proxy is one of the group's watchers.
+	active bool
+	closed bool
 }
 
 // NewWatch returns a watch that acts through operations, one for each
@@ -89,6 +92,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.failover.SetWatchers(watchers)
+	w.active = slices.Contains(watchers, w.failover.self)
 }
 
 // Close ends the watch.
@@ -106,7 +110,7 @@
 // decide runs one step of the decisions and carries its actions out.
 func (w *Watch) decide(step func([]Action) []Action) {
 	w.mu.Lock()
-	if w.closed {
+	if w.closed || !w.active {
 		w.mu.Unlock()
 		return
 	}
--- a/internal/process/proxy/membership.go
+++ b/internal/process/proxy/membership.go
@@ -154,6 +154,8 @@
 	self     Member
 	rand     *rand.Rand
 	rows     map[string]*memberRow
+	// fading are the rows that are suspect, dead or left.
+	fading   map[string]*memberRow
 	order    []string
 	next     int
 	rumors   []rumor
@@ -170,7 +172,7 @@
 // NewMembership returns a membership that knows only itself. The
 // incarnation must be greater than that of any earlier life of the proxy.
 func NewMembership(self Member, s MembershipSettings, r *rand.Rand) *Membership {
-	m := &Membership{settings: s, self: self, rand: r, rows: make(map[string]*memberRow)}
+	m := &Membership{settings: s, self: self, rand: r, rows: make(map[string]*memberRow), fading: make(map[string]*memberRow)}
 	m.put(self, 0)
 	m.spread(self.Name)
 	return m
@@ -392,7 +394,7 @@
 
 func (m *Membership) expireSuspects(now clock.Time, dst []MembershipAction) []MembershipAction {
 	changed := false
-	for name, row := range m.rows {
+	for name, row := range m.fading {
 		switch {
 		case row.member.State == Suspect && now.Sub(row.since) >= m.settings.SuspectFor:
 			m.setState(row, Dead)
@@ -401,6 +403,7 @@
 			changed = true
 		case row.member.State >= Dead && name != m.self.Name && now.Sub(row.since) >= m.settings.ForgetAfter:
 			delete(m.rows, name)
+			delete(m.fading, name)
 			m.order = slices.DeleteFunc(m.order, func(n string) bool { return n == name })
 			changed = true
 		}
@@ -531,6 +534,11 @@
 func (m *Membership) change(row *memberRow, w Member) {
 	m.digest += hashLive(w) - hashLive(row.member)
 	row.member = w
+	if w.State == Alive {
+		delete(m.fading, w.Name)
+	} else {
+		m.fading[w.Name] = row
+	}
 }
 
 // setState changes a row's state.
--- a/internal/process/proxy/membership_test.go
+++ b/internal/process/proxy/membership_test.go
@@ -203,3 +203,27 @@
 		require.NotEqual(t, "proxy3", w.Name)
 	}
 }
+
+// Assignments kept through changes are those that a fresh choice gives.
+func TestAssignmentsFollowMembership(t *testing.T) {
+	source := rand.New(rand.NewPCG(1, 2))
+	var groups []string
+	for g := range 200 {
+		groups = append(groups, fmt.Sprint("group", g))
+	}
+	kept := proxy.NewAssignments(3)
+	kept.SetGroups(groups)
+	var live []proxy.Peer
+	for step := range 120 {
+		if len(live) > 4 && source.IntN(2) == 0 {
+			at := source.IntN(len(live))
+			live = append(live[:at:at], live[at+1:]...)
+		} else {
+			live = append(live, proxy.Peer{Name: fmt.Sprint("proxy", step), Zone: string(rune('a' + source.IntN(4)))})
+		}
+		kept.SetLive(live)
+		for _, g := range groups {
+			require.Equal(t, proxy.ChooseWatchers(g, live, 3), kept.Watchers(g), "step %d", step)
+		}
+	}
+}
--- a/internal/process/proxy/peers.go
+++ b/internal/process/proxy/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,6 +19,8 @@
 	callTimeout = 5 * time.Second
 	// maxPending bounds the messages that wait to be sent to one peer.
 	maxPending = 64
+	// linkIdle is how long an unused connection to a peer is kept.
+	linkIdle = time.Minute
 )
 
 // UnknownPeerError reports a message to a proxy that is not known.
@@ -30,8 +33,8 @@
 	Receive(ctx context.Context, method string, params json.RawMessage) (any, error)
 }
 
-// Peers keeps connections to other proxies and accepts theirs. Its mutex is
-// taken before a link's.
+// Peers keeps connections to the proxies that it speaks with, and accepts
+// theirs. Its mutex is taken before a link's.
 type Peers struct {
 	receiver Receiver
 	log      *zap.Logger
@@ -40,14 +43,18 @@
 	wait     sync.WaitGroup
 
 	mu      sync.Mutex
+	known   map[string]Peer
 	links   map[string]*link
 	servers map[*jsonrpc2.Conn]struct{}
+	closed  bool
 }
 
 // link is the outgoing connection to one peer.
 type link struct {
 	peer    Peer
 	pending chan func()
+	// used is when the last call was made, in nanoseconds of wall time.
+	used atomic.Int64
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -61,7 +68,7 @@
 	}
 	p := &Peers{
 		receiver: r, log: log, listener: l, done: make(chan struct{}),
-		links: make(map[string]*link), servers: make(map[*jsonrpc2.Conn]struct{}),
+		known: make(map[string]Peer), links: make(map[string]*link), servers: make(map[*jsonrpc2.Conn]struct{}),
 	}
 	p.wait.Add(1)
 	go p.serve()
@@ -75,28 +82,31 @@
 func (p *Peers) SetPeers(peers []Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wanted := make(map[string]bool)
+	p.known = make(map[string]Peer, len(peers))
 	for _, peer := range peers {
-		wanted[peer.Name] = true
-		if l, ok := p.links[peer.Name]; ok && l.peer.Address == peer.Address {
-			l.peer = peer
-			continue
-		}
-		p.dropLocked(peer.Name)
-		p.addLocked(peer)
+		p.known[peer.Name] = peer
 	}
-	for name := range p.links {
-		if !wanted[name] {
+	for name, l := range p.links {
+		if p.known[name].Address != l.peer.Address {
 			p.dropLocked(name)
 		}
 	}
 }
 
-func (p *Peers) addLocked(peer Peer) {
+// linkLocked returns the connection to a known peer, nil for others.
+func (p *Peers) linkLocked(name string) *link {
+	if l, ok := p.links[name]; ok {
+		return l
+	}
+	peer, ok := p.known[name]
+	if !ok || p.closed {
+		return nil
+	}
 	l := &link{peer: peer, pending: make(chan func(), maxPending)}
-	p.links[peer.Name] = l
+	p.links[name] = l
 	p.wait.Add(1)
 	go p.send(l)
+	return l
 }
 
 func (p *Peers) dropLocked(name string) {
@@ -106,15 +116,37 @@
 	}
 	delete(p.links, name)
 	close(l.pending)
-	l.close()
+	go l.close()
 }
 
 // send carries out a link's messages in order, so that a peer that hangs
-// holds up no other.
+// holds up no other. It ends with the link, or once the link is idle.
 func (p *Peers) send(l *link) {
 	defer p.wait.Done()
-	for task := range l.pending {
-		task()
+	idle := time.NewTimer(linkIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case task, ok := <-l.pending:
+			if !ok {
+				return
+			}
+			task()
+			idle.Reset(linkIdle)
+		case <-idle.C:
+			p.retire(l)
+			idle.Reset(linkIdle)
+		}
+	}
+}
+
+// retire drops an idle link unless a message has just been added.
+func (p *Peers) retire(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	called := time.Since(time.Unix(0, l.used.Load())) < linkIdle
+	if !called && len(l.pending) == 0 && p.links[l.peer.Name] == l {
+		p.dropLocked(l.peer.Name)
 	}
 }
 
@@ -123,8 +155,8 @@
 func (p *Peers) Notify(name, method string, params any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, ok := p.links[name]
-	if !ok {
+	l := p.linkLocked(name)
+	if l == nil {
 		return
 	}
 	task := func() {
@@ -150,11 +182,12 @@
 // *UnknownPeerError for a proxy that is not known.
 func (p *Peers) Call(ctx context.Context, name, method string, params, result any) error {
 	p.mu.Lock()
-	l, ok := p.links[name]
+	l := p.linkLocked(name)
 	p.mu.Unlock()
-	if !ok {
+	if l == nil {
 		return &UnknownPeerError{Name: name}
 	}
+	l.used.Store(time.Now().UnixNano())
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	conn, err := p.connect(ctx, l)
@@ -257,6 +290,7 @@
 	close(p.done)
 	_ = p.listener.Close()
 	p.mu.Lock()
+	p.closed = true
 	for name := range p.links {
 		p.dropLocked(name)
 	}
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -33,6 +33,7 @@
 	began   clock.Time
 	ctx     context.Context
 	tries   database.Tries
+	use     database.Use
 	// sent and sentAt are when the read was last sent to a database.
 	sent   uint64
 	sentAt clock.Time
@@ -121,14 +122,14 @@
 	for {
 		var choice database.Choice
 		now := w.clock.Now()
-		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Read(now, r.read, g, &r.tries) })
+		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Read(now, r.read, g, &r.tries, &r.use) })
 		switch c := choice.(type) {
 		case database.Hold:
 			if err := w.awaitPrimary(r, c.Reason); err != nil {
 				return w.refuseBatch(err, false)
 			}
-		case database.Use:
-			done, err := w.tryRead(r, c)
+		case *database.Use:
+			done, err := w.tryRead(r, *c)
 			if done || err != nil {
 				return err
 			}
@@ -296,13 +297,13 @@
 func (w *worker) runOnPrimary(r *request, reason database.Reason) error {
 	for {
 		var choice database.Choice
-		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Write(g) })
+		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Write(g, &r.use) })
 		switch c := choice.(type) {
 		case database.Hold:
 			if err := w.awaitPrimary(r, c.Reason); err != nil {
 				return w.refuseBatch(err, false)
 			}
-		case database.Use:
+		case *database.Use:
 			done, err := w.tryWrite(r, c.Database, reason)
 			if done || err != nil {
 				return err
--- a/internal/request/database/route.go
+++ b/internal/request/database/route.go
@@ -55,7 +55,7 @@
 // Hold keeps the request until more is known of the group.
 type Hold struct{ Reason Reason }
 
-func (Use) choice()  {}
+func (*Use) choice() {}
 func (Hold) choice() {}
 
 const (
@@ -99,37 +99,38 @@
 	return &Router{zones: zones, zone: zone, replicaWait: replicaWait, health: make([]health, len(zones))}
 }
 
-// Write chooses the database for a request that may write.
-func (r *Router) Write(g *database.Group) Choice {
+// Write chooses the database for a request that may write. A database is
+// returned in into, which saves an allocation.
+func (r *Router) Write(g *database.Group, into *Use) Choice {
 	primary, _ := g.Primary()
 	if primary < 0 || !g.Writable() {
 		return Hold{Reason: ReasonNoPrimary}
 	}
-	return Use{Database: primary, Reason: ReasonWrite}
+	*into = Use{Database: primary, Reason: ReasonWrite}
+	return into
 }
 
-// Read chooses the database for a read, after the tries that were in vain.
-func (r *Router) Read(now clock.Time, read Read, g *database.Group, tries *Tries) Choice {
+// Read chooses the database for a read, after the tries that were in vain. A
+// database is returned in into, which saves an allocation.
+func (r *Router) Read(now clock.Time, read Read, g *database.Group, tries *Tries, into *Use) Choice {
+	primary, _ := g.Primary()
 	if read.MaxAge == 0 {
-		return r.fresh(g)
+		if primary < 0 || !g.Writable() {
+			return Hold{Reason: ReasonNoPrimary}
+		}
+		*into = Use{Database: primary, Reason: ReasonFresh}
+		return into
 	}
 	best, reason := r.bestReplica(now, read, g, tries)
-	if best.Database >= 0 {
-		return best
-	}
-	primary, _ := g.Primary()
-	if primary < 0 {
-		return Hold{Reason: ReasonNoPrimary}
-	}
-	return Use{Database: primary, Reason: reason}
-}
-
-func (r *Router) fresh(g *database.Group) Choice {
-	primary, _ := g.Primary()
-	if primary < 0 || !g.Writable() {
+	switch {
+	case best.Database >= 0:
+		*into = best
+	case primary < 0:
 		return Hold{Reason: ReasonNoPrimary}
+	default:
+		*into = Use{Database: primary, Reason: reason}
 	}
-	return Use{Database: primary, Reason: ReasonFresh}
+	return into
 }
 
 // bestReplica returns the replica expected to qualify first, the nearest
--- a/internal/version/operator/check.go
+++ b/internal/version/operator/check.go
@@ -151,7 +151,7 @@
 		{"commitWait", "a time from 100ms to 60s", duration(&g.CommitWait, 100, clock.Minute)},
 		{"writeWait", "a time from 0s to 60s", duration(&g.WriteWait, 0, clock.Minute)},
 	})
-	c.config.Groups = append(c.config.Groups, g)
+	c.config.addGroup(g)
 }
 
 func (c *checker) database(s *Section) {
--- a/internal/version/operator/configuration.go
+++ b/internal/version/operator/configuration.go
@@ -97,14 +97,22 @@
 	Groups   []Group
 	Ages     []Read
 	Classes  []Class
+	// byName holds each group's index.
+	byName map[string]int
+}
+
+func (c *Configuration) addGroup(g Group) {
+	if c.byName == nil {
+		c.byName = make(map[string]int)
+	}
+	c.byName[g.Name] = len(c.Groups)
+	c.Groups = append(c.Groups, g)
 }
 
 // FindGroup returns the group of this name, or nil.
 func (c *Configuration) FindGroup(name string) *Group {
-	for i := range c.Groups {
-		if c.Groups[i].Name == name {
-			return &c.Groups[i]
-		}
+	if i, ok := c.byName[name]; ok {
+		return &c.Groups[i]
 	}
 	return nil
 }
--- a/internal/version/operator/document.go
+++ b/internal/version/operator/document.go
@@ -10,7 +10,7 @@
 )
 
 // MaxLength bounds a declaration file, in bytes.
-const MaxLength = 1 << 20
+const MaxLength = 8 << 20
 
 // Source is where a value was declared.
 type Source struct {
@@ -59,13 +59,21 @@
 // Document is the sections of a file, in order.
 type Document struct {
 	Sections []Section
+	// byName holds each section's index.
+	byName map[string]int
+}
+
+func (d *Document) add(s Section) {
+	if d.byName == nil {
+		d.byName = make(map[string]int)
+	}
+	d.byName[s.Name] = len(d.Sections)
+	d.Sections = append(d.Sections, s)
 }
 
 func (d *Document) find(name string) *Section {
-	for i := range d.Sections {
-		if d.Sections[i].Name == name {
-			return &d.Sections[i]
-		}
+	if i, ok := d.byName[name]; ok {
+		return &d.Sections[i]
 	}
 	return nil
 }
@@ -141,7 +149,7 @@
 				Key: k.Name(), Text: k.String(), Source: Source{File: file, Line: lines.of(s.Name(), k.Name())},
 			})
 		}
-		d.Sections = append(d.Sections, section)
+		d.add(section)
 	}
 	return d, nil
 }
@@ -217,7 +225,7 @@
 	merged := &Document{}
 	for _, s := range base.Sections {
 		s.Values = append([]Value(nil), s.Values...)
-		merged.Sections = append(merged.Sections, s)
+		merged.add(s)
 	}
 	if overlay == nil {
 		return merged, nil
@@ -235,7 +243,7 @@
 func (d *Document) overlay(s Section) []Problem {
 	target := d.find(s.Name)
 	if target == nil && s.Name == "site" {
-		d.Sections = append(d.Sections, s)
+		d.add(s)
 		return nil
 	}
 	if target == nil {
