--- /dev/null
+++ b/internal/core/hostile_test.go
@@ -0,0 +1,147 @@
+package core
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+func sendCancel(t *testing.T, address string, pid uint32, secret []byte) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	request, err := (&pgproto3.CancelRequest{ProcessID: pid, SecretKey: secret}).Encode(nil)
+	require.NoError(t, err)
+	_, err = c.Write(request)
+	require.NoError(t, err)
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c
+}
+
+// startRaw starts a session without a client library.
+func startRaw(t *testing.T, p *Proxy) (net.Conn, *pgproto3.Frontend) {
+	t.Helper()
+	c := dial(t, p)
+	f := pgproto3.NewFrontend(c, c)
+	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "x", "database": "shop1"}})
+	require.NoError(t, f.Flush())
+	for {
+		msg, err := f.Receive()
+		require.NoError(t, err)
+		if _, ok := msg.(*pgproto3.ReadyForQuery); ok {
+			return c, f
+		}
+	}
+}
+
+func requireEnded(t *testing.T, c net.Conn) {
+	t.Helper()
+	_, err := io.Copy(io.Discard, c)
+	require.NoError(t, err, "the connection was not closed")
+}
+
+func TestMalformedStartsAreRefused(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	for name, bytes := range map[string][]byte{
+		"oversize length":  {0x7f, 0xff, 0xff, 0xff, 0, 3, 0, 0},
+		"negative length":  {0xff, 0xff, 0xff, 0xff, 0, 3, 0, 0},
+		"too short":        {0, 0, 0, 4},
+		"unknown version":  {0, 0, 0, 9, 0, 9, 0, 0, 0},
+		"not the protocol": []byte("GET / HTTP/1.1\r\n\r\n"),
+		"no terminator":    {0, 0, 0, 12, 0, 3, 0, 0, 'u', 's', 'e', 'r'},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, d.Proxies[0])
+			_, err := c.Write(bytes)
+			require.NoError(t, err)
+			requireEnded(t, c)
+		})
+	}
+}
+
+func TestMalformedMessagesEndTheSession(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	for name, bytes := range map[string][]byte{
+		"unknown type":    {'!', 0, 0, 0, 4},
+		"oversize length": binary.BigEndian.AppendUint32([]byte{'Q'}, 1<<31-1),
+		"negative length": {'Q', 0xff, 0xff, 0xff, 0xf0},
+		"broken bind":     {'B', 0, 0, 0, 8, 'x', 'y', 'z', 'w'},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, f := startRaw(t, d.Proxies[0])
+			_, err := c.Write(bytes)
+			require.NoError(t, err)
+			msg, err := f.Receive()
+			require.NoError(t, err)
+			require.IsType(t, &pgproto3.ErrorResponse{}, msg)
+			requireEnded(t, c)
+		})
+	}
+}
+
+func TestStartThatStallsTimesOut(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	d.Proxies[0].acceptor.Timeout = 200 * clock.Millisecond
+	c := dial(t, d.Proxies[0])
+	_, err := c.Write([]byte{0, 0, 0, 50})
+	require.NoError(t, err)
+	began := time.Now()
+	requireEnded(t, c)
+	require.Less(t, time.Since(began), 5*time.Second)
+}
+
+func TestHalfClosedConnectionIsEnded(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	c, _ := startRaw(t, d.Proxies[0])
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	requireEnded(t, c)
+	require.Eventually(t, func() bool { return d.Proxies[0].Status().Sessions == 0 }, 5*time.Second, 10*time.Millisecond)
+}
+
+func TestFunctionCallIsRefused(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	_, f := startRaw(t, d.Proxies[0])
+	f.Send(&pgproto3.FunctionCall{Function: 1})
+	f.Send(&pgproto3.Sync{})
+	require.NoError(t, f.Flush())
+	require.Equal(t, []string{"ErrorResponse", "ReadyForQuery"}, receive(t, f, 2))
+}
+
+// Connections that send nothing hold little, and are ended after a time.
+func TestConnectionsThatSendNothing(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	d.Proxies[0].acceptor.Timeout = 2 * clock.Second
+	const count = 1000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	conns := make([]net.Conn, count)
+	for i := range conns {
+		conns[i] = dial(t, d.Proxies[0])
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	held := (float64(after.HeapInuse+after.StackInuse) - float64(before.HeapInuse+before.StackInuse)) / count
+	t.Logf("%.0f bytes for each connection, on both sides", held)
+	require.Less(t, held, 40_000.0)
+	for _, c := range conns {
+		requireEnded(t, c)
+	}
+	require.Equal(t, 1, number(t, connect(t, d.Proxies[0], ""), "SELECT 1"))
+}
--- a/internal/request/caller/tags.go
+++ b/internal/request/caller/tags.go
@@ -46,7 +46,7 @@
 	var t Tags
 	trimmed := strings.TrimRight(query, " \t\r\n;")
 	if strings.HasSuffix(trimmed, "*/") {
-		if at := strings.LastIndex(trimmed, "/*"); at >= 0 {
+		if at := strings.LastIndex(trimmed, "/*"); at >= 0 && at+2 <= len(trimmed)-2 {
 			if err := t.parse(trimmed[at+2 : len(trimmed)-2]); err != nil {
 				return t, err
 			}
@@ -54,7 +54,7 @@
 	}
 	trimmed = strings.TrimLeft(query, " \t\r\n")
 	if strings.HasPrefix(trimmed, "/*") {
-		if end := strings.Index(trimmed, "*/"); end > 0 {
+		if end := strings.Index(trimmed, "*/"); end >= 2 {
 			return t, t.parse(trimmed[2:end])
 		}
 	}
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -58,24 +58,35 @@
 	}
 	text := translate(query, time.Now())
 	if !writes(query) {
+		if word == "savepoint" || word == "release" {
+			if err := s.lock(); err != nil {
+				return nil, err
+			}
+		}
 		return s.query(ctx, word, text, args)
 	}
 	return s.write(ctx, word, text, args)
 }
 
+// begin opens a transaction. SQLite's own begins with the first write, so
+// that reads before it see what is committed, as with READ COMMITTED.
 func (s *session) begin() (*result, error) {
-	if s.inTransaction {
-		return &result{tag: "BEGIN"}, nil
+	if !s.inTransaction {
+		s.inTransaction, s.failed, s.locked, s.pending = true, false, false, nil
 	}
-	mode := "BEGIN"
-	if s.database.state.Status().Role == Primary {
-		mode = "BEGIN IMMEDIATE"
+	return &result{tag: "BEGIN"}, nil
+}
+
+// lock begins SQLite's transaction.
+func (s *session) lock() error {
+	if !s.inTransaction || s.locked {
+		return nil
 	}
-	if _, err := s.sql.ExecContext(context.Background(), mode); err != nil {
-		return nil, err
+	if _, err := s.sql.ExecContext(context.Background(), "BEGIN IMMEDIATE"); err != nil {
+		return err
 	}
-	s.inTransaction, s.failed, s.pending = true, false, nil
-	return &result{tag: "BEGIN"}, nil
+	s.locked = true
+	return nil
 }
 
 func (s *session) commit() (*result, error) {
@@ -96,7 +107,7 @@
 		_, rollbackErr := s.endTransaction("ROLLBACK", "ROLLBACK")
 		return nil, errors.Join(err, rollbackErr)
 	}
-	s.inTransaction, s.pending = false, nil
+	s.inTransaction, s.locked, s.pending = false, false, nil
 	return &result{tag: "COMMIT"}, nil
 }
 
@@ -115,7 +126,11 @@
 }
 
 func (s *session) endTransaction(statement, tag string) (*result, error) {
-	s.inTransaction, s.failed, s.pending = false, false, nil
+	locked := s.locked
+	s.inTransaction, s.failed, s.locked, s.pending = false, false, false, nil
+	if !locked {
+		return &result{tag: tag}, nil
+	}
 	if _, err := s.sql.ExecContext(context.Background(), statement); err != nil {
 		return nil, err
 	}
@@ -165,6 +180,9 @@
 	}
 	statement := Statement{SQL: text, Args: args}
 	if s.inTransaction {
+		if err := s.lock(); err != nil {
+			return nil, err
+		}
 		r, err := s.runWrite(ctx, word, statement)
 		if err == nil {
 			s.pending = append(s.pending, statement)
@@ -174,6 +192,10 @@
 	if _, err := s.begin(); err != nil {
 		return nil, err
 	}
+	if err := s.lock(); err != nil {
+		s.inTransaction = false
+		return nil, err
+	}
 	r, err := s.runWrite(ctx, word, statement)
 	if err != nil {
 		_, rollbackErr := s.endTransaction("ROLLBACK", "ROLLBACK")
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -25,6 +25,7 @@
 	codeAborted     = "25P02"
 	codeTooMany     = "53300"
 	codeUnique      = "23505"
+	codeLocked      = "55P03"
 	codeCancelled   = "57014"
 	codeNoStatement = "26000"
 	codeNoPortal    = "34000"
@@ -44,7 +45,9 @@
 
 	inTransaction bool
 	failed        bool
-	pending       []Statement
+	// locked is set once SQLite's own transaction has begun.
+	locked  bool
+	pending []Statement
 
 	prepared map[string]*prepared
 	portals  map[string]*portal
@@ -177,7 +180,7 @@
 	if s.sql == nil {
 		return
 	}
-	if s.inTransaction {
+	if s.locked {
 		_, _ = s.sql.ExecContext(context.Background(), "ROLLBACK")
 	}
 	s.sql.Close()
@@ -268,6 +271,8 @@
 		resp.Code = codeTerm
 	case errors.Is(err, context.Canceled):
 		resp.Code, resp.Message = codeCancelled, "canceling statement due to user request"
+	case strings.Contains(resp.Message, "database is locked"):
+		resp.Code = codeLocked
 	case strings.Contains(resp.Message, "readonly"):
 		resp.Code, resp.Message = codeReadOnly, "cannot execute a writing statement in a read-only transaction"
 	case strings.Contains(resp.Message, "UNIQUE constraint"):
