Run a request with an id once, and answer its repeats from a ledger

The id is a row in the same transaction as the write, so the proxy itself sends such a request again after any doubt, a repeat through any proxy is given the recorded tag and rows, and SHOW oleanderflow.outcome tells whether a request ran or makes sure that it never will.

The first run without a Describe left a repeat by simple query without its columns; the ledger now asks for them itself. The race detector found a test that changed a running proxy's timeout; the timeout is now read from what is in force.

--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -240,13 +240,24 @@
 	case "maxage":
 		return s.setMaxAge(value)
 	case "requestid":
-		s.RequestID = value
+		return s.setRequestID(value)
 	default:
 		return &ProtocolError{Code: outcome.CodeInvalid, Message: "unknown setting " + ownPrefix + name + "; expected token, session, maxAge or requestId"}
 	}
 	return nil
 }
 
+// maxRequestID bounds a request id, in bytes.
+const maxRequestID = 128
+
+func (s *Session) setRequestID(value string) error {
+	if len(value) > maxRequestID {
+		return &ProtocolError{Code: outcome.CodeInvalid, Message: "oleanderflow.requestId is longer than 128 bytes"}
+	}
+	s.RequestID = value
+	return nil
+}
+
 func (s *Session) acceptToken(value string) error {
 	t, err := token.Parse(value)
 	if err != nil {
--- a/internal/connection/caller/start.go
+++ b/internal/connection/caller/start.go
@@ -43,7 +43,8 @@
 	// RequireTLS refuses callers that do not ask for TLS.
 	RequireTLS bool
 	Auth       Authentication
-	Timeout    clock.Duration
+	// Timeout returns how long a start may take.
+	Timeout func() clock.Duration
 	// HasGroup reports whether a group of this name is declared.
 	HasGroup func(name string) bool
 	// Register gives the session its process number, before the caller is
@@ -54,7 +55,7 @@
 // Accept starts a session on c within the acceptor's timeout. For a cancel
 // request, it returns the key instead of a session.
 func (a *Acceptor) Accept(c net.Conn) (*Session, *CancelKey, error) {
-	_ = c.SetDeadline(time.Now().Add(a.Timeout.Std()))
+	_ = c.SetDeadline(time.Now().Add(a.Timeout().Std()))
 	s, err := newSession(c)
 	if err != nil {
 		return nil, nil, err
--- a/internal/core/hostile_test.go
+++ b/internal/core/hostile_test.go
@@ -10,8 +10,6 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
-
-	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 func sendCancel(t *testing.T, address string, pid uint32, secret []byte) {
@@ -96,8 +94,7 @@
 }
 
 func TestStartThatStallsTimesOut(t *testing.T) {
-	d := startDev(t, DevSettings{Proxies: 1})
-	d.Proxies[0].acceptor.Timeout = 200 * clock.Millisecond
+	d := startDev(t, DevSettings{Proxies: 1, Declarations: "[limits]\nstartupTimeout = 200ms\n"})
 	c := dial(t, d.Proxies[0])
 	_, err := c.Write([]byte{0, 0, 0, 50})
 	require.NoError(t, err)
@@ -125,8 +122,7 @@
 
 // Connections that send nothing hold little, and are ended after a time.
 func TestConnectionsThatSendNothing(t *testing.T) {
-	d := startDev(t, DevSettings{Proxies: 1})
-	d.Proxies[0].acceptor.Timeout = 2 * clock.Second
+	d := startDev(t, DevSettings{Proxies: 1, Declarations: "[limits]\nstartupTimeout = 2s\n"})
 	const count = 1000
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -107,7 +107,7 @@
 		done: make(chan struct{}), sessions: make(map[uint32]*callerconn.Session),
 	}
 	p.acceptor = &callerconn.Acceptor{
-		Auth: callerconn.Trust{}, Timeout: config.Limits.StartupTimeout,
+		Auth: callerconn.Trust{}, Timeout: func() clock.Duration { return p.Configuration().Limits.StartupTimeout },
 		HasGroup: p.hasGroup, Register: p.register,
 	}
 	p.handler = callerrequest.NewHandler(p, p.clock, p.sequence, p.log, callerrequest.WithRecorder(p.record))
--- a/internal/request/caller/batch.go
+++ b/internal/request/caller/batch.go
@@ -55,6 +55,8 @@
 	executed bool
 	copies   bool
 	ends     bool
+	// local runs a statement that the proxy answers itself.
+	runLocal func(query string) ([]pgproto3.BackendMessage, error)
 }
 
 type portalTarget struct {
@@ -216,9 +218,9 @@
 	return nil
 }
 
-func (b *batch) addExecute(s *caller.Session, m *pgproto3.Execute) error {
+func (b *batch) addExecute(m *pgproto3.Execute) error {
 	if target, ok := b.portals[m.Portal]; ok && isLocal(target.kind) {
-		replies, err := runLocal(s, target.statement.Query)
+		replies, err := b.runLocal(target.statement.Query)
 		if err != nil {
 			return err
 		}
--- a/internal/request/caller/exchange.go
+++ b/internal/request/caller/exchange.go
@@ -19,6 +19,8 @@
 	codeReadOnly = "25006"
 	// settingsUnknown marks a connection whose settings must be reset.
 	settingsUnknown = "?"
+	// messageHeader is the length of a message's type and length, in bytes.
+	messageHeader = 5
 	// readySize is the encoded length of ReadyForQuery, in bytes.
 	readySize = 6
 )
@@ -29,6 +31,7 @@
 const (
 	phaseSettings phase = iota
 	phaseBefore
+	phaseLedger
 	phaseBatch
 	phaseAfter
 	phaseCount
@@ -79,6 +82,10 @@
 	midBatch      bool
 	copyIn        bool
 	callerErr     error
+	// ledgerCode is the error with which the ledger answered, if any.
+	ledgerCode string
+	// recording keeps the answer for the ledger, if not nil.
+	recording *recorded
 }
 
 // lostError reports a connection that broke during an exchange.
@@ -99,6 +106,7 @@
 	x.hasBefore, x.hasAfter, x.sent = false, false, false
 	x.failedCode, x.wrote, x.txStatus = "", false, 0
 	x.midBatch, x.copyIn, x.callerErr = false, false, nil
+	x.ledgerCode, x.recording = "", nil
 }
 
 // trim gives large buffers back after a request.
@@ -122,17 +130,35 @@
 	return nil
 }
 
+// assembleLedgered builds a request that records its id first.
+func (x *exchange) assembleLedgered(ledger string) error {
+	if err := x.addSettings(); err != nil {
+		return err
+	}
+	if err := x.addQuery(phaseLedger, ledger); err != nil {
+		return err
+	}
+	return x.addBatch()
+}
+
+// addSettings gives the connection the session's settings.
+func (x *exchange) addSettings() error {
+	want := x.session.SettingsStatement()
+	if x.conn.Settings == want {
+		return nil
+	}
+	statement := want
+	if x.conn.Settings != "" {
+		statement = "RESET ALL;" + want
+	}
+	x.conn.Settings = want
+	return x.addQuery(phaseSettings, statement)
+}
+
 // assemble builds the request from the parts chosen by its arguments.
 func (x *exchange) assemble(before, after bool) error {
-	if want := x.session.SettingsStatement(); x.conn.Settings != want {
-		statement := want
-		if x.conn.Settings != "" {
-			statement = "RESET ALL;" + want
-		}
-		x.conn.Settings = want
-		if err := x.addQuery(phaseSettings, statement); err != nil {
-			return err
-		}
+	if err := x.addSettings(); err != nil {
+		return err
 	}
 	if before {
 		if err := x.addQuery(phaseBefore, database.StatusStatement); err != nil {
@@ -166,6 +192,11 @@
 				continue
 			}
 		}
+		if st.kind == stepExecute && x.recording != nil {
+			if err := x.describeForLedger(b.buffer[st.start:st.end]); err != nil {
+				return err
+			}
+		}
 		x.request = append(x.request, b.buffer[st.start:st.end]...)
 		x.queue = append(x.queue, awaited{kind: st.kind, statement: st.statement})
 	}
@@ -175,6 +206,22 @@
 	return nil
 }
 
+// describeForLedger asks for the rows' description, which the ledger keeps
+// for repeats that need it.
+func (x *exchange) describeForLedger(execute []byte) error {
+	var m pgproto3.Execute
+	if err := m.Decode(execute[messageHeader:]); err != nil {
+		return err
+	}
+	encoded, err := (&pgproto3.Describe{ObjectType: 'P', Name: m.Portal}).Encode(x.request)
+	if err != nil {
+		return err
+	}
+	x.request = encoded
+	x.queue = append(x.queue, awaited{kind: stepDescribe, swallow: true})
+	return nil
+}
+
 // ensurePrepared adds a Parse where the connection lacks a statement. It
 // returns true if the step needs not be sent because it defines a statement
 // that the connection has.
@@ -264,6 +311,10 @@
 		if p == phaseBefore || p == phaseAfter {
 			return false, x.takeStatus(p, m)
 		}
+	case *pgproto3.ErrorResponse:
+		if p == phaseLedger && x.ledgerCode == "" {
+			x.ledgerCode = m.Code
+		}
 	case *pgproto3.ReadyForQuery:
 		if p != phaseBatch {
 			return true, nil
@@ -360,6 +411,10 @@
 		if err := x.append(msg); err != nil {
 			return err
 		}
+	} else if x.recording != nil {
+		if err := x.recording.keep(msg); err != nil {
+			return x.lost(err)
+		}
 	}
 	x.emitReplies()
 	return nil
@@ -394,6 +449,11 @@
 	if x.dropped {
 		return nil
 	}
+	if x.recording != nil {
+		if err := x.recording.keep(msg); err != nil {
+			return x.lost(err)
+		}
+	}
 	encoded, err := msg.Encode(x.out)
 	if err != nil {
 		return x.lost(err)
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -77,6 +77,7 @@
 // the session is told to leave.
 func (h *Handler) Serve(s *caller.Session) error {
 	w := &worker{Handler: h, session: s}
+	w.batch.runLocal = w.runLocal
 	defer w.abandonTransaction()
 	for {
 		msg, err := s.Backend.Receive()
@@ -176,7 +177,7 @@
 	case *pgproto3.Describe:
 		return b.addDescribe(s, m)
 	case *pgproto3.Execute:
-		return b.addExecute(s, m)
+		return b.addExecute(m)
 	case *pgproto3.Close:
 		return b.addClose(s, m)
 	case *pgproto3.Flush:
@@ -278,7 +279,7 @@
 
 func (w *worker) answerLocalQuery() error {
 	query := w.batch.query
-	replies, err := runLocal(w.session, query)
+	replies, err := w.runLocal(query)
 	if err != nil {
 		return w.refuseBatch(err, true)
 	}
--- a/internal/request/caller/local.go
+++ b/internal/request/caller/local.go
@@ -11,9 +11,14 @@
 
 const textOID = 25
 
-// runLocal carries out a statement that concerns the session alone.
-func runLocal(s *caller.Session, query string) ([]pgproto3.BackendMessage, error) {
+// runLocal carries out a statement that the proxy answers itself.
+func (w *worker) runLocal(query string) ([]pgproto3.BackendMessage, error) {
+	s := w.session
 	word, rest := cutWord(skipComments(query))
+	if name, _ := cutWord(rest); word == "show" && name == "oleanderflow.outcome" {
+		text, err := w.askOutcome()
+		return showValue(text), err
+	}
 	switch word {
 	case "":
 		return []pgproto3.BackendMessage{&pgproto3.EmptyQueryResponse{}}, nil
@@ -87,10 +92,14 @@
 	default:
 		return nil, &caller.ProtocolError{Code: outcome.CodeInvalid, Message: "unknown setting " + name}
 	}
+	return showValue(value), nil
+}
+
+func showValue(value string) []pgproto3.BackendMessage {
 	return []pgproto3.BackendMessage{
 		&pgproto3.DataRow{Values: [][]byte{[]byte(value)}},
 		&pgproto3.CommandComplete{CommandTag: []byte("SHOW")},
-	}, nil
+	}
 }
 
 // describeLocal describes the rows of a statement that the proxy answers.
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -37,6 +37,10 @@
 	// sent and sentAt are when the read was last sent to a database.
 	sent   uint64
 	sentAt clock.Time
+	// id is the request id, "" for none.
+	id string
+	// doubtful is set once a try with an id may have committed.
+	doubtful bool
 }
 
 // runNew routes a batch that no transaction holds.
@@ -53,7 +57,10 @@
 	if err := w.declare(r); err != nil {
 		return w.refuseBatch(err, false)
 	}
-	if w.batch.kind != KindRead {
+	switch {
+	case r.id != "" && w.batch.kind != KindBegin && w.batch.executed:
+		return w.runLedgered(r)
+	case w.batch.kind != KindRead:
 		return w.runOnPrimary(r, database.ReasonWrite)
 	}
 	return w.runRead(r)
@@ -62,9 +69,13 @@
 // declare works out what age and floor hold for a read.
 func (w *worker) declare(r *request) error {
 	tags, err := ParseTags(w.batch.query)
-	if err != nil || w.batch.kind != KindRead {
+	if err != nil {
 		return err
 	}
+	w.takeRequestID(r, tags)
+	if w.batch.kind != KindRead {
+		return nil
+	}
 	age := database.Tighter(w.session.MaxAge, tags.MaxAge)
 	r.read.MaxAge = database.Tighter(age, r.serving.DeclaredAge(w.session.Application, tags.Read))
 	if r.read.MaxAge == 0 {
@@ -99,6 +110,16 @@
 	_, _ = r.serving.Monitor.AwaitFresh(ctx, r.read.Arrived)
 }
 
+// takeRequestID finds the id of a writing request. One that was set for the
+// session names the next writing request alone.
+func (w *worker) takeRequestID(r *request, tags Tags) {
+	r.id = tags.RequestID
+	if r.id == "" && w.session.RequestID != "" && w.batch.executed && w.batch.kind != KindRead {
+		r.id = w.session.RequestID
+		w.session.RequestID = ""
+	}
+}
+
 // learnFloor samples the floor of a session that brought no token.
 func (w *worker) learnFloor(r *request) error {
 	after := w.session.Arrived
@@ -390,6 +411,12 @@
 			w.abandonTransaction()
 			return w.refuseBatch(outcome.NewRefused(outcome.CodeRefused, "the transaction was begun on a primary that has been replaced"), false)
 		}
+		if r.id != "" {
+			if err := w.beginLedgered(r); err != nil {
+				w.abandonTransaction()
+				return w.refuseBatch(err, false)
+			}
+		}
 	}
 	return w.deliver()
 }
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -26,6 +26,7 @@
 	codeTooMany     = "53300"
 	codeUnique      = "23505"
 	codeLocked      = "55P03"
+	codeNoTable     = "42P01"
 	codeCancelled   = "57014"
 	codeNoStatement = "26000"
 	codeNoPortal    = "34000"
@@ -271,6 +272,8 @@
 		resp.Code = codeTerm
 	case errors.Is(err, context.Canceled):
 		resp.Code, resp.Message = codeCancelled, "canceling statement due to user request"
+	case strings.Contains(resp.Message, "no such table"):
+		resp.Code = codeNoTable
 	case strings.Contains(resp.Message, "database is locked"):
 		resp.Code = codeLocked
 	case strings.Contains(resp.Message, "readonly"):
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -11,6 +11,8 @@
 	CodeOverloaded = "53300"
 	// CodeUnknown: the request was sent and its answer was lost.
 	CodeUnknown = "08007"
+	// CodeAlreadyRan: a request with this id ran before.
+	CodeAlreadyRan = "23OF1"
 	// CodeInvalid: the request itself is not acceptable and did not run.
 	CodeInvalid = "22023"
 	// CodeUnsupported: the request needs state bound to one connection.
