Move a primary on request, and from a backend server that leaves

A planned change pauses new writes at all proxies, lets running ones end, waits for the target's log, fences and promotes; without a majority only a forced promotion that accepts the loss goes on. The platform's list is read every 2 s; a leaving replica gets no reads and a leaving primary is moved.

Now what runs on a database that answers ends by itself, and a BEGIN is sent again. Also found: a session that was told to leave lost its open transaction at the next statement; it now ends after the transaction.

--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -131,11 +131,11 @@
 func (s *Session) Close() error { return s.net.Close() }
 
 // Begin marks that a request runs. It returns false if the session is
-// leaving and must not start one.
+// leaving and must not start one. An open transaction goes on.
 func (s *Session) Begin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving {
+	if s.leaving && !s.active {
 		return false
 	}
 	s.active = true
--- a/internal/core/dev.go
+++ b/internal/core/dev.go
@@ -54,6 +54,7 @@
 	Proxies  []*Proxy
 	folder   string
 	control  *proxy.Peers
+	leaving  map[string]bool
 }
 
 // NewDev starts a development system.
@@ -157,9 +158,25 @@
 		self := p.Self()
 		instances = append(instances, platform.Instance{Name: self.Name, Zone: self.Zone, Address: self.Address})
 	}
+	for _, database := range d.Group.Databases {
+		instances = append(instances, platform.Instance{
+			Name: database.Name(), Zone: database.Zone(), Address: database.Address(),
+			Backend: true, Leaving: d.leaving[database.Name()],
+		})
+	}
 	d.Platform.SetInstances(instances)
 }
 
+// SetLeaving marks a database's backend server as leaving in the platform's
+// list.
+func (d *Dev) SetLeaving(name string) {
+	if d.leaving == nil {
+		d.leaving = make(map[string]bool)
+	}
+	d.leaving[name] = true
+	d.listProxies()
+}
+
 // Close stops the system.
 func (d *Dev) Close() {
 	if d.control != nil {
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -43,6 +43,9 @@
 	assignments *proxy.Assignments
 	liveCount   int
 	closed      bool
+	// leaving are the addresses of backend servers that the platform's list
+	// says are leaving.
+	leaving map[string]bool
 }
 
 func newGroups(p *Proxy) *groups {
@@ -203,6 +206,36 @@
 	g.shareLocked()
 }
 
+// setLeaving takes in which backend servers are leaving. A leaving primary is
+// moved by the first of its group's watchers.
+func (g *groups) setLeaving(leaving map[string]bool) {
+	g.mu.Lock()
+	g.leaving = leaving
+	g.mu.Unlock()
+	for _, opened := range g.all() {
+		g.applyLeaving(opened)
+	}
+}
+
+func (g *groups) applyLeaving(opened *group) {
+	g.mu.RLock()
+	leaving := g.leaving
+	first := opened.watching && len(g.assignments.Watchers(opened.serving.Name)) > 0 &&
+		g.assignments.Watchers(opened.serving.Name)[0].Name == g.proxy.instance.Name
+	g.mu.RUnlock()
+	move := false
+	opened.monitor.View(func(known *dbprocess.Group) {
+		primary, _ := known.Primary()
+		for i, member := range opened.monitor.Members() {
+			opened.serving.Router.SetLeaving(i, leaving[member.Address])
+			move = move || leaving[member.Address] && i == primary
+		}
+	})
+	if move && first {
+		g.proxy.workers.Submit(func() { g.proxy.moveAway(opened, leaving) })
+	}
+}
+
 // assignLocked begins or ends this proxy's watch of groups whose watchers
 // have changed.
 func (g *groups) assignLocked(names []string) {
@@ -288,6 +321,7 @@
 	opened := &group{declared: declared, monitor: monitor}
 	opened.serving = &dbrequest.Serving{
 		Name: declared.Name, Monitor: monitor, Pools: pools,
+		Gate:       dbrequest.NewGate(),
 		Router:     dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
 		Ages:       declaredAges(declared.Name, config),
 		Durability: declared.Durability, CommitWait: declared.CommitWait, WriteWait: declared.WriteWait,
@@ -304,7 +338,11 @@
 func interrupt(pools []*dbconn.Pool, e dbprocess.Event) {
 	switch e := e.(type) {
 	case dbprocess.PrimaryChanged:
-		if e.From >= 0 && e.From != e.To {
+		switch {
+		case e.From < 0 || e.From == e.To:
+		case e.Answers:
+			pools[e.From].Reset()
+		default:
 			pools[e.From].Interrupt()
 		}
 		pools[e.To].Reset()
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// listInterval is the time between two reads of the platform's list. At
-	// most a few proxies of a site need it to find the others.
-	listInterval = 15 * clock.Second
+	// listInterval is the time between two reads of the platform's list, which
+	// tells of other proxies and of backend servers that leave.
+	listInterval = 2 * clock.Second
 	listTimeout  = 5 * time.Second
 )
 
@@ -81,10 +81,16 @@
 		m.proxy.log.Info("list of instances not read", zap.Error(err))
 		return
 	}
-	list := make([]proxy.Member, len(instances))
-	for i, in := range instances {
-		list[i] = proxy.Member{Name: in.Name, Zone: in.Zone, Address: in.Address, Leaving: in.Leaving}
+	var list []proxy.Member
+	leaving := make(map[string]bool)
+	for _, in := range instances {
+		if in.Backend {
+			leaving[in.Address] = in.Leaving
+			continue
+		}
+		list = append(list, proxy.Member{Name: in.Name, Zone: in.Zone, Address: in.Address, Leaving: in.Leaving})
 	}
+	m.proxy.groups.setLeaving(leaving)
 	m.decide(func(dst []proxy.MembershipAction) []proxy.MembershipAction {
 		return m.membership.HandleList(m.proxy.clock.Now(), list, dst)
 	})
--- a/internal/core/options.go
+++ b/internal/core/options.go
@@ -43,6 +43,7 @@
 	Apply    *ApplyOptions    `arg:"subcommand:apply" help:"have declared files accepted at all sites"`
 	History  *HistoryOptions  `arg:"subcommand:history" help:"list the accepted versions"`
 	Rollback *RollbackOptions `arg:"subcommand:rollback" help:"accept the content of an earlier version anew"`
+	Promote  *PromoteOptions  `arg:"subcommand:promote" help:"make another database of a group its primary"`
 	Status   *StatusOptions   `arg:"subcommand:status" help:"show which proxy runs on which version, and each group's primary"`
 
 	LogLevel string `arg:"--log-level,env:OLEANDERFLOW_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
@@ -105,6 +106,15 @@
 	JSON     bool    `arg:"--json" help:"print the result as JSON"`
 }
 
+// PromoteOptions are the arguments of promote.
+type PromoteOptions struct {
+	Group      string `arg:"positional,required" placeholder:"GROUP" help:"the database group"`
+	Database   string `arg:"positional" placeholder:"DATABASE" help:"the new primary; without it, the replica with the longest log"`
+	Peer       string `arg:"--peer" default:"127.0.0.1:16442" placeholder:"IP:PORT" help:"where any proxy listens for others"`
+	Force      bool   `arg:"--force" help:"do not wait for running writes; those that are not committed are refused"`
+	AcceptLoss bool   `arg:"--accept-loss" help:"with --force, promote without a majority too; acknowledged writes may be lost"`
+}
+
 // StatusOptions are the arguments of status.
 type StatusOptions struct {
 	Peer string `arg:"--peer" default:"127.0.0.1:16442" placeholder:"IP:PORT" help:"where any proxy listens for others"`
@@ -233,6 +243,11 @@
 		return checkAddresses(o.Proxy.Listen, o.Proxy.PeerListen, o.Proxy.Metrics)
 	case o.Load != nil:
 		return o.Load.check()
+	case o.Promote != nil:
+		if o.Promote.AcceptLoss && !o.Promote.Force {
+			return &OptionError{Option: "--accept-loss", Value: "true", Expected: "--force beside it"}
+		}
+		return checkAddresses(o.Promote.Peer)
 	case o.Status != nil:
 		return checkAddresses(o.Status.Peer)
 	case o.Dev != nil:
--- a/internal/core/protocol_test.go
+++ b/internal/core/protocol_test.go
@@ -390,5 +390,5 @@
 	_, err = db.Exec("INSERT INTO t VALUES (1, 'again')")
 	var e *pq.Error
 	require.ErrorAs(t, err, &e)
-	require.Equal(t, pq.ErrorCode("23505"), e.Code)
+	require.Equal(t, "23505", string(e.Code))
 }
--- a/internal/core/receiver.go
+++ b/internal/core/receiver.go
@@ -39,6 +39,14 @@
 		return answer(params, r.proxy.told)
 	case proxy.MethodFetch:
 		return answer(params, r.proxy.fetched)
+	case proxy.MethodPause:
+		return answer(params, r.proxy.paused)
+	case proxy.MethodPromote:
+		var m proxy.PromoteMessage
+		if err := json.Unmarshal(params, &m); err != nil {
+			return nil, errors.Wrap(err, "decode message")
+		}
+		return r.proxy.promote(m)
 	case proxy.MethodStatus:
 		return r.proxy.Status(), nil
 	}
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -57,6 +57,8 @@
 		return runHistory(ctx, o.History)
 	case o.Rollback != nil:
 		return runRollback(ctx, o.Rollback)
+	case o.Promote != nil:
+		return runPromote(ctx, o.Promote)
 	case o.Status != nil:
 		return runStatus(ctx, o.Status)
 	}
--- /dev/null
+++ b/internal/core/shutdown_test.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
+)
+
+func TestShutdownCutsNoRequest(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	ctx := context.Background()
+	p := d.Proxies[0]
+	exec(t, connect(t, p, ""), "CREATE TABLE t (id INTEGER)")
+	running, idle, open := connect(t, p, ""), connect(t, p, ""), connect(t, p, "")
+	tx, err := open.Begin(ctx)
+	require.NoError(t, err)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := running.Exec(ctx, "SELECT pg_sleep(0.4)")
+		answered <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	finished := make(chan bool, 1)
+	go func() { finished <- p.Shutdown(10 * clock.Second) }()
+	time.Sleep(100 * time.Millisecond)
+	_, err = pgx.Connect(ctx, "postgres://shop@"+p.Address()+"/shop1?sslmode=disable")
+	require.Error(t, err, "a leaving proxy takes no new callers")
+	_, err = idle.Exec(ctx, "SELECT 1")
+	require.Equal(t, outcome.CodeShutdown, code(err))
+	_, err = tx.Exec(ctx, "INSERT INTO t VALUES (1)")
+	require.NoError(t, err, "an open transaction goes on")
+	require.NoError(t, tx.Commit(ctx))
+	require.NoError(t, <-answered)
+	select {
+	case ok := <-finished:
+		require.True(t, ok)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the shutdown did not end")
+	}
+	require.Equal(t, 1, number(t, connect(t, d.Proxies[1], ""), "SELECT count(*) FROM t"))
+}
+
+func TestShutdownEndsAtItsLimit(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	c := connect(t, d.Proxies[0], "")
+	_, err := c.Begin(context.Background())
+	require.NoError(t, err)
+	began := time.Now()
+	require.False(t, d.Proxies[0].Shutdown(300*clock.Millisecond))
+	require.Less(t, time.Since(began), 5*time.Second)
+}
+
+// A backend server that is leaving gets no new work within seconds: reads
+// pass it by, and a primary moves to another.
+func TestLeavingBackendServerGetsNoNewWork(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	c := connect(t, d.Proxies[0], "&oleanderflow.maxAge=5s")
+	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	d.SetLeaving("a")
+	d.SetLeaving("b")
+	require.Eventually(t, func() bool { return d.Group.Primary().Name() == "c" }, 9*time.Second, 20*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	replica, _ := d.Proxies[0].metrics.DeclaredReads()
+	for range 20 {
+		require.Equal(t, 0, number(t, c, "SELECT count(*) FROM t"))
+		exec(t, c, "INSERT INTO t (id) SELECT 1 WHERE 1 = 0")
+	}
+	after, _ := d.Proxies[0].metrics.DeclaredReads()
+	require.Equal(t, replica, after, "a read went to a leaving backend server")
+}
--- /dev/null
+++ b/internal/core/switchover_test.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/standin/caller"
+)
+
+// A planned change of primary under load loses nothing and cuts nothing: no
+// request is refused and none ends unknown.
+func TestPlannedSwitchoverCutsNothing(t *testing.T) {
+	d := startDev(t, DevSettings{ReplicationDelay: 500 * time.Microsecond})
+	settings := caller.Settings{Group: devGroup, Sessions: 9, Seed: 1, Pause: time.Millisecond}
+	for _, p := range d.Proxies {
+		settings.Addresses = append(settings.Addresses, p.Address())
+	}
+	ctx := context.Background()
+	load, err := caller.Start(ctx, settings)
+	require.NoError(t, err)
+	for i, name := range []string{"b", "c", ""} {
+		time.Sleep(300 * time.Millisecond)
+		answer, err := d.Proxies[i%3].promote(proxy.PromoteMessage{Group: devGroup, Database: name})
+		require.NoError(t, err)
+		require.Equal(t, uint64(i+2), answer.Term)
+	}
+	time.Sleep(300 * time.Millisecond)
+	report, err := load.Stop(ctx)
+	require.NoError(t, err)
+	t.Logf("%+v", report.Counts)
+	require.Empty(t, report.Errors)
+	require.Zero(t, report.Counts.Refused)
+	require.Zero(t, report.Counts.Unknown)
+	for _, p := range report.Promises {
+		require.Zero(t, p.Broken, "%s: %s", p.Name, p.Example)
+	}
+}
+
+func TestSwitchoverWaitsForATransactionAndThenChangesNothing(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	ctx := context.Background()
+	c := connect(t, d.Proxies[0], "")
+	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO t VALUES (1)")
+	require.NoError(t, err)
+	_, err = d.Proxies[1].promote(proxy.PromoteMessage{Group: devGroup})
+	require.ErrorContains(t, err, "nothing was changed: 1 writes or transactions still run at proxy-1")
+	require.NoError(t, tx.Commit(ctx))
+	require.Equal(t, "a", d.Group.Primary().Name())
+	exec(t, c, "INSERT INTO t VALUES (2)")
+}
+
+func TestForcedPromotionNeedsAMajorityOrAConfirmation(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	c := connect(t, d.Proxies[0], "")
+	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	d.Group.Find("a").Stop()
+	d.Group.Find("b").Stop()
+	_, err := d.Proxies[0].promote(proxy.PromoteMessage{Group: devGroup, Database: "c", Force: true})
+	require.ErrorContains(t, err, "only 1 of 3 databases answer; a promotion may lose acknowledged writes")
+	answer, err := d.Proxies[0].promote(proxy.PromoteMessage{Group: devGroup, Database: "c", Force: true, AcceptLoss: true})
+	require.NoError(t, err)
+	require.Equal(t, "c", answer.Primary)
+	require.Equal(t, []string{"a", "b"}, answer.Unreached)
+	_, err = d.Proxies[0].promote(proxy.PromoteMessage{Group: devGroup, Database: "z"})
+	require.ErrorContains(t, err, fmt.Sprintf("group %s has no database", devGroup))
+}
--- a/internal/process/database/monitor.go
+++ b/internal/process/database/monitor.go
@@ -84,6 +84,9 @@
 type PrimaryChanged struct {
 	From, To int
 	Term     uint64
+	// Answers is set if the database that led before still answers, so that
+	// what runs on it ends by itself.
+	Answers bool
 }
 
 // Unreachable tells that a database has left questions unanswered for too
@@ -257,6 +260,17 @@
 	m.emit(Unreachable{Database: i})
 }
 
+// answersLife is how recent an answer shows that a database still answers.
+const answersLife = 250 * clock.Millisecond
+
+func (m *Monitor) answersLocked(i int) bool {
+	if i < 0 || m.members[i].silentSince != 0 {
+		return false
+	}
+	last, heard := m.group.Report(i)
+	return heard && m.clock.Now().Sub(last.SentAt) <= answersLife
+}
+
 func (m *Monitor) emit(e Event) {
 	if m.events != nil {
 		m.events(e)
@@ -282,7 +296,7 @@
 	if primary, term := m.group.Primary(); term != before {
 		m.log.Info("primary changed", zap.String("group", m.settings.Group),
 			zap.String("database", m.settings.Members[primary].Name), zap.Uint64("term", term))
-		m.emit(PrimaryChanged{From: from, To: primary, Term: term})
+		m.emit(PrimaryChanged{From: from, To: primary, Term: term, Answers: m.answersLocked(from)})
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
--- /dev/null
+++ b/internal/process/database/switchover.go
@@ -0,0 +1,180 @@
+package database
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+// catchUpInterval is the time between two looks at a database that catches
+// up.
+const catchUpInterval = 2 * time.Millisecond
+
+// SwitchError reports a change of primary that an operator asked for and
+// that was not made, or not completed.
+type SwitchError struct {
+	Step   string
+	Reason string
+	// Fenced is set if the group refuses writes until a failover completes
+	// the change.
+	Fenced bool
+}
+
+func (e *SwitchError) Error() string { return e.Step + ": " + e.Reason }
+
+// SwitchResult tells what a change of primary has done.
+type SwitchResult struct {
+	Term    uint64
+	Primary string
+	// Reached is the new primary's log at its promotion, and Unreached names
+	// the databases that could not be asked.
+	Reached   position.Position
+	Unreached []string
+}
+
+// AwaitCaughtUp waits until a database has received all that the primary
+// has. Writes must have been paused.
+func (w *Watch) AwaitCaughtUp(ctx context.Context, target int) error {
+	for {
+		statuses := w.askAll(ctx)
+		lead := leaderOf(statuses)
+		switch {
+		case lead < 0:
+			return &SwitchError{Step: "compare logs", Reason: "the primary does not answer"}
+		case statuses[target] == nil:
+			return &SwitchError{Step: "compare logs", Reason: "database " + w.name(target) + " does not answer"}
+		case statuses[target].Received.AtLeast(statuses[lead].Received):
+			return nil
+		}
+		timer := time.NewTimer(catchUpInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return &SwitchError{Step: "compare logs", Reason: fmt.Sprintf("database %s is at %v and the primary at %v",
+				w.name(target), statuses[target].Received, statuses[lead].Received)}
+		}
+	}
+}
+
+// Switch makes target the primary in a new term, or the database with the
+// longest log if target is negative. Without a majority it acts only if
+// acceptLoss is set, and may then lose acknowledged writes.
+func (w *Watch) Switch(ctx context.Context, target int, acceptLoss bool) (SwitchResult, error) {
+	statuses := w.askAll(ctx)
+	var term uint64
+	for _, s := range statuses {
+		if s != nil {
+			term = max(term, s.Term, s.Fenced)
+		}
+	}
+	term++
+	if reached := count(statuses); reached < w.majority() && !acceptLoss {
+		return SwitchResult{}, &SwitchError{Step: "ask the group", Reason: fmt.Sprintf(
+			"only %d of %d databases answer; a promotion may lose acknowledged writes", reached, len(statuses))}
+	}
+	fenced := w.fenceAll(ctx, term)
+	if n := count(fenced); n < w.majority() && !acceptLoss || n == 0 {
+		return SwitchResult{}, &SwitchError{Step: "fence", Reason: fmt.Sprintf("only %d databases accepted term %d", n, term), Fenced: n > 0}
+	}
+	best := longest(fenced)
+	switch {
+	case target < 0:
+		target = best
+	case fenced[target] == nil:
+		return SwitchResult{}, &SwitchError{Step: "fence", Reason: "database " + w.name(target) + " did not accept the term", Fenced: true}
+	case !fenced[target].Received.AtLeast(fenced[best].Received) && !acceptLoss:
+		return SwitchResult{}, &SwitchError{Step: "choose", Reason: "database " + w.name(target) + " lacks log that " + w.name(best) + " has", Fenced: true}
+	}
+	return w.completeSwitch(ctx, target, term, fenced)
+}
+
+func (w *Watch) completeSwitch(ctx context.Context, target int, term uint64, fenced []*Status) (SwitchResult, error) {
+	report := Report{Database: target, Sent: w.sequence.Next(), SentAt: w.clock.Now()}
+	status, err := w.operations[target].Promote(ctx, term, w.owner)
+	w.logStep("promote on request", target, term, err)
+	if err != nil {
+		return SwitchResult{}, &SwitchError{Step: "promote", Reason: err.Error(), Fenced: true}
+	}
+	report.Status = status
+	w.monitor.Observe(report)
+	result := SwitchResult{Term: term, Primary: w.name(target), Reached: status.TermStart}
+	for i := range w.operations {
+		if fenced[i] == nil {
+			result.Unreached = append(result.Unreached, w.name(i))
+		}
+		if i != target {
+			w.workers.Submit(func() { w.follow(Follow{Database: i, Term: term, Primary: target}) })
+		}
+	}
+	w.colleagues.AnnouncePrimary(w.monitor.Name(), term, result.Primary)
+	w.log.Info("placement: promoted on request", zap.String("group", w.monitor.Name()),
+		zap.String("database", result.Primary), zap.Uint64("term", term))
+	return result, nil
+}
+
+func (w *Watch) name(i int) string { return w.monitor.Members()[i].Name }
+
+func (w *Watch) majority() int { return len(w.operations)/2 + 1 }
+
+// askAll asks every database at once. Those that do not answer are nil.
+func (w *Watch) askAll(ctx context.Context) []*Status {
+	return w.each(ctx, func(ctx context.Context, o Operations) (Status, error) { return o.Status(ctx) })
+}
+
+func (w *Watch) fenceAll(ctx context.Context, term uint64) []*Status {
+	return w.each(ctx, func(ctx context.Context, o Operations) (Status, error) { return o.Fence(ctx, term, w.owner) })
+}
+
+func (w *Watch) each(ctx context.Context, ask func(context.Context, Operations) (Status, error)) []*Status {
+	ctx, cancel := context.WithTimeout(ctx, w.timeout.Std())
+	defer cancel()
+	statuses := make([]*Status, len(w.operations))
+	var wait sync.WaitGroup
+	for i, o := range w.operations {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if s, err := ask(ctx, o); err == nil {
+				statuses[i] = &s
+			}
+		}()
+	}
+	wait.Wait()
+	return statuses
+}
+
+func count(statuses []*Status) int {
+	n := 0
+	for _, s := range statuses {
+		if s != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func leaderOf(statuses []*Status) int {
+	best := -1
+	for i, s := range statuses {
+		if s != nil && s.Leads() && (best < 0 || s.Term > statuses[best].Term) {
+			best = i
+		}
+	}
+	return best
+}
+
+func longest(statuses []*Status) int {
+	best := -1
+	for i, s := range statuses {
+		if s != nil && (best < 0 || s.Received.Compare(statuses[best].Received) > 0) {
+			best = i
+		}
+	}
+	return best
+}
--- a/internal/process/platform/platform.go
+++ b/internal/process/platform/platform.go
@@ -41,6 +41,8 @@
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Backend is set for a backend server, which is known by its address.
+	Backend bool `json:"backend,omitempty"`
 }
 
 // List is the platform's list of live and leaving instances.
--- a/internal/process/proxy/messages.go
+++ b/internal/process/proxy/messages.go
@@ -115,3 +115,22 @@
 	Watching bool   `json:"watching"`
 	Phase    string `json:"phase,omitempty"`
 }
+
+// PromoteMessage asks a proxy to change a group's primary.
+type PromoteMessage struct {
+	Group string `json:"group"`
+	// Database is the new primary, "" for the best replica.
+	Database string `json:"database,omitempty"`
+	// Force does not wait for writes that run.
+	Force bool `json:"force,omitempty"`
+	// AcceptLoss promotes without a majority too.
+	AcceptLoss bool `json:"acceptLoss,omitempty"`
+}
+
+// PromoteAnswer tells what was done.
+type PromoteAnswer struct {
+	Term      uint64   `json:"term"`
+	Primary   string   `json:"primary"`
+	Reached   string   `json:"reached"`
+	Unreached []string `json:"unreached,omitempty"`
+}
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -67,6 +67,8 @@
 	session *caller.Session
 	batch   batch
 	x       exchange
+	// gate is the one that a running write or transaction has passed.
+	gate *database.Gate
 	// skipping drops messages after an error until Sync.
 	skipping bool
 	// midBatch is set while a Flush has been served and its Sync is awaited.
@@ -322,4 +324,5 @@
 		held.Pool.Release(held.Conn)
 		w.session.Transaction = nil
 	}
+	w.leaveUnlessHeld()
 }
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -57,6 +57,12 @@
 	if err := w.declare(r); err != nil {
 		return w.refuseBatch(err, false)
 	}
+	if w.batch.kind != KindRead {
+		defer w.leaveUnlessHeld()
+		if err := w.enter(r); err != nil {
+			return w.refuseBatch(err, false)
+		}
+	}
 	switch {
 	case r.id != "" && w.batch.kind != KindBegin && w.batch.executed:
 		return w.runLedgered(r)
@@ -66,6 +72,26 @@
 	return w.runRead(r)
 }
 
+// enter passes the group's gate for a write or a transaction.
+func (w *worker) enter(r *request) error {
+	if w.gate != nil {
+		return nil
+	}
+	if err := r.serving.Gate.Enter(r.ctx, w.clock); err != nil {
+		return outcome.NewRefused(outcome.CodeRefused, "the group's primary is being moved")
+	}
+	w.gate = r.serving.Gate
+	return nil
+}
+
+// leaveUnlessHeld leaves the gate, unless a transaction goes on.
+func (w *worker) leaveUnlessHeld() {
+	if w.gate != nil && w.session.Transaction == nil {
+		w.gate.Leave()
+		w.gate = nil
+	}
+}
+
 // declare works out what age and floor hold for a read.
 func (w *worker) declare(r *request) error {
 	tags, err := ParseTags(w.batch.query)
@@ -194,7 +220,7 @@
 		return w.readFailed(r, use.Database, primary, pool, conn, err)
 	case x.failedCode == codeReadOnly && !primary && !x.flushed:
 		pool.Release(conn)
-		return true, w.runOnPrimary(r, database.ReasonRefusedWrite)
+		return true, w.runRefusedWrite(r)
 	case !x.verifyOnce():
 		return w.readDropped(r, use.Database, primary, pool, conn)
 	}
@@ -203,6 +229,16 @@
 	return true, w.finish(r, pool, conn, use.Database)
 }
 
+// runRefusedWrite runs on the primary what a replica refused as a write. It
+// did not run there.
+func (w *worker) runRefusedWrite(r *request) error {
+	defer w.leaveUnlessHeld()
+	if err := w.enter(r); err != nil {
+		return w.refuseBatch(err, false)
+	}
+	return w.runOnPrimary(r, database.ReasonRefusedWrite)
+}
+
 func (w *worker) isPrimary(r *request, i int) bool {
 	var is bool
 	r.serving.Monitor.View(func(g *process.Group) {
@@ -361,6 +397,15 @@
 		pool.Release(conn)
 		return w.retryLater(r)
 	}
+	if begins && x.txStatus != 'I' && w.verifyBegin(r) != nil {
+		// Closing the connection rolls back what the batch may have done.
+		conn.Doubtful = true
+		pool.Release(conn)
+		if x.flushed || w.batch.ends {
+			return true, w.refuseBatch(outcome.NewRefused(outcome.CodeRefused, "the transaction was begun on a primary that has been replaced"), false)
+		}
+		return w.retryLater(r)
+	}
 	w.decided(r, name, reason, "answered")
 	return true, w.finish(r, pool, conn, i)
 }
@@ -406,16 +451,10 @@
 		held.Term = w.x.before.Term
 	}
 	w.session.Transaction = held
-	if w.batch.kind == KindBegin {
-		if err := w.verifyBegin(r); err != nil {
+	if w.batch.kind == KindBegin && r.id != "" {
+		if err := w.beginLedgered(r); err != nil {
 			w.abandonTransaction()
-			return w.refuseBatch(outcome.NewRefused(outcome.CodeRefused, "the transaction was begun on a primary that has been replaced"), false)
-		}
-		if r.id != "" {
-			if err := w.beginLedgered(r); err != nil {
-				w.abandonTransaction()
-				return w.refuseBatch(err, false)
-			}
+			return w.refuseBatch(err, false)
 		}
 	}
 	return w.deliver()
@@ -546,6 +585,7 @@
 
 // runHeld runs a batch on the connection that the session holds.
 func (w *worker) runHeld() error {
+	defer w.leaveUnlessHeld()
 	held := w.session.Transaction
 	serving := w.groups.Serving(w.session.Group)
 	if serving == nil {
--- a/internal/request/database/route.go
+++ b/internal/request/database/route.go
@@ -35,6 +35,7 @@
 	ReasonFloor         Reason = "primary: floor not reached"
 	ReasonAge           Reason = "primary: replicas too old"
 	ReasonSilent        Reason = "primary: replicas silent"
+	ReasonLeaving       Reason = "primary: replicas leaving"
 	ReasonEjected       Reason = "primary: replicas ejected"
 	ReasonRefusedWrite  Reason = "primary: replica refused a write"
 	ReasonNoPrimary     Reason = "held: no primary"
@@ -90,15 +91,20 @@
 	zone        string
 	replicaWait clock.Duration
 	health      []health
+	leaving     []bool
 	turn        int
 }
 
 // NewRouter returns a router of a proxy in zone for databases that stand in
 // zones.
 func NewRouter(zones []string, zone string, replicaWait clock.Duration) *Router {
-	return &Router{zones: zones, zone: zone, replicaWait: replicaWait, health: make([]health, len(zones))}
+	return &Router{zones: zones, zone: zone, replicaWait: replicaWait, health: make([]health, len(zones)), leaving: make([]bool, len(zones))}
 }
 
+// SetLeaving keeps reads from a database that is leaving, or lets them go
+// there again.
+func (r *Router) SetLeaving(i int, leaving bool) { r.leaving[i] = leaving }
+
 // Write chooses the database for a request that may write. A database is
 // returned in into, which saves an allocation.
 func (r *Router) Write(g *database.Group, into *Use) Choice {
@@ -145,6 +151,10 @@
 		if i == primary || tries.counts[i] >= maxTries {
 			continue
 		}
+		if r.leaving[i] {
+			reason = ReasonLeaving
+			continue
+		}
 		if !r.health[i].admits(now) {
 			reason = ReasonEjected
 			continue
--- a/internal/request/database/serving.go
+++ b/internal/request/database/serving.go
@@ -16,10 +16,12 @@
 // Serving is a database group as one accepted configuration serves it. A
 // request keeps the one that it began with.
 type Serving struct {
-	Name       string
-	Monitor    *process.Monitor
-	Pools      []*connection.Pool
-	Router     *Router
+	Name    string
+	Monitor *process.Monitor
+	Pools   []*connection.Pool
+	Router  *Router
+	// Gate holds back writes while an operator moves the primary.
+	Gate       *Gate
 	Ages       []Age
 	Durability process.Durability
 	// CommitWait bounds the wait for a commit's confirmation.
--- a/internal/standin/caller/load.go
+++ b/internal/standin/caller/load.go
@@ -49,6 +49,8 @@
 	Counts   Counts          `json:"counts"`
 	Gaps     []time.Duration `json:"failoverGaps"`
 	Promises []Promise       `json:"promises"`
+	// Errors are the first few errors that callers were given.
+	Errors []string `json:"errors,omitempty"`
 }
 
 // Start creates the tables and starts the load's sessions.
@@ -192,6 +194,7 @@
 	id := fmt.Sprintf("probe-%d", n)
 	_, err = c.Exec(ctx, "INSERT INTO bookings (id, session, number) VALUES ('"+id+"', -1, 0)")
 	o := classify(err)
+	l.record.noteError(err)
 	l.record.note(id, o, began)
 	if o == outcomeAcknowledged {
 		l.mu.Lock()
@@ -219,6 +222,6 @@
 		return Report{}, err
 	}
 	return Report{
-		Counts: l.record.counts, Gaps: l.record.gaps(l.ends), Promises: l.record.promises[:],
+		Counts: l.record.counts, Gaps: l.record.gaps(l.ends), Promises: l.record.promises[:], Errors: l.record.errors,
 	}, nil
 }
--- a/internal/standin/caller/record.go
+++ b/internal/standin/caller/record.go
@@ -59,6 +59,7 @@
 	accepted []time.Time
 	faults   []time.Time
 	counts   Counts
+	errors   []string
 }
 
 type stockEntry struct {
@@ -83,6 +84,21 @@
 	return r
 }
 
+// maxErrors bounds the errors that a report quotes.
+const maxErrors = 8
+
+// noteError keeps the first few errors, for the report.
+func (r *record) noteError(err error) {
+	if err == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.errors) < maxErrors {
+		r.errors = append(r.errors, err.Error())
+	}
+}
+
 // check counts one case of a promise.
 func (r *record) check(promise int, held bool, example func() string) {
 	r.mu.Lock()
--- a/internal/standin/caller/session.go
+++ b/internal/standin/caller/session.go
@@ -122,6 +122,7 @@
 	began := time.Now()
 	_, err := c.Exec(ctx, "INSERT INTO bookings (id, session, number) VALUES ($1, $2, $3)", id, r.number, r.next)
 	o := classify(err)
+	r.load.record.noteError(err)
 	r.load.record.note(id, o, began)
 	if o == outcomeAcknowledged {
 		r.saved = r.next
@@ -133,7 +134,9 @@
 	r.next++
 	id := fmt.Sprintf("transfer-%d-%d", r.number, r.next)
 	began := time.Now()
-	o := classify(r.runTransfer(ctx, c, id))
+	err := r.runTransfer(ctx, c, id)
+	o := classify(err)
+	r.load.record.noteError(err)
 	r.load.record.note(id, o, began)
 }
 
@@ -167,6 +170,7 @@
 	err := c.QueryRow(ctx, "SELECT $1 AS nonce, coalesce(max(number), 0) AS number FROM bookings WHERE session = $2"+tag, nonce, r.number).
 		Scan(&got, asInteger{&number})
 	o := classify(err)
+	r.load.record.noteError(err)
 	r.load.record.noteRead(o)
 	if o != outcomeAcknowledged {
 		return
@@ -184,6 +188,7 @@
 	var pieces int64
 	err := c.QueryRow(ctx, "SELECT pieces FROM stock WHERE id = 1 /*maxAge='"+stockAge.String()+"'*/").Scan(&pieces)
 	o := classify(err)
+	r.load.record.noteError(err)
 	r.load.record.noteRead(o)
 	if o != outcomeAcknowledged {
 		return
