Forward a group's requests to few home proxies

Each proxy that is no home runs a batch on a connection to a home, which carries the session's floor, age and settings with every request; the home answers with the new token. Sessions stay where they are when a home goes. homes = 0 keeps every proxy serving.

--- /dev/null
+++ b/internal/connection/caller/context.go
@@ -0,0 +1,87 @@
+package caller
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
+)
+
+// Context is what one proxy tells another of the session whose request it
+// forwards. Each request carries it, since connections between proxies are
+// shared by sessions.
+type Context struct {
+	Token       string
+	FloorKnown  bool
+	MaxAge      clock.Duration
+	Application string
+	Shared      string
+	RequestID   string
+	Settings    string
+}
+
+// Encode returns the context as the value of a setting, safe within quotes.
+func (c Context) Encode() string {
+	values := url.Values{}
+	for name, value := range map[string]string{
+		"token": c.Token, "application": c.Application, "session": c.Shared, "requestId": c.RequestID, "settings": c.Settings,
+	} {
+		if value != "" {
+			values.Set(name, value)
+		}
+	}
+	if c.FloorKnown {
+		values.Set("floorKnown", "true")
+	}
+	if c.MaxAge > 0 {
+		values.Set("maxAge", c.MaxAge.String())
+	}
+	return values.Encode()
+}
+
+// decodeContext reads what Encode wrote.
+func decodeContext(text string) (Context, error) {
+	values, err := url.ParseQuery(text)
+	if err != nil {
+		return Context{}, &ProtocolError{Code: outcome.CodeInvalid, Message: "invalid context of a forwarded request"}
+	}
+	c := Context{
+		Token: values.Get("token"), Application: values.Get("application"), Shared: values.Get("session"),
+		RequestID: values.Get("requestId"), Settings: values.Get("settings"),
+	}
+	c.FloorKnown, _ = strconv.ParseBool(values.Get("floorKnown"))
+	if age := values.Get("maxAge"); age != "" {
+		d, err := time.ParseDuration(age)
+		if err != nil {
+			return Context{}, &ProtocolError{Code: outcome.CodeInvalid, Message: "invalid age of a forwarded request"}
+		}
+		c.MaxAge = clock.FromStd(d)
+	}
+	return c, nil
+}
+
+// adopt makes the session stand for the one whose request is forwarded.
+func (s *Session) adopt(text string) error {
+	if !s.Forwarded {
+		return &ProtocolError{Code: outcome.CodeInvalid, Message: "oleanderflow.context is for proxies alone"}
+	}
+	c, err := decodeContext(text)
+	if err != nil {
+		return err
+	}
+	s.Floor, s.reported, s.FloorKnown = position.Position{}, position.Position{}, false
+	if c.Token != "" {
+		if err := s.acceptToken(c.Token); err != nil {
+			return err
+		}
+	}
+	// The token that was just received need not be reported back.
+	s.reported = s.Floor
+	s.FloorKnown = c.FloorKnown
+	s.MaxAge, s.Application, s.Shared, s.RequestID = c.MaxAge, c.Application, c.Shared, c.RequestID
+	s.adopted = c.Settings
+	return nil
+}
--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -67,6 +67,11 @@
 
 	Prepared map[string]*Statement
 	settings []setting
+	// Forwarded marks a connection of another proxy, whose requests are of
+	// many sessions.
+	Forwarded bool
+	// adopted are the tracked settings of the session forwarded for.
+	adopted string
 
 	// Transaction is the connection that an open transaction holds.
 	Transaction *Held
@@ -83,8 +88,8 @@
 	Pool *database.Pool
 	// Database is the index of the connection's database in its group.
 	Database int
-	// Term is the term in which the transaction began, zero on a replica.
-	Term uint64
+	// Forwarded is set for a connection to a home proxy.
+	Forwarded bool
 }
 
 type setting struct{ name, value string }
@@ -215,7 +220,7 @@
 // Set changes one setting, the proxy's own or a tracked one of the
 // database's. It returns a *ProtocolError for a value that is not accepted.
 func (s *Session) Set(name, value string) error {
-	if len(value) > maxSettingLength {
+	if len(value) > maxSettingLength && !s.Forwarded {
 		return &ProtocolError{Code: outcome.CodeInvalid, Message: "setting " + name + " is too long"}
 	}
 	if IsOwnSetting(name) {
@@ -239,6 +244,8 @@
 		s.Shared = value
 	case "maxage":
 		return s.setMaxAge(value)
+	case "context":
+		return s.adopt(value)
 	case "requestid":
 		return s.setRequestID(value)
 	default:
@@ -318,6 +325,9 @@
 // SettingsStatement returns the statements that give a fresh connection the
 // session's settings, or "" if there are none.
 func (s *Session) SettingsStatement() string {
+	if s.Forwarded {
+		return s.adopted
+	}
 	var b strings.Builder
 	for _, set := range s.settings {
 		b.WriteString("SET " + set.name + " = '" + strings.ReplaceAll(set.value, "'", "''") + "';")
--- a/internal/connection/caller/start.go
+++ b/internal/connection/caller/start.go
@@ -45,6 +45,8 @@
 	Auth       Authentication
 	// Timeout returns how long a start may take.
 	Timeout func() clock.Duration
+	// IsProxy reports whether a start is another proxy's, nil for never.
+	IsProxy func(parameters map[string]string) bool
 	// HasGroup reports whether a group of this name is declared.
 	HasGroup func(name string) bool
 	// Register gives the session its process number, before the caller is
@@ -154,12 +156,13 @@
 	if s.User == "" {
 		return &ProtocolError{Code: outcome.CodePassword, Message: "no user given in the startup message"}
 	}
-	if err := a.authenticate(s); err != nil {
+	if err := a.authenticateCaller(s, m.Parameters); err != nil {
 		return err
 	}
 	if !a.HasGroup(s.Group) {
 		return &ProtocolError{Code: outcome.CodeNoGroup, Message: fmt.Sprintf("no database group %q is declared", s.Group)}
 	}
+	s.Forwarded = a.IsProxy != nil && a.IsProxy(m.Parameters)
 	if err := s.applyStart(m.Parameters); err != nil {
 		return err
 	}
@@ -185,6 +188,16 @@
 	return nil
 }
 
+// authenticateCaller asks for no password of a proxy that has shown the
+// proxies' own secret.
+func (a *Acceptor) authenticateCaller(s *Session, parameters map[string]string) error {
+	if a.IsProxy != nil && a.IsProxy(parameters) {
+		s.Backend.Send(&pgproto3.AuthenticationOk{})
+		return nil
+	}
+	return a.authenticate(s)
+}
+
 func (a *Acceptor) authenticate(s *Session) error {
 	switch auth := a.Auth.(type) {
 	case Trust:
@@ -251,6 +264,10 @@
 	return m, nil
 }
 
+// ForwardParameter is the startup parameter by which a proxy shows that it
+// is one.
+const ForwardParameter = "oleanderflow.forward"
+
 // startupOnly are the startup parameters that are no settings.
 var startupOnly = []string{"user", "database", "options", "replication"}
 
@@ -263,7 +280,7 @@
 		return err
 	}
 	for name, value := range parameters {
-		if !isStartupOnly(name) && !strings.HasPrefix(name, "_pq_.") {
+		if !isStartupOnly(name) && !strings.HasPrefix(name, "_pq_.") && name != ForwardParameter {
 			settings = append(settings, Setting{Name: name, Value: value})
 		}
 	}
--- a/internal/connection/database/conn.go
+++ b/internal/connection/database/conn.go
@@ -32,6 +32,8 @@
 	Application string
 	// TLS is nil for a plaintext connection.
 	TLS *tls.Config
+	// Forward is what a proxy shows to another, "" for a database.
+	Forward string
 }
 
 // Conn is one started connection to a database. It is used by one
@@ -92,12 +94,13 @@
 	}
 	c.Frontend = pgproto3.NewFrontend(c.net, c.net)
 	c.Frontend.SetMaxBodyLen(maxMessageLength)
-	c.Frontend.Send(&pgproto3.StartupMessage{
-		ProtocolVersion: pgproto3.ProtocolVersion30,
-		Parameters: map[string]string{
-			"user": c.target.User, "database": c.target.Database, "application_name": c.target.Application,
-		},
-	})
+	parameters := map[string]string{
+		"user": c.target.User, "database": c.target.Database, "application_name": c.target.Application,
+	}
+	if c.target.Forward != "" {
+		parameters["oleanderflow.forward"] = c.target.Forward
+	}
+	c.Frontend.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
 	if err := c.Frontend.Flush(); err != nil {
 		return err
 	}
--- a/internal/core/dev.go
+++ b/internal/core/dev.go
@@ -42,8 +42,10 @@
 	AnyPorts bool
 	// ReplicationDelay is the one-way time between databases.
 	ReplicationDelay time.Duration
-	// Declarations are added to those of the stand-ins.
-	Declarations string
+	// Declarations are added to those of the stand-ins, and
+	// GroupDeclarations to the group's own.
+	Declarations      string
+	GroupDeclarations string
 }
 
 // Dev is a running development system: stand-ins for a database group and
@@ -91,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.declare(context.Background(), s.Declarations); err != nil {
+	if err := d.declare(context.Background(), s); err != nil {
 		return err
 	}
 	if err := d.startProxies(s, log); err != nil {
@@ -110,14 +112,14 @@
 }
 
 // declare has the stand-ins accepted as an operator would.
-func (d *Dev) declare(ctx context.Context, extra string) error {
+func (d *Dev) declare(ctx context.Context, s DevSettings) error {
 	var b strings.Builder
-	b.WriteString("[group." + devGroup + "]\ncustomer = tyre ballast shop\nconnections = 50\n")
+	b.WriteString("[group." + devGroup + "]\ncustomer = tyre ballast shop\nconnections = 50\n" + s.GroupDeclarations)
 	for _, database := range d.Group.Databases {
 		fmt.Fprintf(&b, "[database.%s.%s]\naddress = %s\nzone = %s\n", devGroup, database.Name(), database.Address(), database.Zone())
 	}
 	b.WriteString("[read.stock]\napplication = stock\nmaxAge = 2s\n")
-	b.WriteString(extra)
+	b.WriteString(s.Declarations)
 	_, err := d.history().Apply(ctx, versionplatform.Change{
 		ID: "dev", By: "dev", Bundle: operator.Bundle{Base: operator.File{Name: "dev.ini", Text: b.String()}},
 	})
--- /dev/null
+++ b/internal/core/forward_test.go
@@ -0,0 +1,86 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/standin/caller"
+)
+
+const oneHome = "homes = 1\n"
+
+// startForwarding starts proxies of which one is the group's home.
+func startForwarding(t *testing.T) (d *Dev, home *Proxy, others []*Proxy) {
+	t.Helper()
+	d = startDev(t, DevSettings{GroupDeclarations: oneHome, ReplicationDelay: 500 * time.Microsecond})
+	require.Eventually(t, func() bool {
+		home, others = nil, nil
+		for _, p := range d.Proxies {
+			serving := p.Serving(devGroup)
+			if serving.Homes.Forwards() {
+				others = append(others, p)
+			} else {
+				home = p
+			}
+		}
+		return home != nil && len(others) == 2
+	}, 10*time.Second, 10*time.Millisecond)
+	return d, home, others
+}
+
+func TestForwardedRequestsOpenNoConnectionsOfTheirOwn(t *testing.T) {
+	_, home, others := startForwarding(t)
+	ctx := context.Background()
+	c := connect(t, others[0], "")
+	exec(t, c, "CREATE TABLE t (id INTEGER, v TEXT)")
+	for i := range 10 {
+		exec(t, c, "INSERT INTO t (id, v) VALUES ($1, $2)", i, "x")
+		require.Equal(t, i+1, number(t, connect(t, others[i%2], "&oleanderflow.maxAge=5s"), "SELECT count(*) FROM t"))
+	}
+	require.NotEmpty(t, c.PgConn().ParameterStatus("oleanderflow.token"))
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO t VALUES (11, 'y')")
+	require.NoError(t, err)
+	require.NoError(t, tx.Rollback(ctx))
+	exec(t, c, "INSERT INTO t VALUES (12, 'z') /*requestId='once'*/")
+	exec(t, connect(t, others[1], ""), "INSERT INTO t VALUES (12, 'z') /*requestId='once'*/")
+	require.Equal(t, 11, number(t, connect(t, home, ""), "SELECT count(*) FROM t"))
+	for _, p := range others {
+		for _, pool := range p.Serving(devGroup).Pools {
+			open, _, _ := pool.Stats()
+			require.Zero(t, open)
+		}
+	}
+}
+
+func TestCallersCannotPassForProxies(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	c := connect(t, d.Proxies[0], "")
+	_, err := c.Exec(context.Background(), "SET oleanderflow.context = ''")
+	require.ErrorContains(t, err, "is for proxies alone")
+}
+
+// The promises hold through home proxies too, while the primary is lost.
+func TestPromisesHoldThroughHomes(t *testing.T) {
+	d, _, _ := startForwarding(t)
+	settings := caller.Settings{Group: devGroup, Sessions: 9, Seed: 1, Pause: time.Millisecond}
+	for _, p := range d.Proxies {
+		settings.Addresses = append(settings.Addresses, p.Address())
+	}
+	ctx := context.Background()
+	load, err := caller.Start(ctx, settings)
+	require.NoError(t, err)
+	time.Sleep(500 * time.Millisecond)
+	d.Group.Primary().Stop()
+	time.Sleep(1500 * time.Millisecond)
+	report, err := load.Stop(ctx)
+	require.NoError(t, err)
+	t.Logf("%+v", report.Counts)
+	for _, p := range report.Promises {
+		require.Zero(t, p.Broken, "%s: %s", p.Name, p.Example)
+	}
+}
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
 	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -41,7 +45,7 @@
 	mu          sync.RWMutex
 	open        map[string]*group
 	assignments *proxy.Assignments
-	liveCount   int
+	live        []proxy.Peer
 	closed      bool
 	// leaving are the addresses of backend servers that the platform's list
 	// says are leaving.
@@ -49,7 +53,7 @@
 }
 
 func newGroups(p *Proxy) *groups {
-	g := &groups{proxy: p, open: make(map[string]*group), assignments: proxy.NewAssignments(1), liveCount: 1}
+	g := &groups{proxy: p, open: make(map[string]*group), assignments: proxy.NewAssignments(1), live: []proxy.Peer{p.self()}}
 	g.force.Store(&inForce{config: operator.Default()})
 	g.assignments.SetLive([]proxy.Peer{p.self()})
 	return g
@@ -201,7 +205,7 @@
 func (g *groups) setLive(live []proxy.Peer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.liveCount = len(live)
+	g.live = live
 	g.assignLocked(g.assignments.SetLive(live))
 	g.shareLocked()
 }
@@ -267,7 +271,8 @@
 	return list
 }
 
-// shareLocked divides each database's connections among the live proxies.
+// shareLocked divides each database's connections among the proxies that
+// serve its group.
 func (g *groups) shareLocked() {
 	for _, opened := range g.open {
 		g.share(opened)
@@ -275,20 +280,90 @@
 }
 
 func (g *groups) share(opened *group) {
-	share := max(opened.declared.Connections/max(g.liveCount, 1), minimumShare)
+	sharers := len(g.live)
+	if opened.declared.Homes > 0 {
+		sharers = g.chooseHomes(opened)
+	}
+	share := max(opened.declared.Connections/max(sharers, 1), minimumShare)
 	settings := dbconn.PoolSettings{MaxConnections: share, MaxQueue: g.force.Load().config.Limits.QueueLength}
 	for _, pool := range opened.serving.Pools {
 		pool.Resize(settings)
 	}
 }
 
+// forwardConnections bounds the connections of one proxy to one home of a
+// group.
+const forwardConnections = 64
+
+// chooseHomes forwards a group's requests to its home proxies, unless this
+// proxy is one of them. It returns how many they are.
+func (g *groups) chooseHomes(opened *group) int {
+	name := opened.serving.Name
+	chosen := proxy.ChooseWatchers("home/"+name, g.live, opened.declared.Homes)
+	var homes []dbrequest.Home
+	for _, peer := range chosen {
+		if peer.Name == g.proxy.instance.Name {
+			homes = nil
+			break
+		}
+		if peer.Callers == "" {
+			// Its own word on where callers connect has not come yet.
+			continue
+		}
+		pool := opened.serving.Homes.Find(peer.Name + " " + peer.Callers)
+		if pool == nil {
+			pool = dbconn.NewPool(g.proxy.homeTarget(name, peer), dbconn.PoolSettings{
+				MaxConnections: forwardConnections, MaxQueue: g.force.Load().config.Limits.QueueLength,
+			})
+		}
+		homes = append(homes, dbrequest.Home{Name: peer.Name + " " + peer.Callers, Zone: peer.Zone, Pool: pool})
+	}
+	for _, dropped := range opened.serving.Homes.Set(homes) {
+		dropped.Close()
+	}
+	return len(chosen)
+}
+
+func (p *Proxy) homeTarget(group string, home proxy.Peer) dbconn.Target {
+	return dbconn.Target{
+		Address: home.Callers, Database: group, User: "proxy",
+		Application: "oleanderflow/" + p.instance.Zone, Forward: p.forwardProof(group),
+	}
+}
+
+// trustedForward is what proxies show each other where callers are trusted.
+const trustedForward = "trusted"
+
+// forwardProof is what shows another proxy that this is one too.
+func (p *Proxy) forwardProof(group string) string {
+	if len(p.secret) == 0 {
+		return trustedForward
+	}
+	mac := hmac.New(sha256.New, p.secret)
+	_, _ = mac.Write([]byte("forward " + group))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// isProxy reports whether a start is another proxy's.
+func (p *Proxy) isProxy(parameters map[string]string) bool {
+	shown := parameters[callerconn.ForwardParameter]
+	if shown == "" {
+		return false
+	}
+	if len(p.secret) == 0 {
+		_, trusted := p.acceptor.Auth.(callerconn.Trust)
+		return trusted && shown == trustedForward
+	}
+	return hmac.Equal([]byte(shown), []byte(p.forwardProof(parameters["database"])))
+}
+
 // interruptAll closes all connections to databases.
 func (g *groups) interruptAll() {
 	g.mu.Lock()
 	g.closed = true
 	g.mu.Unlock()
 	for _, opened := range g.all() {
-		for _, pool := range opened.serving.Pools {
+		for _, pool := range append(opened.serving.Homes.Set(nil), opened.serving.Pools...) {
 			pool.Interrupt()
 			pool.Close()
 		}
@@ -322,6 +397,7 @@
 	opened.serving = &dbrequest.Serving{
 		Name: declared.Name, Monitor: monitor, Pools: pools,
 		Gate:       dbrequest.NewGate(),
+		Homes:      dbrequest.NewHomes(p.instance.Zone),
 		Router:     dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
 		Ages:       declaredAges(declared.Name, config),
 		Durability: declared.Durability, CommitWait: declared.CommitWait, WriteWait: declared.WriteWait,
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -38,7 +38,7 @@
 // newMembers joins the proxies that the platform's list names.
 func newMembers(p *Proxy, list platform.List) (*members, error) {
 	self := proxy.Member{
-		Name: p.instance.Name, Zone: p.instance.Zone, Address: p.peers.Address(),
+		Name: p.instance.Name, Zone: p.instance.Zone, Address: p.peers.Address(), Callers: p.Address(),
 		// Wall time makes each life's incarnation greater than the last's.
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
@@ -175,7 +175,7 @@
 	m.mu.Unlock()
 	peers := make([]proxy.Peer, len(live))
 	for i, member := range live {
-		peers[i] = proxy.Peer{Name: member.Name, Zone: member.Zone, Address: member.Address, Leaving: member.Leaving}
+		peers[i] = proxy.Peer{Name: member.Name, Zone: member.Zone, Address: member.Address, Callers: member.Callers, Leaving: member.Leaving}
 	}
 	m.proxy.SetLive(peers)
 }
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -64,6 +64,7 @@
 	spread  *spread
 	list    platform.List
 	history *versionplatform.History
+	secret  []byte
 
 	groups *groups
 	done   chan struct{}
@@ -98,6 +99,10 @@
 // WithHistory makes the proxy run on the accepted declarations.
 func WithHistory(h *versionplatform.History) Option { return func(p *Proxy) { p.history = h } }
 
+// WithSecret sets what proxies show each other to forward requests without
+// a password. Without it, forwarding works only where callers are trusted.
+func WithSecret(secret []byte) Option { return func(p *Proxy) { p.secret = secret } }
+
 // NewProxy listens on the instance's addresses and puts a configuration in
 // force. Serve starts to accept callers.
 func NewProxy(instance Instance, config *operator.Configuration, log *zap.Logger, options ...Option) (*Proxy, error) {
@@ -108,7 +113,7 @@
 	}
 	p.acceptor = &callerconn.Acceptor{
 		Auth: callerconn.Trust{}, Timeout: func() clock.Duration { return p.Configuration().Limits.StartupTimeout },
-		HasGroup: p.hasGroup, Register: p.register,
+		HasGroup: p.hasGroup, Register: p.register, IsProxy: p.isProxy,
 	}
 	p.handler = callerrequest.NewHandler(p, p.clock, p.sequence, p.log, callerrequest.WithRecorder(p.record))
 	for _, o := range options {
@@ -179,7 +184,7 @@
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
 func (p *Proxy) self() proxy.Peer {
-	return proxy.Peer{Name: p.instance.Name, Zone: p.instance.Zone, Address: p.peers.Address()}
+	return proxy.Peer{Name: p.instance.Name, Zone: p.instance.Zone, Address: p.peers.Address(), Callers: p.Address()}
 }
 
 // Self returns the proxy as others know it.
--- a/internal/process/proxy/membership.go
+++ b/internal/process/proxy/membership.go
@@ -48,6 +48,8 @@
 	State       State  `cbor:"5,keyasint" json:"state"`
 	// Leaving is set once the proxy takes no new work.
 	Leaving bool `cbor:"6,keyasint,omitempty" json:"leaving,omitempty"`
+	// Callers is where callers connect, "" while only the list names it.
+	Callers string `cbor:"7,keyasint,omitempty" json:"callers,omitempty"`
 }
 
 // DatagramKind is what a datagram asks or answers.
--- a/internal/process/proxy/messages.go
+++ b/internal/process/proxy/messages.go
@@ -10,6 +10,8 @@
 	Zone string `json:"zone"`
 	// Address is the IP number and port for messages between proxies.
 	Address string `json:"address"`
+	// Callers is where callers connect.
+	Callers string `json:"callers,omitempty"`
 	// Leaving is set once the proxy takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/request/caller/exchange.go
+++ b/internal/request/caller/exchange.go
@@ -37,6 +37,9 @@
 	phaseCount
 )
 
+// tokenParameter is the parameter status that carries a session's token.
+const tokenParameter = "oleanderflow.token"
+
 // errDropped stops the relay of an answer that failed its verification.
 var errDropped = errors.New("answer dropped")
 
@@ -84,6 +87,8 @@
 	callerErr     error
 	// ledgerCode is the error with which the ledger answered, if any.
 	ledgerCode string
+	// token is the session's token as a home proxy reported it.
+	token string
 	// recording keeps the answer for the ledger, if not nil.
 	recording *recorded
 }
@@ -106,7 +111,7 @@
 	x.hasBefore, x.hasAfter, x.sent = false, false, false
 	x.failedCode, x.wrote, x.txStatus = "", false, 0
 	x.midBatch, x.copyIn, x.callerErr = false, false, nil
-	x.ledgerCode, x.recording = "", nil
+	x.ledgerCode, x.recording, x.token = "", nil, ""
 }
 
 // trim gives large buffers back after a request.
@@ -305,7 +310,12 @@
 // the phase.
 func (x *exchange) take(p phase, msg pgproto3.BackendMessage) (bool, error) {
 	switch m := msg.(type) {
-	case *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
+	case *pgproto3.ParameterStatus:
+		if m.Name == tokenParameter {
+			x.token = m.Value
+		}
+		return false, nil
+	case *pgproto3.NotificationResponse:
 		return false, nil
 	case *pgproto3.DataRow:
 		if p == phaseBefore || p == phaseAfter {
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -282,6 +282,11 @@
 func (w *worker) answerLocalQuery() error {
 	query := w.batch.query
 	replies, err := w.runLocal(query)
+	if err != nil && w.session.Forwarded {
+		// What follows belongs to a session that is not known.
+		w.sendError("FATAL", outcome.CodeProtocol, err.Error(), "")
+		return err
+	}
 	if err != nil {
 		return w.refuseBatch(err, true)
 	}
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -39,6 +39,8 @@
 	sentAt clock.Time
 	// id is the request id, "" for none.
 	id string
+	// tagged is set if the statement itself carries the id.
+	tagged bool
 	// doubtful is set once a try with an id may have committed.
 	doubtful bool
 }
@@ -53,7 +55,20 @@
 	defer cancel()
 	r := &request{serving: serving, began: w.clock.Now(), ctx: ctx}
 	r.read.Arrived = w.sequence.Next()
-	serving.Monitor.Use()
+	if serving.Homes.Forwards() && !w.session.Forwarded {
+		tags, err := ParseTags(w.batch.query)
+		if err != nil {
+			return w.refuseBatch(err, false)
+		}
+		w.takeRequestID(r, tags)
+		return w.runForwarded(r)
+	}
+	return w.runServed(r)
+}
+
+// runServed runs a batch on this proxy's own connections to the group.
+func (w *worker) runServed(r *request) error {
+	r.serving.Monitor.Use()
 	if err := w.declare(r); err != nil {
 		return w.refuseBatch(err, false)
 	}
@@ -139,7 +154,7 @@
 // takeRequestID finds the id of a writing request. One that was set for the
 // session names the next writing request alone.
 func (w *worker) takeRequestID(r *request, tags Tags) {
-	r.id = tags.RequestID
+	r.id, r.tagged = tags.RequestID, tags.RequestID != ""
 	if r.id == "" && w.session.RequestID != "" && w.batch.executed && w.batch.kind != KindRead {
 		r.id = w.session.RequestID
 		w.session.RequestID = ""
@@ -447,9 +462,6 @@
 func (w *worker) hold(r *request, pool *connection.Pool, conn *connection.Conn, i int) error {
 	w.midBatch = w.x.midBatch
 	held := &caller.Held{Conn: conn, Pool: pool, Database: i}
-	if w.x.hasBefore {
-		held.Term = w.x.before.Term
-	}
 	w.session.Transaction = held
 	if w.batch.kind == KindBegin && r.id != "" {
 		if err := w.beginLedgered(r); err != nil {
@@ -578,7 +590,7 @@
 		return out, nil
 	}
 	ready := [readySize]byte(out[len(out)-readySize:])
-	token := &pgproto3.ParameterStatus{Name: "oleanderflow.token", Value: value}
+	token := &pgproto3.ParameterStatus{Name: tokenParameter, Value: value}
 	out, err := token.Encode(out[:len(out)-readySize])
 	return append(out, ready[:]...), err
 }
@@ -609,17 +621,21 @@
 	if err != nil {
 		return w.heldFailed(r, err)
 	}
+	if held.Forwarded {
+		w.decided(r, "", database.ReasonForwarded, "answered")
+		return w.finishForwarded(database.Home{Pool: held.Pool}, held.Conn)
+	}
 	w.decided(r, serving.Monitor.Members()[held.Database].Name, database.ReasonTransaction, "answered")
 	return w.finish(r, held.Pool, held.Conn, held.Database)
 }
 
 // assembleHeld builds the request for a held connection, whose settings are
 // the transaction's own.
-func (w *worker) assembleHeld(*caller.Held) error {
+func (w *worker) assembleHeld(held *caller.Held) error {
 	if err := w.x.addBatch(); err != nil {
 		return err
 	}
-	if w.batch.ends && !w.batch.copies && !w.x.midBatch {
+	if !held.Forwarded && w.batch.ends && !w.batch.copies && !w.x.midBatch {
 		return w.x.addQuery(phaseAfter, connection.StatusStatement)
 	}
 	return nil
--- a/internal/request/database/route.go
+++ b/internal/request/database/route.go
@@ -39,6 +39,7 @@
 	ReasonEjected       Reason = "primary: replicas ejected"
 	ReasonRefusedWrite  Reason = "primary: replica refused a write"
 	ReasonNoPrimary     Reason = "held: no primary"
+	ReasonForwarded     Reason = "home proxy"
 	ReasonTransaction   Reason = "transaction"
 )
 
--- a/internal/request/database/serving.go
+++ b/internal/request/database/serving.go
@@ -21,7 +21,9 @@
 	Pools   []*connection.Pool
 	Router  *Router
 	// Gate holds back writes while an operator moves the primary.
-	Gate       *Gate
+	Gate *Gate
+	// Homes are where requests are forwarded to.
+	Homes      *Homes
 	Ages       []Age
 	Durability process.Durability
 	// CommitWait bounds the wait for a commit's confirmation.
--- a/internal/version/operator/check.go
+++ b/internal/version/operator/check.go
@@ -145,6 +145,7 @@
 		{"customer", "the customer's name", text(&g.Customer)},
 		{"durability", "group or primary", durability(&g.Durability)},
 		{"connections", "a whole number from 1 to 10000", number(&g.Connections, 1, 10000)},
+		{"homes", "a whole number from 0 to 64, 0 for every proxy", number(&g.Homes, 0, 64)},
 		{"user", "a user of the databases", text(&g.User)},
 		{"passwordFile", "a file name", text(&g.PasswordFile)},
 		{"tls", "off, require or the name of a file of root certificates", text(&g.TLS)},
--- a/internal/version/operator/configuration.go
+++ b/internal/version/operator/configuration.go
@@ -22,9 +22,12 @@
 // Group is a declared database group of a customer.
 type Group struct {
 	Declaration
-	Customer     string
-	Durability   database.Durability
-	Connections  int
+	Customer    string
+	Durability  database.Durability
+	Connections int
+	// Homes is how many proxies serve the group for all others, zero for
+	// every proxy.
+	Homes        int
 	User         string
 	PasswordFile string
 	TLS          string
