Admit requests by declared classes, in order and by deadline

Each class has a bounded queue and a deadline; a request that cannot be served in time is refused before it is sent.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -90,11 +90,12 @@
 	}
 	g := p.groups
 	g.mu.Lock()
+	before := g.force.Load().config
 	g.force.Store(next)
 	var retired []*group
 	for name, old := range g.open {
 		declared, ok := next.declared[name]
-		if ok && sameDatabases(old.declared, declared) {
+		if ok && sameDatabases(old.declared, declared) && sameShares(before.Classes, config.Classes) {
 			g.open[name] = g.keep(old, declared, config)
 			continue
 		}
@@ -125,6 +126,7 @@
 	kept.declared = declared
 	serving := *old.serving
 	serving.Ages = declaredAges(declared.Name, config)
+	serving.Classes, _ = declaredClasses(config)
 	serving.CommitWait, serving.WriteWait = declared.CommitWait, declared.WriteWait
 	kept.serving = &serving
 	return &kept
@@ -139,6 +141,7 @@
 		pool.Close()
 	}
 	old.watch.Close()
+	time.AfterFunc(g.force.Load().config.Limits.ShutdownLimit.Std(), old.monitor.Close)
 }
 
 func declaredAges(name string, config *operator.Configuration) []dbrequest.Age {
@@ -151,6 +154,22 @@
 	return ages
 }
 
+// declaredClasses returns the classes as requests match them, and as pools
+// admit them.
+func declaredClasses(config *operator.Configuration) (matches []dbrequest.Class, shares []dbconn.Class) {
+	for _, k := range config.Classes {
+		matches = append(matches, dbrequest.Class{Application: k.Application, Tag: k.Tag, Writes: k.Writes, Deadline: k.Deadline})
+		shares = append(shares, dbconn.Class{Name: k.Name, Reserved: k.Reserved})
+	}
+	return matches, shares
+}
+
+// sameShares reports whether pools made for one configuration admit as
+// another asks.
+func sameShares(a, b []operator.Class) bool {
+	return slices.EqualFunc(a, b, func(x, y operator.Class) bool { return x.Name == y.Name && x.Reserved == y.Reserved })
+}
+
 // openGroup begins to serve a declared group. It returns nil for one that is
 // not declared.
 func (g *groups) openGroup(name string) *group {
@@ -382,11 +401,12 @@
 	probes := make([]dbprocess.Operations, len(members))
 	zones := make([]string, len(members))
 	pools := make([]*dbconn.Pool, len(members))
+	matches, shares := declaredClasses(config)
 	for i, d := range declared.Databases {
 		members[i] = dbprocess.Member{Name: d.Name, Zone: d.Zone, Address: d.Address}
 		probes[i] = dbconn.NewControl(p.target(declared, d))
 		zones[i] = d.Zone
-		pools[i] = dbconn.NewPool(p.target(declared, d), dbconn.PoolSettings{MaxConnections: minimumShare, MaxQueue: config.Limits.QueueLength})
+		pools[i] = dbconn.NewPool(p.target(declared, d), dbconn.PoolSettings{MaxConnections: minimumShare, MaxQueue: config.Limits.QueueLength}, shares...)
 	}
 	monitor := dbprocess.NewMonitor(dbprocess.MonitorSettings{
 		Group: declared.Name, Members: members, Durability: declared.Durability,
@@ -400,6 +420,7 @@
 		Homes:      dbrequest.NewHomes(p.instance.Zone),
 		Router:     dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
 		Ages:       declaredAges(declared.Name, config),
+		Classes:    matches,
 		Durability: declared.Durability, CommitWait: declared.CommitWait, WriteWait: declared.WriteWait,
 	}
 	opened.watch = p.newWatch(opened, config)
--- a/internal/request/caller/forward.go
+++ b/internal/request/caller/forward.go
@@ -31,7 +31,7 @@
 // tryHome makes one try. It returns false if the request did not run and
 // another home may be tried.
 func (w *worker) tryHome(r *request, home database.Home) (bool, error) {
-	conn, err := home.Pool.Acquire(r.ctx)
+	conn, err := home.Pool.Acquire(r.ctx, connection.NoClass)
 	if err != nil {
 		var refused *outcome.Error
 		if errors.As(err, &refused) {
--- a/internal/request/caller/ledger.go
+++ b/internal/request/caller/ledger.go
@@ -132,7 +132,7 @@
 // must be tried again.
 func (w *worker) tryLedgered(r *request, i int) (bool, error) {
 	pool := r.serving.Pools[i]
-	conn, err := pool.Acquire(r.ctx)
+	conn, err := r.acquire(pool)
 	if err != nil {
 		var refused *outcome.Error
 		if errors.As(err, &refused) {
@@ -354,7 +354,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), serving.WriteWait.Std())
 	defer cancel()
-	r := &request{serving: serving, ctx: ctx, id: id, began: w.clock.Now()}
+	r := &request{serving: serving, ctx: ctx, id: id, began: w.clock.Now(), class: connection.NoClass}
 	for {
 		text, err := w.askOutcomeOnce(r)
 		if err == nil {
@@ -374,7 +374,7 @@
 	var primary int
 	r.serving.Monitor.View(func(g *process.Group) { primary, _ = g.Primary() })
 	pool := r.serving.Pools[primary]
-	conn, err := pool.Acquire(r.ctx)
+	conn, err := r.acquire(pool)
 	if err != nil {
 		return "", err
 	}
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -39,12 +39,26 @@
 	sentAt clock.Time
 	// id is the request id, "" for none.
 	id string
+	// class is the index of the request's class, and deadline how long it
+	// may wait for a connection, zero for as long as the request.
+	class    int
+	deadline clock.Duration
 	// tagged is set if the statement itself carries the id.
 	tagged bool
 	// doubtful is set once a try with an id may have committed.
 	doubtful bool
 }
 
+// acquire waits for a connection as long as the request's class may.
+func (r *request) acquire(pool *connection.Pool) (*connection.Conn, error) {
+	if r.deadline == 0 {
+		return pool.Acquire(r.ctx, r.class)
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, r.deadline.Std())
+	defer cancel()
+	return pool.Acquire(ctx, r.class)
+}
+
 // runNew routes a batch that no transaction holds.
 func (w *worker) runNew() error {
 	serving := w.groups.Serving(w.session.Group)
@@ -53,7 +67,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), serving.WriteWait.Std())
 	defer cancel()
-	r := &request{serving: serving, began: w.clock.Now(), ctx: ctx}
+	r := &request{serving: serving, began: w.clock.Now(), ctx: ctx, class: connection.NoClass}
 	r.read.Arrived = w.sequence.Next()
 	if serving.Homes.Forwards() && !w.session.Forwarded {
 		tags, err := ParseTags(w.batch.query)
@@ -114,6 +128,7 @@
 		return err
 	}
 	w.takeRequestID(r, tags)
+	r.class, r.deadline = r.serving.ClassOf(w.session.Application, tags.Class, w.batch.kind != KindRead)
 	if w.batch.kind != KindRead {
 		return nil
 	}
@@ -218,7 +233,7 @@
 		return true, w.refuseBatch(outcome.NewRefused(outcome.CodeOverloaded, "no replica qualified in time"), false)
 	}
 	pool := r.serving.Pools[use.Database]
-	conn, err := pool.Acquire(r.ctx)
+	conn, err := r.acquire(pool)
 	if err != nil {
 		return w.notAcquired(r, use.Database, primary, err)
 	}
@@ -386,7 +401,7 @@
 
 func (w *worker) tryWrite(r *request, i int, reason database.Reason) (bool, error) {
 	pool := r.serving.Pools[i]
-	conn, err := pool.Acquire(r.ctx)
+	conn, err := r.acquire(pool)
 	if err != nil {
 		var refused *outcome.Error
 		if errors.As(err, &refused) {
--- a/internal/request/database/serving.go
+++ b/internal/request/database/serving.go
@@ -13,6 +13,30 @@
 	MaxAge      clock.Duration
 }
 
+// Class is a declared kind of requests, in the order in which the classes
+// are served. Empty fields match every request.
+type Class struct {
+	Application string
+	Tag         string
+	Writes      bool
+	Deadline    clock.Duration
+}
+
+// ClassOf returns the index of the first class that claims a request, and
+// the class's deadline.
+func (s *Serving) ClassOf(application, tag string, writes bool) (int, clock.Duration) {
+	for i, c := range s.Classes {
+		if c.Application != "" && c.Application != application {
+			continue
+		}
+		if c.Tag != "" && c.Tag != tag || c.Writes && !writes {
+			continue
+		}
+		return i, c.Deadline
+	}
+	return connection.NoClass, 0
+}
+
 // Serving is a database group as one accepted configuration serves it. A
 // request keeps the one that it began with.
 type Serving struct {
@@ -25,6 +49,7 @@
 	// Homes are where requests are forwarded to.
 	Homes      *Homes
 	Ages       []Age
+	Classes    []Class
 	Durability process.Durability
 	// CommitWait bounds the wait for a commit's confirmation.
 	CommitWait clock.Duration
--- a/internal/version/operator/configuration.go
+++ b/internal/version/operator/configuration.go
@@ -145,7 +145,7 @@
 
 func defaultGroup() Group {
 	return Group{
-		Connections: 50, User: "oleanderflow", TLS: "off",
+		Connections: 50, Homes: 4, User: "oleanderflow", TLS: "off",
 		CommitWait: 5 * clock.Second, WriteWait: 15 * clock.Second,
 	}
 }
