Weigh the ejection of a failing replica

A replica that fails three reads in a row is passed over for 250 ms, then longer, and one read tries it: the circuit breaker's counted failures and half-open probe, for each replica.

--- a/internal/request/database/share_test.go
+++ b/internal/request/database/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	guess bool
 	// primaryOnly sends every read to the primary.
 	primaryOnly bool
+	// keepFailing tries a replica again that has failed.
+	keepFailing bool
 }
 
 var policies = []policy{
@@ -49,6 +52,9 @@
 	name  string
 	lag   func(database int, now time.Duration) clock.Duration
 	fault func(y *shareTrial)
+	// failAfter makes the second database's reads fail after a time, while
+	// it still reports its status.
+	failAfter time.Duration
 }
 
 var traces = []trace{
@@ -105,6 +111,9 @@
 	writes   int
 	tallies  map[shareKey]*tally
 	done     bool
+	trace    trace
+	// latencies are the times of all answered reads.
+	latencies []time.Duration
 }
 
 type ackedAt struct {
@@ -115,7 +124,7 @@
 func newShareTrial(seed uint64, p policy, tr trace) *shareTrial {
 	w := virtual.NewWorld(seed, virtual.Network{OneWay: 500 * time.Microsecond, Near: 100 * time.Microsecond, Jitter: 200 * time.Microsecond})
 	zones := []string{"a", "b", "c"}
-	y := &shareTrial{world: w, group: virtual.NewGroup(w, zones), policy: p, tallies: make(map[shareKey]*tally)}
+	y := &shareTrial{world: w, group: virtual.NewGroup(w, zones), policy: p, trace: tr, tallies: make(map[shareKey]*tally)}
 	for i, d := range y.group.Databases {
 		d.Lag = func(now time.Duration) clock.Duration { return tr.lag(i, now) }
 	}
@@ -180,6 +189,7 @@
 	// servable is set once the oracle knows a replica that qualifies.
 	servable bool
 	answered bool
+	began    time.Duration
 }
 
 func (y *shareTrial) read() {
@@ -188,7 +198,7 @@
 	p := y.proxies[i]
 	r := &reading{
 		key:   shareKey{manner(y.world.Rand.IntN(int(mannerCount))), []clock.Duration{50, 500, 5000}[y.world.Rand.IntN(3)]},
-		proxy: i, own: s.floor, read: database.Read{Arrived: p.Next()},
+		proxy: i, own: s.floor, read: database.Read{Arrived: p.Next()}, began: y.world.Elapsed(),
 	}
 	r.read.MaxAge = r.key.age
 	r.counted = y.tallies[r.key]
@@ -268,11 +278,22 @@
 
 func (y *shareTrial) serve(r *reading, target int, primary bool) {
 	p := y.proxies[r.proxy]
+	if y.trace.failAfter > 0 && target == 1 {
+		y.world.After(y.trace.failAfter, func() {
+			if !y.policy.keepFailing {
+				y.routers[r.proxy].Failed(y.world.Now(), target)
+			}
+			r.tries.Exclude(target)
+			y.place(r)
+		})
+		return
+	}
 	r.sent, r.sentAt = p.Next(), y.world.Now()
 	p.Read(target, func(a virtual.Answer, _ []standin.Entry) {
 		if r.answered {
 			return
 		}
+		y.latencies = append(y.latencies, y.world.Elapsed()-r.began)
 		verified := database.Verify(y.world.Now(), r.read, a.Status, p.Group)
 		switch {
 		case y.policy.guess && !y.truly(a.Status.Applied, r.own, r.key.age):
@@ -347,6 +368,26 @@
 	}
 }
 
+// TestEjectionOfFailingReplica weighs the ejection of a replica whose reads
+// fail against trying it each time.
+func TestEjectionOfFailingReplica(t *testing.T) {
+	for _, failAfter := range []time.Duration{time.Millisecond, 100 * time.Millisecond, time.Second} {
+		var p99 [2]time.Duration
+		for i, keep := range []bool{false, true} {
+			tr := trace{lag: func(int, time.Duration) clock.Duration { return 5 }, failAfter: failAfter}
+			y := runShare(1, policy{wait: replicaWait, keepFailing: keep}, tr)
+			slices.Sort(y.latencies)
+			c := y.total()
+			p99[i] = y.latencies[len(y.latencies)*99/100]
+			t.Logf("reads fail after %v, ejection %v: median %v, p99 %v, replicas %.1f%% of oracle", failAfter, !keep,
+				y.latencies[len(y.latencies)/2].Round(100*time.Microsecond), p99[i].Round(100*time.Microsecond), 100*ratio(c.replica, c.oracle))
+		}
+		if failAfter >= 100*time.Millisecond {
+			require.Less(t, p99[0], p99[1])
+		}
+	}
+}
+
 func requireShare(t *testing.T, y *shareTrial) {
 	t.Helper()
 	c := y.total()
