--- a/internal/connection/database/conn.go
+++ b/internal/connection/database/conn.go
@@ -32,6 +32,8 @@
 	Application string
 	// TLS is nil for a plaintext connection.
 	TLS *tls.Config
+	// Unusable is why the target cannot be connected to, if it cannot.
+	Unusable error
 	// Forward is what a proxy shows to another, "" for a database.
 	Forward string
 }
@@ -68,6 +70,9 @@
 // Dial starts a connection. It returns a *process.ConnectError if the
 // server cannot be reached and a *ServerError if it turns the start down.
 func Dial(ctx context.Context, t Target) (*Conn, error) {
+	if t.Unusable != nil {
+		return nil, t.Unusable
+	}
 	var dialer net.Dialer
 	c, err := dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"bytes"
 	"cmp"
 	"crypto/hmac"
 	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/hex"
 	"maps"
 	"math/rand/v2"
@@ -12,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
 	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
@@ -344,10 +349,37 @@
 }
 
 func (p *Proxy) homeTarget(group string, home proxy.Peer) dbconn.Target {
-	return dbconn.Target{
+	t := dbconn.Target{
 		Address: home.Callers, Database: group, User: "proxy",
 		Application: "oleanderflow/" + p.instance.Zone, Forward: p.forwardProof(group),
 	}
+	if p.acceptor.TLS != nil {
+		t.TLS = p.homeTLS()
+	}
+	return t
+}
+
+// homeTLS accepts the certificate that this proxy itself shows callers, since
+// all proxies of a site show the same.
+func (p *Proxy) homeTLS() *tls.Config {
+	return &tls.Config{
+		InsecureSkipVerify: true, MinVersion: tls.VersionTLS12,
+		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error {
+			own := p.acceptor.TLS().Certificates[0].Certificate
+			if len(raw) == 0 || !bytes.Equal(raw[0], own[0]) {
+				return &UntrustedHomeError{}
+			}
+			return nil
+		},
+	}
+}
+
+// UntrustedHomeError reports a home proxy with a certificate that is not the
+// site's.
+type UntrustedHomeError struct{}
+
+func (*UntrustedHomeError) Error() string {
+	return "the home proxy does not show the site's certificate"
 }
 
 // trustedForward is what proxies show each other where callers are trusted.
@@ -448,11 +480,20 @@
 	}
 }
 
+// target says how to connect to a database. One whose secrets cannot be read
+// cannot be connected to.
 func (p *Proxy) target(g *operator.Group, d operator.Database) dbconn.Target {
-	return dbconn.Target{
-		Address: d.Address, Database: g.Name, User: g.User,
-		Application: "oleanderflow/" + p.instance.Zone,
+	t := dbconn.Target{Address: d.Address, Database: g.Name, User: g.User, Application: "oleanderflow/" + p.instance.Zone}
+	var err error
+	if t.TLS, err = dbconn.LoadTLS(g.TLS, d.Address); err != nil {
+		p.log.Error("TLS for a database not set up", zap.String("group", g.Name), zap.Error(err))
+		t.Unusable = err
+	}
+	if t.Password, err = dbconn.LoadPassword(g.PasswordFile); err != nil {
+		p.log.Error("password for a database not read", zap.String("group", g.Name), zap.Error(err))
+		t.Unusable = err
 	}
+	return t
 }
 
 func (p *Proxy) newWatch(opened *group, config *operator.Configuration) *dbprocess.Watch {
--- a/internal/core/options.go
+++ b/internal/core/options.go
@@ -44,6 +44,7 @@
 	History  *HistoryOptions  `arg:"subcommand:history" help:"list the accepted versions"`
 	Rollback *RollbackOptions `arg:"subcommand:rollback" help:"accept the content of an earlier version anew"`
 	Promote  *PromoteOptions  `arg:"subcommand:promote" help:"make another database of a group its primary"`
+	Verifier *VerifierOptions `arg:"subcommand:verifier" help:"print a line of the users file for the password on standard input"`
 	Status   *StatusOptions   `arg:"subcommand:status" help:"show which proxy runs on which version, and each group's primary"`
 
 	LogLevel string `arg:"--log-level,env:OLEANDERFLOW_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
@@ -115,6 +116,11 @@
 	AcceptLoss bool   `arg:"--accept-loss" help:"with --force, promote without a majority too; acknowledged writes may be lost"`
 }
 
+// VerifierOptions are the arguments of verifier.
+type VerifierOptions struct {
+	User string `arg:"positional,required" placeholder:"USER" help:"the user"`
+}
+
 // StatusOptions are the arguments of status.
 type StatusOptions struct {
 	Peer string `arg:"--peer" default:"127.0.0.1:16442" placeholder:"IP:PORT" help:"where any proxy listens for others"`
@@ -136,6 +142,8 @@
 	Peers      []string `arg:"--peer,separate" placeholder:"NAME,ZONE,IP:PORT" help:"another proxy (repeat for several)"`
 	TLSCert    string   `arg:"--tls-cert" placeholder:"FILE" help:"certificate for callers, read anew when it changes"`
 	TLSKey     string   `arg:"--tls-key" placeholder:"FILE" help:"key of the certificate"`
+	TLSRequire bool     `arg:"--tls-require" help:"refuse callers that do not use TLS"`
+	Secret     string   `arg:"--secret-file,env:OLEANDERFLOW_SECRET_FILE" placeholder:"FILE" help:"secret that all proxies share, to forward requests to each other"`
 	Users      string   `arg:"--users" placeholder:"FILE" help:"users and SCRAM-SHA-256 verifiers; without it, callers are trusted, on loopback only"`
 }
 
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -59,6 +59,8 @@
 		return runRollback(ctx, o.Rollback)
 	case o.Promote != nil:
 		return runPromote(ctx, o.Promote)
+	case o.Verifier != nil:
+		return runVerifier(os.Stdin, o.Verifier)
 	case o.Status != nil:
 		return runStatus(ctx, o.Status)
 	}
--- /dev/null
+++ b/internal/core/security_test.go
@@ -0,0 +1,138 @@
+package core
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
+	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
+	"github.com/oleanderflow/oleanderflow/internal/version/operator"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
+)
+
+// writeCertificate writes a self-signed certificate for 127.0.0.1.
+func writeCertificate(t *testing.T, folder string, serial int64) (cert, key string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "oleanderflow"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	require.NoError(t, err)
+	encodedKey, err := x509.MarshalECPrivateKey(private)
+	require.NoError(t, err)
+	cert, key = filepath.Join(folder, "cert.pem"), filepath.Join(folder, "key.pem")
+	require.NoError(t, os.WriteFile(cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	require.NoError(t, os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: encodedKey}), 0o600))
+	return cert, key
+}
+
+// startSecure starts a proxy that asks for TLS and a password, before the
+// databases of a development system.
+func startSecure(t *testing.T, d *Dev, folder string) *Proxy {
+	t.Helper()
+	cert, key := writeCertificate(t, folder, 1)
+	verifier, err := callerconn.NewVerifier("tech", "secret")
+	require.NoError(t, err)
+	users := filepath.Join(folder, "users.ini")
+	require.NoError(t, os.WriteFile(users, []byte("tech = "+verifier+"\n"), 0o600))
+	secret := filepath.Join(folder, "secret")
+	require.NoError(t, os.WriteFile(secret, []byte("proxies' secret\n"), 0o600))
+	options, err := (&ProxyOptions{TLSCert: cert, TLSKey: key, TLSRequire: true, Users: users, Secret: secret}).security()
+	require.NoError(t, err)
+	options = append(options, WithHistory(d.history()), WithList(fixedList{}))
+	p, err := NewProxy(Instance{Name: "secure", Zone: "zone-a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0"}, operator.Default(), zap.NewNop(), options...)
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	go p.Serve()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, p.AwaitReady(ctx))
+	return p
+}
+
+func TestTLSAndPasswordsTowardsCallers(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	folder := t.TempDir()
+	p := startSecure(t, d, folder)
+	ctx := context.Background()
+	roots := "sslmode=verify-full&sslrootcert=" + url.QueryEscape(filepath.Join(folder, "cert.pem"))
+	c, err := pgx.Connect(ctx, "postgres://tech:secret@"+p.Address()+"/shop1?"+roots)
+	require.NoError(t, err)
+	defer c.Close(ctx)
+	require.Equal(t, 1, number(t, c, "SELECT 1"))
+	for _, user := range []string{"tech:wrong", "nobody:secret"} {
+		_, err = pgx.Connect(ctx, "postgres://"+user+"@"+p.Address()+"/shop1?"+roots)
+		require.Equal(t, outcome.CodePassword, code(err), user)
+	}
+	_, err = pgx.Connect(ctx, "postgres://tech:secret@"+p.Address()+"/shop1?sslmode=disable")
+	require.Equal(t, outcome.CodePassword, code(err), "plaintext is refused")
+	_, err = pgx.Connect(ctx, "postgres://tech:secret@"+p.Address()+"/shop1?sslmode=require&oleanderflow.forward=trusted")
+	require.NoError(t, err, "a caller with a password may say so, and is no proxy")
+}
+
+func TestCertificateIsReadAnewWhenItChanges(t *testing.T) {
+	folder := t.TempDir()
+	cert, key := writeCertificate(t, folder, 1)
+	current, err := callerconn.LoadTLS(cert, key)
+	require.NoError(t, err)
+	before := current().Certificates[0].Certificate[0]
+	time.Sleep(1100 * time.Millisecond)
+	writeCertificate(t, folder, 2)
+	require.Eventually(t, func() bool {
+		return string(current().Certificates[0].Certificate[0]) != string(before)
+	}, 5*time.Second, 50*time.Millisecond)
+	require.NoError(t, os.WriteFile(cert, []byte("broken"), 0o600))
+	time.Sleep(1100 * time.Millisecond)
+	require.NotNil(t, current().Certificates[0].Certificate, "the last good certificate stays in use")
+}
+
+// The secure proxy stands for a database that asks for TLS and SCRAM.
+func TestTLSAndPasswordsTowardsDatabases(t *testing.T) {
+	d := startDev(t, DevSettings{})
+	folder := t.TempDir()
+	p := startSecure(t, d, folder)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for _, declared := range []string{dbconn.TLSRequire, filepath.Join(folder, "cert.pem")} {
+		config, err := dbconn.LoadTLS(declared, p.Address())
+		require.NoError(t, err)
+		target := dbconn.Target{Address: p.Address(), Database: devGroup, User: "tech", Password: "secret", TLS: config}
+		c, err := dbconn.Dial(ctx, target)
+		require.NoError(t, err)
+		c.Close()
+		target.Password = "wrong"
+		_, err = dbconn.Dial(ctx, target)
+		var refused *dbconn.ServerError
+		require.ErrorAs(t, err, &refused)
+	}
+	_, err := dbconn.LoadTLS(filepath.Join(folder, "missing.pem"), p.Address())
+	require.Error(t, err)
+}
+
+func TestProxyRefusesToTrustCallersFromElsewhere(t *testing.T) {
+	var bad *OptionError
+	require.ErrorAs(t, (&ProxyOptions{Listen: "10.0.0.1:5432"}).checkSecurity(), &bad)
+	require.ErrorAs(t, (&ProxyOptions{Listen: "10.0.0.1:5432", Users: "u"}).checkSecurity(), &bad)
+	require.ErrorAs(t, (&ProxyOptions{Listen: "127.0.0.1:5432", TLSCert: "c"}).checkSecurity(), &bad)
+	require.NoError(t, (&ProxyOptions{Listen: "10.0.0.1:5432", Users: "u", TLSCert: "c", TLSKey: "k", TLSRequire: true}).checkSecurity())
+}
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -1,16 +1,21 @@
 package core
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -45,7 +50,7 @@
 }
 
 func runProxy(ctx context.Context, o *ProxyOptions, log *zap.Logger) int {
-	if err := o.requireLoopback(); err != nil {
+	if err := o.checkSecurity(); err != nil {
 		return fail(err)
 	}
 	p, err := startProxy(o, log)
@@ -76,7 +81,10 @@
 		return nil, err
 	}
 	config := operator.Default()
-	var options []Option
+	options, err := o.security()
+	if err != nil {
+		return nil, err
+	}
 	if o.Base != "" {
 		if config, _, err = (Declarations{Base: o.Base, Overlay: o.Overlay}).load(); err != nil {
 			return nil, err
@@ -104,18 +112,69 @@
 	return instances, nil
 }
 
-// requireLoopback refuses to trust callers from elsewhere.
-func (o *ProxyOptions) requireLoopback() error {
+// checkSecurity refuses to trust callers from elsewhere, or to take their
+// passwords without TLS.
+func (o *ProxyOptions) checkSecurity() error {
 	listen, err := netip.ParseAddrPort(o.Listen)
 	if err != nil {
 		return err
 	}
-	if !listen.Addr().IsLoopback() {
-		return &OptionError{Option: "--listen", Value: o.Listen, Expected: "a loopback address, or --users with --tls-cert and --tls-key"}
+	switch {
+	case (o.TLSCert == "") != (o.TLSKey == ""):
+		return &OptionError{Option: "--tls-cert", Value: o.TLSCert, Expected: "--tls-key beside it"}
+	case o.TLSRequire && o.TLSCert == "":
+		return &OptionError{Option: "--tls-require", Value: "true", Expected: "--tls-cert and --tls-key beside it"}
+	case !listen.Addr().IsLoopback() && (o.Users == "" || !o.TLSRequire):
+		return &OptionError{Option: "--listen", Value: o.Listen, Expected: "a loopback address, or --users, --tls-cert, --tls-key and --tls-require"}
 	}
 	return nil
 }
 
+// security returns the options for TLS, users and the proxies' secret.
+func (o *ProxyOptions) security() ([]Option, error) {
+	var options []Option
+	if o.TLSCert != "" {
+		current, err := callerconn.LoadTLS(o.TLSCert, o.TLSKey)
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, WithTLS(current, o.TLSRequire))
+	}
+	if o.Users != "" {
+		users, err := callerconn.LoadUsers(o.Users)
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, WithAuthentication(users))
+	}
+	if o.Secret != "" {
+		secret, err := os.ReadFile(o.Secret)
+		if err != nil {
+			return nil, errors.Wrap(err, "read the proxies' secret")
+		}
+		options = append(options, WithSecret(bytes.TrimSpace(secret)))
+	}
+	return options, nil
+}
+
+// runVerifier prints a line of the users file.
+func runVerifier(in io.Reader, o *VerifierOptions) int {
+	password, err := bufio.NewReader(in).ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
+		return fail(errors.Wrap(err, "read the password"))
+	}
+	password = strings.TrimRight(password, "\r\n")
+	if password == "" {
+		return fail(&OptionError{Option: "password", Value: "", Expected: "a password on standard input"})
+	}
+	verifier, err := callerconn.NewVerifier(o.User, password)
+	if err != nil {
+		return fail(err)
+	}
+	fmt.Printf("%s = %s\n", o.User, verifier)
+	return ExitOK
+}
+
 func parsePeers(texts []string) ([]proxy.Peer, error) {
 	var peers []proxy.Peer
 	for _, text := range texts {
