--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
-	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	callerrequest "github.com/oleanderflow/oleanderflow/internal/request/caller"
@@ -24,8 +23,6 @@
 )
 
 const (
-	// controlWorkers is how many control tasks run at once.
-	controlWorkers = 48
 	// idleAfter is how long after its last use a group is sampled.
 	idleAfter = 5 * clock.Second
 	// unreachableAfter is how long a database may be silent before its
@@ -48,14 +45,11 @@
 
 // Proxy is one running proxy.
 type Proxy struct {
+	*parts
+
 	instance Instance
-	clock    clock.Clock
-	sequence *dbprocess.Sequence
-	workers  *dbprocess.Workers
-	registry *dbprocess.Registry
 	log      *zap.Logger
 	handler  *callerrequest.Handler
-	metrics  *Metrics
 	peers    *proxy.Peers
 	listener net.Listener
 	acceptor *callerconn.Acceptor
@@ -107,8 +101,7 @@
 // force. Serve starts to accept callers.
 func NewProxy(instance Instance, config *operator.Configuration, log *zap.Logger, options ...Option) (*Proxy, error) {
 	p := &Proxy{
-		instance: instance, clock: clock.NewSystem(), sequence: &dbprocess.Sequence{},
-		log: log.With(zap.String("proxy", instance.Name)), metrics: NewMetrics(),
+		parts: initializeParts(), instance: instance, log: log.With(zap.String("proxy", instance.Name)),
 		done: make(chan struct{}), sessions: make(map[uint32]*callerconn.Session),
 	}
 	p.acceptor = &callerconn.Acceptor{
@@ -120,10 +113,9 @@
 		o(p)
 	}
 	if err := p.listen(); err != nil {
+		p.parts.close()
 		return nil, err
 	}
-	p.workers = dbprocess.NewWorkers(controlWorkers)
-	p.registry = dbprocess.NewRegistry(p.clock)
 	p.live = []proxy.Peer{p.self()}
 	p.groups = newGroups(p)
 	p.PutInForce(config)
--- /dev/null
+++ b/internal/core/wire.go
@@ -0,0 +1,20 @@
+//go:build wireinject
+
+package core
+
+import (
+	"github.com/google/wire"
+
+	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// initializeParts builds what lives as long as a proxy.
+func initializeParts() *parts {
+	wire.Build(
+		clock.NewSystem, wire.Bind(new(clock.Clock), new(*clock.System)),
+		dbprocess.NewSequence, newControlWorkers, dbprocess.NewRegistry, NewMetrics,
+		wire.Struct(new(parts), "*"),
+	)
+	return nil
+}
--- a/internal/process/database/monitor.go
+++ b/internal/process/database/monitor.go
@@ -50,6 +50,9 @@
 // Sequence numbers the events of one process.
 type Sequence struct{ n atomic.Uint64 }
 
+// NewSequence returns a sequence that begins with 1.
+func NewSequence() *Sequence { return &Sequence{} }
+
 // Next returns the next number.
 func (s *Sequence) Next() uint64 { return s.n.Add(1) }
 
