Take reports from the statements that run anyway

Each read and write brings its database's status; only replicas are asked beside it, and a report wakes only those that wait.

--- a/internal/process/database/monitor.go
+++ b/internal/process/database/monitor.go
@@ -124,10 +124,12 @@
 
 	usedAt atomic.Int64
 
-	mu       sync.Mutex
-	group    *Group
-	members  []member
+	mu      sync.Mutex
+	group   *Group
+	members []member
+	// changed is closed at the next report while awaiting is positive.
 	changed  chan struct{}
+	awaiting int
 	waiting  map[uint64]chan Decided
 	releases []Release
 	closed   bool
@@ -202,6 +204,23 @@
 	}
 }
 
+// RefreshReplicas asks all databases but the primary, whose own word comes
+// with the statement that runs there.
+func (m *Monitor) RefreshReplicas() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refreshReplicasLocked()
+}
+
+func (m *Monitor) refreshReplicasLocked() {
+	primary, _ := m.group.Primary()
+	for i := range m.members {
+		if i != primary {
+			m.wantLocked(i)
+		}
+	}
+}
+
 // Probe asks one database.
 func (m *Monitor) Probe(i int) {
 	m.mu.Lock()
@@ -301,10 +320,12 @@
 			zap.String("database", m.settings.Members[primary].Name), zap.Uint64("term", term))
 		m.emit(PrimaryChanged{From: from, To: primary, Term: term, Answers: m.answersLocked(from)})
 	}
-	close(m.changed)
-	m.changed = make(chan struct{})
+	if m.awaiting > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
 	if m.group.Waiting() > 0 {
-		m.refreshLocked()
+		m.refreshReplicasLocked()
 	}
 }
 
@@ -326,7 +347,7 @@
 		return Decided{Verdict: v, At: m.clock.Now()}, nil
 	}
 	m.waiting[id] = ch
-	m.refreshLocked()
+	m.refreshReplicasLocked()
 	m.mu.Unlock()
 	select {
 	case v := <-ch:
@@ -362,12 +383,20 @@
 			return nil
 		}
 		changed := m.changed
+		m.awaiting++
 		m.refreshLocked()
 		m.mu.Unlock()
+		var ended error
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return ctx.Err()
+			ended = ctx.Err()
+		}
+		m.mu.Lock()
+		m.awaiting--
+		m.mu.Unlock()
+		if ended != nil {
+			return ended
 		}
 	}
 }
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -136,7 +136,6 @@
 	r.read.MaxAge = database.Tighter(age, r.serving.DeclaredAge(w.session.Application, tags.Read))
 	if r.read.MaxAge == 0 {
 		r.read.Floor = w.session.Floor
-		r.serving.Monitor.Refresh()
 		return nil
 	}
 	if err := w.learnFloor(r); err != nil {
@@ -240,6 +239,10 @@
 	x := &w.x
 	x.prepare(w.session, conn, &w.batch)
 	x.verify = func() error { return w.verifyRead(r, primary) }
+	if r.read.MaxAge == 0 {
+		// The primary's own word comes with the read.
+		r.serving.Monitor.RefreshReplicas()
+	}
 	r.sent, r.sentAt = w.sequence.Next(), w.clock.Now()
 	err = x.assemble(true, primary && !w.batch.copies)
 	if err == nil {
@@ -293,6 +296,7 @@
 		return errDropped
 	}
 	status := w.x.before
+	w.report(r, status)
 	if w.verifies(r, status) {
 		return nil
 	}
@@ -308,6 +312,11 @@
 	return errDropped
 }
 
+// report feeds a status that came with a statement to the monitor.
+func (w *worker) report(r *request, status process.Status) {
+	r.serving.Monitor.Observe(process.Report{Database: r.use.Database, Sent: r.sent, SentAt: r.sentAt, Status: status})
+}
+
 func (w *worker) verifies(r *request, status process.Status) bool {
 	var ok bool
 	now := w.clock.Now()
@@ -368,9 +377,6 @@
 	pool.Release(conn)
 	if !primary {
 		r.tries.Missed(i)
-		if w.x.hasBefore {
-			r.serving.Monitor.Observe(process.Report{Database: i, Sent: r.sent, SentAt: r.sentAt, Status: w.x.before})
-		}
 		return false, nil
 	}
 	if w.x.hasAfter && w.x.before.Applied == w.x.after.Applied {
@@ -413,6 +419,7 @@
 	x := &w.x
 	x.prepare(w.session, conn, &w.batch)
 	begins := w.batch.kind == KindBegin
+	r.sent, r.sentAt = w.sequence.Next(), w.clock.Now()
 	if err = x.assemble(begins, !w.batch.copies && !begins && !x.midBatch); err == nil {
 		err = w.runExchange(conn)
 	}
@@ -461,6 +468,9 @@
 	if err != nil {
 		return w.refuseBatch(outcome.NewUnknown(err.Error()), false)
 	}
+	if needed && x.hasAfter && r.sent > 0 {
+		w.report(r, x.after)
+	}
 	if needed {
 		if err := w.acknowledge(r, commit); err != nil {
 			return w.refuseBatch(err, false)
