--- a/internal/core/acceptance.go
+++ b/internal/core/acceptance.go
@@ -18,10 +18,14 @@
 
 // history returns the accepted versions that the options' platform keeps.
 func (o PlatformOptions) history() *versionplatform.History {
-	access := platform.Access{
+	access := o.access()
+	return versionplatform.NewHistory(platform.NewDynamoTable(access), platform.NewS3Objects(access))
+}
+
+func (o PlatformOptions) access() platform.Access {
+	return platform.Access{
 		Endpoint: o.Endpoint, Region: o.Region, KeyID: o.KeyID, Secret: o.Secret, Table: o.Table, Bucket: o.Bucket,
 	}
-	return versionplatform.NewHistory(platform.NewDynamoTable(access), platform.NewS3Objects(access))
 }
 
 // read reads the declared files into a bundle. Files are named without their
--- a/internal/core/dev.go
+++ b/internal/core/dev.go
@@ -142,7 +142,8 @@
 		p, err := NewProxy(Instance{
 			Name: fmt.Sprintf("proxy-%d", i+1), Zone: devZones[i%len(devZones)],
 			Listen: s.address(i), PeerListen: s.address(devPeerPort + i),
-		}, operator.Default(), log, WithHistory(d.history()), WithList(platform.NewHTTPList(d.Platform.Endpoint()+"/instances")))
+		}, operator.Default(), log, WithHistory(d.history()),
+			WithPromotions(platform.NewPromotions(platform.NewDynamoTable(d.access()))), WithList(platform.NewHTTPList(d.Platform.Endpoint()+"/instances")))
 		if err != nil {
 			return err
 		}
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -54,11 +54,12 @@
 	listener net.Listener
 	acceptor *callerconn.Acceptor
 
-	members *members
-	spread  *spread
-	list    platform.List
-	history *versionplatform.History
-	secret  []byte
+	members    *members
+	spread     *spread
+	list       platform.List
+	history    *versionplatform.History
+	promotions *platform.Promotions
+	secret     []byte
 
 	groups *groups
 	done   chan struct{}
@@ -97,6 +98,9 @@
 // a password. Without it, forwarding works only where callers are trusted.
 func WithSecret(secret []byte) Option { return func(p *Proxy) { p.secret = secret } }
 
+// WithPromotions records changes of primary in the platform's table.
+func WithPromotions(r *platform.Promotions) Option { return func(p *Proxy) { p.promotions = r } }
+
 // NewProxy listens on the instance's addresses and puts a configuration in
 // force. Serve starts to accept callers.
 func NewProxy(instance Instance, config *operator.Configuration, log *zap.Logger, options ...Option) (*Proxy, error) {
--- a/internal/core/receiver.go
+++ b/internal/core/receiver.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 )
 
@@ -113,6 +115,7 @@
 
 // AnnouncePrimary implements the database package's Colleagues.
 func (c *colleagues) AnnouncePrimary(group string, term uint64, primary string) {
+	c.record(group, term, primary)
 	message := proxy.AnnounceMessage{Group: group, Term: term, Primary: primary}
 	told := map[string]bool{c.proxy.instance.Name: true}
 	for _, peer := range append(c.proxy.groups.watchers(group), c.proxy.livePeers()...) {
@@ -122,3 +125,19 @@
 		}
 	}
 }
+
+// record keeps the change in the platform's table, however long that is
+// away. Nothing waits for it.
+func (c *colleagues) record(group string, term uint64, primary string) {
+	if c.proxy.promotions == nil {
+		return
+	}
+	c.proxy.workers.Submit(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		promotion := platform.Promotion{Term: term, Primary: primary, By: c.proxy.instance.Name}
+		if err := c.proxy.promotions.Record(ctx, group, promotion); err != nil {
+			c.proxy.log.Warn("promotion not recorded", zap.String("group", group), zap.Uint64("term", term), zap.Error(err))
+		}
+	})
+}
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -90,7 +90,8 @@
 			return nil, err
 		}
 	} else {
-		options = append(options, WithHistory(o.history()))
+		promotions := platform.NewPromotions(platform.NewDynamoTable(o.access()))
+		options = append(options, WithHistory(o.history()), WithPromotions(promotions))
 	}
 	var list platform.List = fixedList(peers)
 	if o.List != "" {
--- a/internal/core/switchover_test.go
+++ b/internal/core/switchover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/standin/caller"
 )
@@ -39,6 +40,9 @@
 	for _, p := range report.Promises {
 		require.Zero(t, p.Broken, "%s: %s", p.Name, p.Example)
 	}
+	recorded, err := platform.NewPromotions(platform.NewDynamoTable(d.access())).Get(ctx, devGroup)
+	require.NoError(t, err)
+	require.Equal(t, uint64(4), recorded.Term)
 }
 
 func TestSwitchoverWaitsForATransactionAndThenChangesNothing(t *testing.T) {
--- a/internal/process/database/failover.go
+++ b/internal/process/database/failover.go
@@ -125,6 +125,9 @@
 	askedAt   clock.Time
 	fencedBy  uint64
 	followed  clock.Time
+	// strandedSince is since when the database has been fenced for a term that
+	// nobody leads, zero if it is not.
+	strandedSince clock.Time
 }
 
 type opinionView struct {
@@ -198,6 +201,9 @@
 	case Watching:
 		dst = f.repair(now, dst)
 		dst = f.considerFencing(now, dst)
+		if f.phase == Watching {
+			dst = f.takeBackStranded(now, dst)
+		}
 	case Fencing, Promoting:
 		dst = f.expireStep(now, dst)
 	}
@@ -503,6 +509,38 @@
 	f.notBefore = now.Add(f.settings.RetryDelay + jitter)
 }
 
+// strandedFactor times SuspectAfter is how long a database may be stranded
+// before a promotion takes it back, so that a promoter at work is not
+// disturbed.
+const strandedFactor = 3
+
+// takeBackStranded promotes anew, usually the primary itself, when a live
+// database is fenced for a term that nobody leads and so takes no log.
+func (f *Failover) takeBackStranded(now clock.Time, dst []Action) []Action {
+	lead := f.leader()
+	if lead < 0 || !f.led() {
+		return dst
+	}
+	wait := (strandedFactor + clock.Duration(f.rank)) * f.settings.SuspectAfter
+	stranded := false
+	for i := range f.views {
+		v := &f.views[i]
+		alive := v.heard && !v.refusing && now.Sub(v.aliveAt) < f.settings.SuspectAfter
+		if i == lead || !alive || v.status.Fenced <= f.views[lead].status.Term {
+			v.strandedSince = 0
+			continue
+		}
+		if v.strandedSince == 0 {
+			v.strandedSince = now
+		}
+		stranded = stranded || now.Sub(v.strandedSince) >= wait
+	}
+	if !stranded || now < f.notBefore || f.rank >= len(f.watchers) || !f.reachesMajority(now) {
+		return dst
+	}
+	return f.startFencing(now, f.highestTerm()+1, dst)
+}
+
 // expireStep repeats a step whose answer is missing, and gives it up after
 // its timeout.
 func (f *Failover) expireStep(now clock.Time, dst []Action) []Action {
--- a/internal/process/database/gap_test.go
+++ b/internal/process/database/gap_test.go
@@ -238,3 +238,26 @@
 		require.Less(t, gap, baseline)
 	}
 }
+
+// A promoter fenced one replica and died. The group is still led by the
+// others, and the replica takes no log until a promotion takes it back.
+func TestStrandedDatabaseIsTakenBack(t *testing.T) {
+	for _, s := range []site{cascade, luz} {
+		y := newSystem(1, s, 3)
+		y.write()
+		y.world.Run(time.Second, nil)
+		stranded := y.group.Databases[2]
+		_, err := stranded.State.Fence(7, "dead promoter")
+		require.NoError(t, err)
+		y.world.Run(6*time.Second, nil)
+		status := stranded.State.Status()
+		require.Greater(t, status.Term, uint64(7), "the replica is still stranded")
+		require.Equal(t, 1, y.promotions, "one promotion takes it back")
+		var worst time.Duration
+		for began, ended := range y.accepted {
+			worst = max(worst, ended-began)
+		}
+		t.Logf("%s: taken back in term %d, slowest write meanwhile %v", s.name, status.Term, worst)
+		require.Less(t, worst, time.Second)
+	}
+}
