Spread retries at random within a budget, and break promotions at each step

Requests that did not run waited 10 ms between tries, all alike: now 10 to 80 ms at random or until the primary changes, and a group's retries are at most a fifth of its requests.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -449,6 +449,7 @@
 	opened.serving = &dbrequest.Serving{
 		Name: declared.Name, Monitor: monitor, Pools: pools,
 		Gate:       dbrequest.NewGate(),
+		Retries:    dbrequest.NewRetryBudget(),
 		Homes:      dbrequest.NewHomes(p.instance.Zone),
 		Router:     dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
 		Ages:       declaredAges(declared.Name, config),
--- a/internal/request/caller/ledger.go
+++ b/internal/request/caller/ledger.go
@@ -104,7 +104,10 @@
 	}
 	for {
 		var choice database.Choice
-		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Write(g, &r.use) })
+		r.serving.Monitor.View(func(g *process.Group) {
+			choice = r.serving.Router.Write(g, &r.use)
+			_, r.term = g.Primary()
+		})
 		switch c := choice.(type) {
 		case database.Hold:
 			if err := w.awaitPrimary(r, c.Reason); err != nil {
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,6 +44,10 @@
 	// may wait for a connection, zero for as long as the request.
 	class    int
 	deadline clock.Duration
+	// term is the term of the primary that was last tried, and retries how
+	// often the request has been tried in vain.
+	term    uint64
+	retries int
 	// tagged is set if the statement itself carries the id.
 	tagged bool
 	// doubtful is set once a try with an id may have committed.
@@ -69,6 +74,7 @@
 	defer cancel()
 	r := &request{serving: serving, began: w.clock.Now(), ctx: ctx, class: connection.NoClass}
 	r.read.Arrived = w.sequence.Next()
+	serving.Retries.Earn()
 	if serving.Homes.Forwards() && !w.session.Forwarded {
 		tags, err := ParseTags(w.batch.query)
 		if err != nil {
@@ -198,7 +204,10 @@
 	for {
 		var choice database.Choice
 		now := w.clock.Now()
-		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Read(now, r.read, g, &r.tries, &r.use) })
+		r.serving.Monitor.View(func(g *process.Group) {
+			choice = r.serving.Router.Read(now, r.read, g, &r.tries, &r.use)
+			_, r.term = g.Primary()
+		})
 		switch c := choice.(type) {
 		case database.Hold:
 			if err := w.awaitPrimary(r, c.Reason); err != nil {
@@ -340,17 +349,45 @@
 	return w.retryLater(r)
 }
 
-// retryLater waits for the group to change before a request that was not
-// sent is routed again.
+// retryLater waits before a request that did not run is routed again: until
+// the group's primary changes, or for a time that grows with the tries and is
+// spread at random.
 func (w *worker) retryLater(r *request) (bool, error) {
-	if !pause(r.ctx, retryInterval) {
-		return true, w.refuseBatch(outcome.NewRefused(outcome.CodeRefused, "group "+r.serving.Name+" cannot be reached"), false)
+	refused := outcome.NewRefused(outcome.CodeRefused, "group "+r.serving.Name+" cannot be reached")
+	backoff := firstRetry << min(r.retries, maxRetryDoublings)
+	r.retries++
+	if !r.serving.Retries.Take() {
+		backoff = retryWithoutBudget
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, (backoff/2 + clock.Duration(rand.Int64N(int64(backoff)))).Std())
+	defer cancel()
+	// Either end of the wait leads to another try.
+	_ = r.serving.Monitor.Await(ctx, changedFrom(r.term))
+	if r.ctx.Err() != nil {
+		return true, w.refuseBatch(w.inDoubt(r, refused), false)
 	}
-	r.serving.Monitor.Refresh()
 	return false, nil
 }
 
-// retryInterval is the time between two tries to reach a primary.
+const (
+	// firstRetry is the average wait before the first retry. Each further one
+	// doubles it, up to maxRetryDoublings times.
+	firstRetry        = 10 * clock.Millisecond
+	maxRetryDoublings = 3
+	// retryWithoutBudget is the average wait once the group's retries are used
+	// up.
+	retryWithoutBudget = 500 * clock.Millisecond
+)
+
+// changedFrom holds once a group's primary leads another term than term.
+func changedFrom(term uint64) func(*process.Group) bool {
+	return func(g *process.Group) bool {
+		_, current := g.Primary()
+		return current != term && g.Writable()
+	}
+}
+
+// retryInterval is the time between two looks for an outcome.
 const retryInterval = 10 * clock.Millisecond
 
 // readFailed handles a connection lost during a read. A replica cannot
@@ -390,7 +427,10 @@
 func (w *worker) runOnPrimary(r *request, reason database.Reason) error {
 	for {
 		var choice database.Choice
-		r.serving.Monitor.View(func(g *process.Group) { choice = r.serving.Router.Write(g, &r.use) })
+		r.serving.Monitor.View(func(g *process.Group) {
+			choice = r.serving.Router.Write(g, &r.use)
+			_, r.term = g.Primary()
+		})
 		switch c := choice.(type) {
 		case database.Hold:
 			if err := w.awaitPrimary(r, c.Reason); err != nil {
--- /dev/null
+++ b/internal/request/database/retries_test.go
@@ -0,0 +1,23 @@
+package database_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/request/database"
+)
+
+func TestRetriesAreAFifthOfTheRequests(t *testing.T) {
+	b := database.NewRetryBudget()
+	for b.Take() {
+	}
+	taken := 0
+	for range 1000 {
+		b.Earn()
+		for b.Take() {
+			taken++
+		}
+	}
+	require.Equal(t, 200, taken)
+}
--- a/internal/request/database/serving.go
+++ b/internal/request/database/serving.go
@@ -46,6 +46,8 @@
 	Router  *Router
 	// Gate holds back writes while an operator moves the primary.
 	Gate *Gate
+	// Retries bounds how often requests that did not run are tried again.
+	Retries *RetryBudget
 	// Homes are where requests are forwarded to.
 	Homes      *Homes
 	Ages       []Age
--- /dev/null
+++ b/internal/standin/virtual/hooks.go
@@ -0,0 +1,45 @@
+package virtual
+
+import "time"
+
+// Step is one answer to a promoter's operation.
+type Step struct {
+	Operation string
+	Database  int
+	// Number counts the operations of this proxy, from 1.
+	Number int
+}
+
+// Mishap is what befalls a promoter at a step.
+type Mishap int
+
+// The mishaps of a promoter.
+const (
+	MishapNone Mishap = iota
+	// MishapLoseAnswer loses the answer after its effect.
+	MishapLoseAnswer
+	// MishapDie ends the promoter before it hears the answer.
+	MishapDie
+	// MishapPause stops the promoter for a time before it hears the answer.
+	MishapPause
+)
+
+// pauseLength is how long MishapPause stops a promoter.
+const pauseLength = 3 * time.Second
+
+// befall carries out a mishap. It returns false if the answer is not heard.
+func (p *Proxy) befall(s Step) bool {
+	if p.Mishaps == nil {
+		return true
+	}
+	switch p.Mishaps(s) {
+	case MishapLoseAnswer:
+		return false
+	case MishapDie:
+		p.Node.Down = true
+		return false
+	case MishapPause:
+		p.world.Pause(&p.Node, pauseLength)
+	}
+	return true
+}
--- a/internal/standin/virtual/proxy.go
+++ b/internal/standin/virtual/proxy.go
@@ -34,6 +34,10 @@
 	releases []process.Release
 	// SampleInterval is the time between samples, zero for none.
 	SampleInterval time.Duration
+	// Mishaps decides what befalls the proxy at each answer to an operation,
+	// nil for nothing.
+	Mishaps func(Step) Mishap
+	steps   int
 	// Broken is a rule that the proxy breaks, to test the checks.
 	Broken Rule
 }
@@ -254,7 +258,7 @@
 				p.pretendFenced(a)
 				continue
 			}
-			p.operate(a.Database, func(s *standin.State) (standin.Status, error) { return s.Fence(a.Term, p.Node.Name) },
+			p.operate("fence", a.Database, func(s *standin.State) (standin.Status, error) { return s.Fence(a.Term, p.Node.Name) },
 				func(answer Answer) []process.Action {
 					return p.Failover.HandleFence(p.world.Now(), a.Database, a.Term, answer.Status, answer.Accepted, nil)
 				})
@@ -262,7 +266,7 @@
 			p.promote(a)
 		case process.Follow:
 			primary := p.backing.Databases[a.Primary].State.Status().Name
-			p.operate(a.Database, func(s *standin.State) (standin.Status, error) { return s.Follow(a.Term, primary) }, nil)
+			p.operate("follow", a.Database, func(s *standin.State) (standin.Status, error) { return s.Follow(a.Term, primary) }, nil)
 		case process.Announce:
 			p.announce(a)
 		}
@@ -286,10 +290,15 @@
 	})
 }
 
-func (p *Proxy) operate(i int, operation func(*standin.State) (standin.Status, error), handle func(Answer) []process.Action) {
+func (p *Proxy) operate(name string, i int, operation func(*standin.State) (standin.Status, error), handle func(Answer) []process.Action) {
 	p.backing.Databases[i].Ask(&p.Node, operation, func(a Answer) {
+		p.steps++
+		if !p.befall(Step{Operation: name, Database: i, Number: p.steps}) {
+			return
+		}
 		if handle != nil && !a.Refused {
-			p.perform(handle(a))
+			// A pause holds the answer back until the proxy wakes.
+			p.world.AfterOn(&p.Node, 0, func() { p.perform(handle(a)) })
 		}
 	})
 }
@@ -300,7 +309,7 @@
 	if a.Database != 1 {
 		return
 	}
-	p.operate(a.Database, func(s *standin.State) (standin.Status, error) { return s.Fence(a.Term, p.Node.Name) },
+	p.operate("fence", a.Database, func(s *standin.State) (standin.Status, error) { return s.Fence(a.Term, p.Node.Name) },
 		func(answer Answer) []process.Action {
 			actions := p.Failover.HandleFence(p.world.Now(), a.Database, a.Term, answer.Status, answer.Accepted, nil)
 			for i := range p.backing.Databases {
@@ -326,7 +335,7 @@
 		}
 		return s.Promote(a.Term, p.Node.Name)
 	}
-	p.operate(a.Database, promote, func(answer Answer) []process.Action {
+	p.operate("promote", a.Database, promote, func(answer Answer) []process.Action {
 		if answer.Accepted {
 			p.Observe(process.Report{Database: d.Index, Sent: p.Next(), SentAt: p.world.Now(), Status: answer.Status})
 		}
