--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -78,8 +78,12 @@
 
 	mu      sync.Mutex
 	running *database.Conn
-	active  bool
-	leaving bool
+	// stopWaiting ends the wait of a request that has not been sent, and
+	// cancelled is set once a caller has asked for it.
+	stopWaiting func()
+	cancelled   bool
+	active      bool
+	leaving     bool
 }
 
 // Held is a database connection that belongs to an open transaction.
@@ -173,19 +177,43 @@
 	return s.leaving
 }
 
+// BeginWait notes how to end the wait of a request that is not sent yet.
+func (s *Session) BeginWait(stop func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopWaiting, s.cancelled = stop, false
+}
+
+// EndWait forgets the wait. It reports whether the caller cancelled it.
+func (s *Session) EndWait() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cancelled := s.cancelled
+	s.stopWaiting, s.cancelled = nil, false
+	return cancelled
+}
+
 // SetRunning notes the connection that a cancel request reaches, nil for
-// none.
-func (s *Session) SetRunning(c *database.Conn) {
+// none. It returns false if the caller has cancelled the request before.
+func (s *Session) SetRunning(c *database.Conn) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c != nil && s.cancelled {
+		return false
+	}
 	s.running = c
-	s.mu.Unlock()
+	return true
 }
 
-// Running returns the connection on which the session's request runs, or
-// nil.
-func (s *Session) Running() *database.Conn {
+// Cancel returns the connection on which the session's request runs. If the
+// request waits to be sent, its wait is ended instead.
+func (s *Session) Cancel() *database.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.running == nil && s.stopWaiting != nil {
+		s.cancelled = true
+		s.stopWaiting()
+	}
 	return s.running
 }
 
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -1,23 +1,13 @@
 package core
 
 import (
-	"bytes"
 	"cmp"
-	"crypto/hmac"
-	"crypto/sha256"
-	"crypto/tls"
-	"crypto/x509"
-	"encoding/hex"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
-	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
 	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -31,15 +21,6 @@
 	declared map[string]*operator.Group
 }
 
-// group is one database group that this proxy serves or watches.
-type group struct {
-	declared *operator.Group
-	serving  *dbrequest.Serving
-	monitor  *dbprocess.Monitor
-	watch    *dbprocess.Watch
-	watching bool
-}
-
 // groups keeps the groups that are in use. A group is opened when it is first
 // used or watched, so that a proxy holds no more than it serves. The mutex is
 // taken before the groups' own locks.
@@ -117,14 +98,6 @@
 	}
 }
 
-func sameDatabases(old, declared *operator.Group) bool {
-	same := old.User == declared.User && old.TLS == declared.TLS && old.PasswordFile == declared.PasswordFile &&
-		old.Durability == declared.Durability
-	return same && slices.EqualFunc(old.Databases, declared.Databases, func(a, b operator.Database) bool {
-		return a.Name == b.Name && a.Address == b.Address && a.Zone == b.Zone
-	})
-}
-
 // keep serves a changed declaration with the connections of the old.
 func (g *groups) keep(old *group, declared *operator.Group, config *operator.Configuration) *group {
 	kept := *old
@@ -149,32 +122,6 @@
 	time.AfterFunc(g.force.Load().config.Limits.ShutdownLimit.Std(), old.monitor.Close)
 }
 
-func declaredAges(name string, config *operator.Configuration) []dbrequest.Age {
-	var ages []dbrequest.Age
-	for _, r := range config.Ages {
-		if r.Group == "" || r.Group == name {
-			ages = append(ages, dbrequest.Age{Application: r.Application, Tag: r.Tag, MaxAge: r.MaxAge})
-		}
-	}
-	return ages
-}
-
-// declaredClasses returns the classes as requests match them, and as pools
-// admit them.
-func declaredClasses(config *operator.Configuration) (matches []dbrequest.Class, shares []dbconn.Class) {
-	for _, k := range config.Classes {
-		matches = append(matches, dbrequest.Class{Application: k.Application, Tag: k.Tag, Writes: k.Writes, Deadline: k.Deadline})
-		shares = append(shares, dbconn.Class{Name: k.Name, Reserved: k.Reserved})
-	}
-	return matches, shares
-}
-
-// sameShares reports whether pools made for one configuration admit as
-// another asks.
-func sameShares(a, b []operator.Class) bool {
-	return slices.EqualFunc(a, b, func(x, y operator.Class) bool { return x.Name == y.Name && x.Reserved == y.Reserved })
-}
-
 // openGroup begins to serve a declared group. It returns nil for one that is
 // not declared.
 func (g *groups) openGroup(name string) *group {
@@ -315,99 +262,6 @@
 	}
 }
 
-// forwardConnections bounds the connections of one proxy to one home of a
-// group.
-const forwardConnections = 64
-
-// chooseHomes forwards a group's requests to its home proxies, unless this
-// proxy is one of them. It returns how many they are.
-func (g *groups) chooseHomes(opened *group) int {
-	name := opened.serving.Name
-	chosen := proxy.ChooseWatchers("home/"+name, g.live, opened.declared.Homes)
-	var homes []dbrequest.Home
-	for _, peer := range chosen {
-		if peer.Name == g.proxy.instance.Name {
-			homes = nil
-			break
-		}
-		if peer.Callers == "" {
-			// Its own word on where callers connect has not come yet.
-			continue
-		}
-		pool := opened.serving.Homes.Find(peer.Name + " " + peer.Callers)
-		if pool == nil {
-			pool = dbconn.NewPool(g.proxy.homeTarget(name, peer), dbconn.PoolSettings{
-				MaxConnections: forwardConnections, MaxQueue: g.force.Load().config.Limits.QueueLength,
-			})
-		}
-		homes = append(homes, dbrequest.Home{Name: peer.Name + " " + peer.Callers, Zone: peer.Zone, Pool: pool})
-	}
-	for _, dropped := range opened.serving.Homes.Set(homes) {
-		dropped.Close()
-	}
-	return len(chosen)
-}
-
-func (p *Proxy) homeTarget(group string, home proxy.Peer) dbconn.Target {
-	t := dbconn.Target{
-		Address: home.Callers, Database: group, User: "proxy",
-		Application: "oleanderflow/" + p.instance.Zone, Forward: p.forwardProof(group),
-	}
-	if p.acceptor.TLS != nil {
-		t.TLS = p.homeTLS()
-	}
-	return t
-}
-
-// homeTLS accepts the certificate that this proxy itself shows callers, since
-// all proxies of a site show the same.
-func (p *Proxy) homeTLS() *tls.Config {
-	return &tls.Config{
-		InsecureSkipVerify: true, MinVersion: tls.VersionTLS12,
-		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error {
-			own := p.acceptor.TLS().Certificates[0].Certificate
-			if len(raw) == 0 || !bytes.Equal(raw[0], own[0]) {
-				return &UntrustedHomeError{}
-			}
-			return nil
-		},
-	}
-}
-
-// UntrustedHomeError reports a home proxy with a certificate that is not the
-// site's.
-type UntrustedHomeError struct{}
-
-func (*UntrustedHomeError) Error() string {
-	return "the home proxy does not show the site's certificate"
-}
-
-// trustedForward is what proxies show each other where callers are trusted.
-const trustedForward = "trusted"
-
-// forwardProof is what shows another proxy that this is one too.
-func (p *Proxy) forwardProof(group string) string {
-	if len(p.secret) == 0 {
-		return trustedForward
-	}
-	mac := hmac.New(sha256.New, p.secret)
-	_, _ = mac.Write([]byte("forward " + group))
-	return hex.EncodeToString(mac.Sum(nil))
-}
-
-// isProxy reports whether a start is another proxy's.
-func (p *Proxy) isProxy(parameters map[string]string) bool {
-	shown := parameters[callerconn.ForwardParameter]
-	if shown == "" {
-		return false
-	}
-	if len(p.secret) == 0 {
-		_, trusted := p.acceptor.Auth.(callerconn.Trust)
-		return trusted && shown == trustedForward
-	}
-	return hmac.Equal([]byte(shown), []byte(p.forwardProof(parameters["database"])))
-}
-
 // interruptAll closes all connections to databases.
 func (g *groups) interruptAll() {
 	g.mu.Lock()
@@ -427,83 +281,3 @@
 		opened.monitor.Close()
 	}
 }
-
-func (p *Proxy) newGroup(declared *operator.Group, config *operator.Configuration) *group {
-	members := make([]dbprocess.Member, len(declared.Databases))
-	probes := make([]dbprocess.Operations, len(members))
-	zones := make([]string, len(members))
-	pools := make([]*dbconn.Pool, len(members))
-	matches, shares := declaredClasses(config)
-	for i, d := range declared.Databases {
-		members[i] = dbprocess.Member{Name: d.Name, Zone: d.Zone, Address: d.Address}
-		probes[i] = dbconn.NewControl(p.target(declared, d))
-		zones[i] = d.Zone
-		pools[i] = dbconn.NewPool(p.target(declared, d), dbconn.PoolSettings{MaxConnections: minimumShare, MaxQueue: config.Limits.QueueLength}, shares...)
-	}
-	monitor := dbprocess.NewMonitor(dbprocess.MonitorSettings{
-		Group: declared.Name, Members: members, Durability: declared.Durability,
-		ProbeTimeout: config.Reads.ProbeTimeout, SampleInterval: config.Reads.SampleInterval,
-		IdleAfter: idleAfter, UnreachableAfter: unreachableAfter,
-	}, p.clock, p.sequence, p.workers, probes, p.log)
-	opened := &group{declared: declared, monitor: monitor}
-	opened.serving = &dbrequest.Serving{
-		Name: declared.Name, Monitor: monitor, Pools: pools,
-		Gate:       dbrequest.NewGate(),
-		Retries:    dbrequest.NewRetryBudget(),
-		Homes:      dbrequest.NewHomes(p.instance.Zone),
-		Router:     dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
-		Ages:       declaredAges(declared.Name, config),
-		Classes:    matches,
-		Durability: declared.Durability, CommitWait: declared.CommitWait, WriteWait: declared.WriteWait,
-	}
-	opened.watch = p.newWatch(opened, config)
-	monitor.SetEvents(func(e dbprocess.Event) { interrupt(pools, e) })
-	monitor.SetObserver(opened.watch.HandleProbe)
-	p.registry.Add(monitor)
-	return opened
-}
-
-// interrupt gives up the connections to a primary that was replaced or a
-// database that does not answer.
-func interrupt(pools []*dbconn.Pool, e dbprocess.Event) {
-	switch e := e.(type) {
-	case dbprocess.PrimaryChanged:
-		switch {
-		case e.From < 0 || e.From == e.To:
-		case e.Answers:
-			pools[e.From].Reset()
-		default:
-			pools[e.From].Interrupt()
-		}
-		pools[e.To].Reset()
-	case dbprocess.Unreachable:
-		pools[e.Database].Interrupt()
-	}
-}
-
-// target says how to connect to a database. One whose secrets cannot be read
-// cannot be connected to.
-func (p *Proxy) target(g *operator.Group, d operator.Database) dbconn.Target {
-	t := dbconn.Target{Address: d.Address, Database: g.Name, User: g.User, Application: "oleanderflow/" + p.instance.Zone}
-	var err error
-	if t.TLS, err = dbconn.LoadTLS(g.TLS, d.Address); err != nil {
-		p.log.Error("TLS for a database not set up", zap.String("group", g.Name), zap.Error(err))
-		t.Unusable = err
-	}
-	if t.Password, err = dbconn.LoadPassword(g.PasswordFile); err != nil {
-		p.log.Error("password for a database not read", zap.String("group", g.Name), zap.Error(err))
-		t.Unusable = err
-	}
-	return t
-}
-
-func (p *Proxy) newWatch(opened *group, config *operator.Configuration) *dbprocess.Watch {
-	operations := make([]dbprocess.Operations, len(opened.declared.Databases))
-	for i, d := range opened.declared.Databases {
-		operations[i] = dbconn.NewControl(p.target(opened.declared, d))
-	}
-	self := dbprocess.Watcher{Name: p.instance.Name, Zone: p.instance.Zone}
-	source := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(proxyNumber(p.instance.Name))))
-	failover := dbprocess.NewFailover(len(operations), self, []dbprocess.Watcher{self}, config.Failover, source)
-	return dbprocess.NewWatch(opened.monitor, failover, operations, p.instance.Name, &colleagues{proxy: p}, p.log)
-}
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -40,7 +40,7 @@
 
 // groupGauges are the values of one group that are read at intervals.
 type groupGauges struct {
-	connections, waiting, term, writable float64
+	connections, waiting, term, writable, questions float64
 }
 
 func (m *Metrics) groupGauges(name string, g groupGauges) {
@@ -54,6 +54,7 @@
 	scope.Gauge("group_connections").Update(g.connections)
 	scope.Gauge("group_waiting").Update(g.waiting)
 	scope.Gauge("group_term").Update(g.term)
+	scope.Gauge("group_questions").Update(g.questions)
 	scope.Gauge("group_writable").Update(g.writable)
 }
 
--- a/internal/core/protocol_test.go
+++ b/internal/core/protocol_test.go
@@ -230,17 +230,48 @@
 		_, err := c.Exec(context.Background(), "SELECT pg_sleep(20)")
 		failed <- err
 	}()
-	time.Sleep(100 * time.Millisecond)
-	sendCancel(t, d.Proxies[2].Address(), c.PgConn().PID(), c.PgConn().SecretKey())
-	select {
-	case err := <-failed:
-		require.Equal(t, "57014", code(err))
-	case <-time.After(5 * time.Second):
-		require.Fail(t, "the statement was not cancelled")
-	}
+	awaitLent(t, d.Proxies[0], 1)
+	requireCancelled(t, d.Proxies[2], c, failed)
 	require.Equal(t, 1, number(t, c, "SELECT 1"))
 }
 
+// requireCancelled asks until the cancel request meets the running statement.
+func requireCancelled(t *testing.T, through *Proxy, c *pgx.Conn, failed <-chan error) {
+	t.Helper()
+	for range 50 {
+		sendCancel(t, through.Address(), c.PgConn().PID(), c.PgConn().SecretKey())
+		select {
+		case err := <-failed:
+			require.Equal(t, "57014", code(err))
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	require.Fail(t, "the statement was not cancelled")
+}
+
+// A request that waits for a primary did not run, and its wait can be
+// cancelled.
+func TestCancelOfAWaitingRequest(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	c := connect(t, d.Proxies[0], "")
+	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	for _, database := range d.Group.Databases {
+		database.Stop()
+	}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "INSERT INTO t VALUES (1)")
+		failed <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	requireCancelled(t, d.Proxies[0], c, failed)
+	for _, database := range d.Group.Databases {
+		database.Heal()
+	}
+	require.Equal(t, 0, number(t, c, "SELECT count(*) FROM t"))
+}
+
 func TestCancelWithWrongSecretHasNoEffect(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "")
@@ -249,7 +280,7 @@
 		_, err := c.Exec(context.Background(), "SELECT pg_sleep(0.3)")
 		done <- err
 	}()
-	time.Sleep(50 * time.Millisecond)
+	awaitLent(t, d.Proxies[0], 1)
 	sendCancel(t, d.Proxies[0].Address(), c.PgConn().PID(), []byte{1, 2, 3, 4})
 	require.NoError(t, <-done)
 }
@@ -340,7 +371,7 @@
 	for i := range 12 {
 		gone := connect(t, d.Proxies[0], "")
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
-		_, err := gone.Exec(ctx, fmt.Sprintf("SELECT pg_sleep(0.0%d)", 2+i%3))
+		_, err := gone.Exec(ctx, "SELECT pg_sleep(0.5)")
 		cancel()
 		require.Error(t, err)
 		other := connect(t, d.Proxies[0], "")
--- a/internal/core/shutdown_test.go
+++ b/internal/core/shutdown_test.go
@@ -12,6 +12,19 @@
 	"github.com/oleanderflow/oleanderflow/pkg/outcome"
 )
 
+// awaitLent waits until a number of connections to databases are lent.
+func awaitLent(t *testing.T, p *Proxy, count int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		lent := 0
+		for _, pool := range p.Serving(devGroup).Pools {
+			open, idle, _ := pool.Stats()
+			lent += open - idle
+		}
+		return lent == count
+	}, 10*time.Second, time.Millisecond)
+}
+
 func TestShutdownCutsNoRequest(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
@@ -22,13 +35,13 @@
 	require.NoError(t, err)
 	answered := make(chan error, 1)
 	go func() {
-		_, err := running.Exec(ctx, "SELECT pg_sleep(0.4)")
+		_, err := running.Exec(ctx, "SELECT pg_sleep(1)")
 		answered <- err
 	}()
-	time.Sleep(100 * time.Millisecond)
+	awaitLent(t, p, 2)
 	finished := make(chan bool, 1)
 	go func() { finished <- p.Shutdown(10 * clock.Second) }()
-	time.Sleep(100 * time.Millisecond)
+	require.Eventually(t, func() bool { return p.Status().Leaving }, 5*time.Second, time.Millisecond)
 	_, err = pgx.Connect(ctx, "postgres://shop@"+p.Address()+"/shop1?sslmode=disable")
 	require.Error(t, err, "a leaving proxy takes no new callers")
 	_, err = idle.Exec(ctx, "SELECT 1")
@@ -64,7 +77,10 @@
 	exec(t, c, "CREATE TABLE t (id INTEGER)")
 	d.SetLeaving("a")
 	d.SetLeaving("b")
-	require.Eventually(t, func() bool { return d.Group.Primary().Name() == "c" }, 9*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		primary := d.Group.Primary()
+		return primary != nil && primary.Name() == "c"
+	}, 9*time.Second, 20*time.Millisecond)
 	time.Sleep(3 * time.Second)
 	replica, _ := d.Proxies[0].metrics.DeclaredReads()
 	for range 20 {
--- a/internal/core/spread.go
+++ b/internal/core/spread.go
@@ -27,17 +27,45 @@
 	proxy   *Proxy
 	history *versionplatform.History
 
-	mu      sync.Mutex
-	spread  *versionproxy.Spread
-	content []byte
-	hash    string
+	mu     sync.Mutex
+	spread *versionproxy.Spread
+	// parser reads one content after another, under reading.
+	reading sync.Mutex
+	parser  *operator.Parser
+	// kept are the last contents in force, the newest last.
+	kept []keptContent
+	// ready are configurations that were read and may be put in force, by
+	// their content's hash.
+	ready   map[string]*operator.Configuration
 	polling bool
 }
 
+// keptContent is a content that was put in force, by its hash.
+type keptContent struct {
+	hash    string
+	content []byte
+}
+
+// maxKept is how many contents are kept, so that peers which are a few
+// versions behind are sent only what differs.
+const maxKept = 4
+
+// find returns a kept content, nil if it is not kept.
+func (s *spread) find(hash string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.kept {
+		if k.hash == hash && hash != "" {
+			return k.content
+		}
+	}
+	return nil
+}
+
 func newSpread(p *Proxy, h *versionplatform.History) *spread {
 	figures := p.Configuration().Spread
 	source := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(proxyNumber(p.instance.Name))))
-	s := &spread{proxy: p, history: h, spread: versionproxy.NewSpread(versionproxy.Settings{
+	s := &spread{proxy: p, history: h, parser: operator.NewParser(), ready: make(map[string]*operator.Configuration), spread: versionproxy.NewSpread(versionproxy.Settings{
 		PollInterval: figures.PollInterval, GossipInterval: figures.GossipInterval,
 		Fanout: figures.Fanout, FetchTimeout: fetchTimeout,
 	}, source)}
@@ -133,7 +161,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout.Std())
 	defer cancel()
 	var got proxy.FetchAnswer
-	if err := s.proxy.peers.Call(ctx, a.Peer, proxy.MethodFetch, proxy.FetchMessage{Hash: a.Hash}, &got); err != nil || len(got.Content) == 0 {
+	err := s.proxy.peers.Call(ctx, a.Peer, proxy.MethodFetch, proxy.FetchMessage{Hash: a.Hash, Have: a.Have}, &got)
+	if err == nil && got.Patch != nil {
+		got.Content, err = got.Patch.Apply(s.find(a.Have))
+	}
+	if err != nil || len(got.Content) == 0 {
 		s.proxy.log.Debug("declarations not fetched from a peer", zap.String("peer", a.Peer), zap.Error(err))
 		return
 	}
@@ -158,30 +190,40 @@
 		s.proxy.log.Warn("declarations refused", zap.Error(err))
 		return
 	}
-	_, _, err = bundle.ForSite(s.proxy.instance.Site)
+	config, err := s.read(bundle)
 	if err != nil {
 		s.proxy.log.Error("accepted declarations cannot be put in force", zap.String("hash", hash), zap.Error(err))
 	}
+	s.mu.Lock()
+	s.ready[hash] = config
+	s.mu.Unlock()
+	defer s.dropReady(hash)
 	s.decide(func(dst []versionproxy.Action) []versionproxy.Action {
 		return s.spread.HandleContent(hash, content, err == nil, dst)
 	})
 }
 
+// read returns the configuration of the proxy's site.
+func (s *spread) read(bundle operator.Bundle) (*operator.Configuration, error) {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	return bundle.ForSite(s.parser, s.proxy.instance.Site)
+}
+
+func (s *spread) dropReady(hash string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ready, hash)
+}
+
+// putInForce makes a content that receive has read serve all requests.
 func (s *spread) putInForce(a versionproxy.PutInForce) {
-	bundle, err := operator.DecodeBundle(a.Content, a.Head.Hash)
-	if err != nil {
-		s.proxy.log.Error("declarations not put in force", zap.Error(err))
-		return
-	}
-	config, _, err := bundle.ForSite(s.proxy.instance.Site)
-	if err != nil {
-		s.proxy.log.Error("declarations not put in force", zap.Error(err))
-		return
-	}
 	s.mu.Lock()
-	stale := s.spread.InForce().Version > a.Head.Version
+	config := s.ready[a.Head.Hash]
+	stale := config == nil || s.spread.InForce().Version > a.Head.Version
 	if !stale {
-		s.content, s.hash = a.Content, a.Head.Hash
+		s.kept = append(s.kept, keptContent{hash: a.Head.Hash, content: a.Content})
+		s.kept = s.kept[max(0, len(s.kept)-maxKept):]
 	}
 	s.mu.Unlock()
 	if stale {
@@ -213,12 +255,15 @@
 	if p.spread == nil {
 		return proxy.FetchAnswer{}
 	}
-	p.spread.mu.Lock()
-	defer p.spread.mu.Unlock()
-	if p.spread.hash != m.Hash {
+	content := p.spread.find(m.Hash)
+	if content == nil {
 		return proxy.FetchAnswer{}
 	}
-	return proxy.FetchAnswer{Content: p.spread.content}
+	if have := p.spread.find(m.Have); have != nil {
+		patch := proxy.MakePatch(have, content)
+		return proxy.FetchAnswer{Patch: &patch}
+	}
+	return proxy.FetchAnswer{Content: content}
 }
 
 func (p *Proxy) differingMembers(m proxy.MembersMessage) proxy.MembersAnswer {
--- a/internal/process/database/monitor.go
+++ b/internal/process/database/monitor.go
@@ -123,6 +123,7 @@
 	events   func(Event)
 
 	usedAt atomic.Int64
+	asked  atomic.Uint64
 
 	mu      sync.Mutex
 	group   *Group
@@ -184,12 +185,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i := range m.members {
-		if now.Sub(m.members[i].askedAt) >= m.settings.SampleInterval {
+		// A report that came with a statement saves the question.
+		last, heard := m.group.Report(i)
+		fresh := heard && now.Sub(last.SentAt) < m.settings.SampleInterval
+		if !fresh && now.Sub(m.members[i].askedAt) >= m.settings.SampleInterval {
 			m.wantLocked(i)
 		}
 	}
 }
 
+// Asked returns how many questions the monitor has sent.
+func (m *Monitor) Asked() uint64 { return m.asked.Load() }
+
 // Refresh asks every database once more. One question serves all that asked
 // for it before it is sent.
 func (m *Monitor) Refresh() {
@@ -244,6 +251,7 @@
 
 // ask sends one status question and takes in its answer.
 func (m *Monitor) ask(i int) {
+	m.asked.Add(1)
 	report := Report{Database: i, Sent: m.sequence.Next(), SentAt: m.clock.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), m.settings.ProbeTimeout.Std())
 	status, err := m.members[i].operations.Status(ctx)
--- /dev/null
+++ b/internal/process/database/promotion.go
@@ -0,0 +1,180 @@
+package database
+
+import (
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// considerFencing starts a failover once enough watchers agree and this
+// one's turn has come.
+func (f *Failover) considerFencing(now clock.Time, dst []Action) []Action {
+	if !f.suspect || !f.agree(now) {
+		f.agreed = false
+		return dst
+	}
+	if !f.agreed {
+		f.agreed, f.agreedSince = true, now
+	}
+	turn := f.agreedSince.Add(clock.Duration(f.rank) * f.settings.RankDelay)
+	if now < turn || now < f.notBefore || !f.reachesMajority(now) || f.rank >= len(f.watchers) {
+		return dst
+	}
+	return f.startFencing(now, f.highestTerm()+1, dst)
+}
+
+func (f *Failover) startFencing(now clock.Time, term uint64, dst []Action) []Action {
+	f.phase, f.term, f.phaseSince, f.askedAt, f.target = Fencing, term, now, now, -1
+	return f.fenceRest(dst)
+}
+
+// considerPromoting promotes the fenced database with the longest log, once
+// a majority is fenced.
+func (f *Failover) considerPromoting(now clock.Time, dst []Action) []Action {
+	fenced, best := 0, -1
+	for i, v := range f.views {
+		if v.fencedBy != f.term {
+			continue
+		}
+		fenced++
+		if best < 0 || v.status.Received.Compare(f.views[best].status.Received) > 0 {
+			best = i
+		}
+	}
+	if fenced < f.majority() {
+		return dst
+	}
+	f.phase, f.phaseSince, f.askedAt, f.target = Promoting, now, now, best
+	return append(dst, Promote{Database: best, Term: f.term})
+}
+
+// considerRetreat gives an attempt up once a later term is known, or too
+// many databases are fenced for another promoter in the same term.
+func (f *Failover) considerRetreat(now clock.Time, s Status, dst []Action) []Action {
+	lost := 0
+	for i := range f.views {
+		if f.views[i].heard && f.views[i].status.Fenced >= f.term && f.views[i].fencedBy != f.term {
+			lost++
+		}
+	}
+	if s.Fenced > f.term || s.Term >= f.term || lost > len(f.views)-f.majority() || f.cannotWin(now) {
+		f.retreat(now)
+	}
+	return dst
+}
+
+// cannotWin reports whether the databases that can be reached and are not
+// fenced for another promoter are fewer than a majority.
+func (f *Failover) cannotWin(now clock.Time) bool {
+	open := 0
+	for _, v := range f.views {
+		taken := v.status.Fenced >= f.term && v.fencedBy != f.term
+		reachable := v.heard && !v.refusing && now.Sub(v.aliveAt) < f.settings.SuspectAfter
+		if !taken && reachable {
+			open++
+		}
+	}
+	return open < f.majority()
+}
+
+// finish ends a failover that succeeded: the rest follows the new primary.
+func (f *Failover) finish(now clock.Time, dst []Action) []Action {
+	f.phase, f.agreed, f.suspect = Watching, false, false
+	f.healthySince = now
+	f.views[f.target].aliveAt = now
+	for i := range f.views {
+		if i != f.target {
+			f.views[i].followed = now
+			dst = append(dst, Follow{Database: i, Term: f.term, Primary: f.target})
+		}
+	}
+	f.announced = f.term
+	return append(dst, Announce{Term: f.term, Primary: f.target},
+		Share{Opinion: Opinion{Watcher: f.self, Term: f.term}})
+}
+
+// retreat ends an attempt that another promoter or a lost answer has
+// overtaken.
+func (f *Failover) retreat(now clock.Time) {
+	f.phase, f.target = Watching, -1
+	jitter := clock.Duration(f.rand.Int64N(int64(f.settings.RetryDelay) + 1))
+	f.notBefore = now.Add(f.settings.RetryDelay + jitter)
+}
+
+// expireStep repeats a step whose answer is missing, and gives it up after
+// its timeout.
+func (f *Failover) expireStep(now clock.Time, dst []Action) []Action {
+	if now.Sub(f.phaseSince) >= f.settings.StepTimeout {
+		f.retreat(now)
+		return dst
+	}
+	if now.Sub(f.askedAt) < f.settings.StepTimeout/4 {
+		return dst
+	}
+	f.askedAt = now
+	if f.phase == Promoting {
+		return append(dst, Promote{Database: f.target, Term: f.term})
+	}
+	return f.fenceRest(dst)
+}
+
+// fenceRest asks the databases that have not accepted the fence yet.
+func (f *Failover) fenceRest(dst []Action) []Action {
+	for i := range f.views {
+		if f.views[i].fencedBy != f.term {
+			dst = append(dst, Fence{Database: i, Term: f.term})
+		}
+	}
+	return dst
+}
+
+// strandedFactor times SuspectAfter is how long a database may be stranded
+// before a promotion takes it back, so that a promoter at work is not
+// disturbed.
+const strandedFactor = 3
+
+// takeBackStranded promotes anew, usually the primary itself, when a live
+// database is fenced for a term that nobody leads and so takes no log.
+func (f *Failover) takeBackStranded(now clock.Time, dst []Action) []Action {
+	lead := f.leader()
+	if lead < 0 || !f.led() {
+		return dst
+	}
+	wait := (strandedFactor + clock.Duration(f.rank)) * f.settings.SuspectAfter
+	stranded := false
+	for i := range f.views {
+		v := &f.views[i]
+		alive := v.heard && !v.refusing && now.Sub(v.aliveAt) < f.settings.SuspectAfter
+		if i == lead || !alive || v.status.Fenced <= f.views[lead].status.Term {
+			v.strandedSince = 0
+			continue
+		}
+		if v.strandedSince == 0 {
+			v.strandedSince = now
+		}
+		stranded = stranded || now.Sub(v.strandedSince) >= wait
+	}
+	if !stranded || now < f.notBefore || f.rank >= len(f.watchers) || !f.reachesMajority(now) {
+		return dst
+	}
+	return f.startFencing(now, f.highestTerm()+1, dst)
+}
+
+// repair points databases that lag a term behind at the current primary. A
+// primary that was replaced is fenced by the same step.
+func (f *Failover) repair(now clock.Time, dst []Action) []Action {
+	lead := f.leader()
+	if lead < 0 || !f.led() {
+		return dst
+	}
+	interval := f.settings.SuspectAfter + clock.Duration(f.rank)*f.settings.RankDelay
+	term := f.views[lead].status.Term
+	for i := range f.views {
+		v := &f.views[i]
+		behind := v.heard && (v.status.Term < term || v.status.Fenced < term)
+		if i == lead || !behind || v.status.Fenced > term || now.Sub(v.aliveAt) >= f.settings.SuspectAfter || now.Sub(v.followed) < interval {
+			continue
+		}
+		v.followed = now
+		dst = append(dst, Follow{Database: i, Term: term, Primary: lead})
+	}
+	return dst
+}
--- a/internal/process/platform/platform.go
+++ b/internal/process/platform/platform.go
@@ -6,8 +6,21 @@
 import (
 	"context"
 	"fmt"
+	"time"
 )
 
+// Sleep waits for d. It returns the context's error if that ends first.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Item is one row of the table. Versions start at 1 and grow by one with
 // every change.
 type Item struct {
--- a/internal/process/platform/promotions.go
+++ b/internal/process/platform/promotions.go
@@ -38,24 +38,13 @@
 
 // NewPromotions returns the record that the table keeps.
 func NewPromotions(t Table, options ...PromotionsOption) *Promotions {
-	p := &Promotions{table: t, sleep: sleepFor}
+	p := &Promotions{table: t, sleep: Sleep}
 	for _, o := range options {
 		o(p)
 	}
 	return p
 }
 
-func sleepFor(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Get returns a group's last recorded change. It returns a *NotFoundError
 // if there is none.
 func (p *Promotions) Get(ctx context.Context, group string) (Promotion, error) {
--- a/internal/process/proxy/messages.go
+++ b/internal/process/proxy/messages.go
@@ -75,14 +75,18 @@
 	ChangeID string `json:"changeId"`
 }
 
-// FetchMessage asks for the content that a hash names.
+// FetchMessage asks for the content that a hash names, by someone who has
+// that of another.
 type FetchMessage struct {
 	Hash string `json:"hash"`
+	Have string `json:"have,omitempty"`
 }
 
-// FetchAnswer is the content, empty if the proxy does not have it.
+// FetchAnswer is the content whole, or what differs from the one that the
+// asker has. Both are empty if the proxy has neither.
 type FetchAnswer struct {
-	Content []byte `json:"content"`
+	Content []byte `json:"content,omitempty"`
+	Patch   *Patch `json:"patch,omitempty"`
 }
 
 // MembersMessage asks for the rows of the table's parts that differ.
--- /dev/null
+++ b/internal/request/caller/assemble.go
@@ -0,0 +1,137 @@
+package caller
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/database"
+)
+
+func (x *exchange) addQuery(p phase, query string) error {
+	encoded, err := (&pgproto3.Query{String: query}).Encode(x.request)
+	if err != nil {
+		return err
+	}
+	x.request = encoded
+	x.phases[p] = true
+	return nil
+}
+
+// assembleLedgered builds a request that records its id first.
+func (x *exchange) assembleLedgered(ledger string) error {
+	if err := x.addSettings(); err != nil {
+		return err
+	}
+	if err := x.addQuery(phaseLedger, ledger); err != nil {
+		return err
+	}
+	return x.addBatch()
+}
+
+// addSettings gives the connection the session's settings.
+func (x *exchange) addSettings() error {
+	want := x.session.SettingsStatement()
+	if x.conn.Settings == want {
+		return nil
+	}
+	statement := want
+	if x.conn.Settings != "" {
+		statement = "RESET ALL;" + want
+	}
+	x.conn.Settings = want
+	return x.addQuery(phaseSettings, statement)
+}
+
+// assemble builds the request from the parts chosen by its arguments.
+func (x *exchange) assemble(before, after bool) error {
+	if err := x.addSettings(); err != nil {
+		return err
+	}
+	if before {
+		if err := x.addQuery(phaseBefore, database.StatusStatement); err != nil {
+			return err
+		}
+	}
+	if err := x.addBatch(); err != nil {
+		return err
+	}
+	if after {
+		return x.addQuery(phaseAfter, database.StatusStatement)
+	}
+	return nil
+}
+
+func (x *exchange) addBatch() error {
+	b := x.batch
+	parsed := make(map[string]bool)
+	for i := range b.steps {
+		st := &b.steps[i]
+		if st.reply != nil {
+			x.queue = append(x.queue, awaited{kind: st.kind, reply: st.reply})
+			continue
+		}
+		if st.statement != "" {
+			skip, err := x.ensurePrepared(st, parsed)
+			if err != nil {
+				return err
+			}
+			if skip {
+				continue
+			}
+		}
+		if st.kind == stepExecute && x.recording != nil {
+			if err := x.describeForLedger(b.buffer[st.start:st.end]); err != nil {
+				return err
+			}
+		}
+		x.request = append(x.request, b.buffer[st.start:st.end]...)
+		x.queue = append(x.queue, awaited{kind: st.kind, statement: st.statement})
+	}
+	last := b.steps[len(b.steps)-1].kind
+	x.midBatch = last == stepFlush
+	x.phases[phaseBatch] = !x.midBatch
+	return nil
+}
+
+// describeForLedger asks for the rows' description, which the ledger keeps
+// for repeats that need it.
+func (x *exchange) describeForLedger(execute []byte) error {
+	var m pgproto3.Execute
+	if err := m.Decode(execute[messageHeader:]); err != nil {
+		return err
+	}
+	encoded, err := (&pgproto3.Describe{ObjectType: 'P', Name: m.Portal}).Encode(x.request)
+	if err != nil {
+		return err
+	}
+	x.request = encoded
+	x.queue = append(x.queue, awaited{kind: stepDescribe, swallow: true})
+	return nil
+}
+
+// ensurePrepared adds a Parse where the connection lacks a statement. It
+// returns true if the step needs not be sent because it defines a statement
+// that the connection has.
+func (x *exchange) ensurePrepared(st *step, parsed map[string]bool) (bool, error) {
+	_, known := x.conn.Prepared[st.statement]
+	known = known || parsed[st.statement]
+	if st.kind == stepParse {
+		if known {
+			x.queue = append(x.queue, awaited{kind: stepParse, reply: parseComplete})
+			return true, nil
+		}
+		parsed[st.statement] = true
+		return false, nil
+	}
+	if known {
+		return false, nil
+	}
+	parsed[st.statement] = true
+	p := &pgproto3.Parse{Name: st.statement, Query: st.parse.Query, ParameterOIDs: st.parse.OIDs}
+	encoded, err := p.Encode(x.request)
+	if err != nil {
+		return false, err
+	}
+	x.request = encoded
+	x.queue = append(x.queue, awaited{kind: stepParse, statement: st.statement, swallow: true})
+	return false, nil
+}
--- a/internal/request/caller/forward.go
+++ b/internal/request/caller/forward.go
@@ -52,7 +52,7 @@
 		conn.Doubtful = true
 		home.Pool.Release(conn)
 		w.decided(r, home.Name, database.ReasonForwarded, "unknown")
-		return true, w.refuseBatch(outcome.NewUnknown(err.Error()), false)
+		return true, w.refuseBatch(lostOutcome(err), false)
 	}
 	if x.failedCode == outcome.CodeShutdown && !x.flushed {
 		conn.Doubtful = true
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -209,6 +209,10 @@
 	case errors.As(err, &tag):
 		code = tag.Code()
 	case errors.As(err, &refused):
+		if refused.Kind == outcome.Refused && w.session.EndWait() {
+			refused = errCancelled
+			err = errCancelled
+		}
 		code, detail = refused.Code, refused.Detail()
 	default:
 		return err
--- a/internal/request/caller/ledger.go
+++ b/internal/request/caller/ledger.go
@@ -103,12 +103,7 @@
 		return w.refuseBatch(err, false)
 	}
 	for {
-		var choice database.Choice
-		r.serving.Monitor.View(func(g *process.Group) {
-			choice = r.serving.Router.Write(g, &r.use)
-			_, r.term = g.Primary()
-		})
-		switch c := choice.(type) {
+		switch c := r.choosePrimary().(type) {
 		case database.Hold:
 			if err := w.awaitPrimary(r, c.Reason); err != nil {
 				return w.refuseBatch(w.inDoubt(r, err), false)
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -14,7 +14,6 @@
 	"github.com/oleanderflow/oleanderflow/internal/request/database"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 	"github.com/oleanderflow/oleanderflow/pkg/outcome"
-	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
 const (
@@ -72,6 +71,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), serving.WriteWait.Std())
 	defer cancel()
+	w.session.BeginWait(cancel)
+	defer w.session.EndWait()
 	r := &request{serving: serving, began: w.clock.Now(), ctx: ctx, class: connection.NoClass}
 	r.read.Arrived = w.sequence.Next()
 	serving.Retries.Earn()
@@ -198,30 +199,6 @@
 	return nil
 }
 
-// runRead tries the databases that may serve a read, until one's answer
-// passes its verification.
-func (w *worker) runRead(r *request) error {
-	for {
-		var choice database.Choice
-		now := w.clock.Now()
-		r.serving.Monitor.View(func(g *process.Group) {
-			choice = r.serving.Router.Read(now, r.read, g, &r.tries, &r.use)
-			_, r.term = g.Primary()
-		})
-		switch c := choice.(type) {
-		case database.Hold:
-			if err := w.awaitPrimary(r, c.Reason); err != nil {
-				return w.refuseBatch(err, false)
-			}
-		case *database.Use:
-			done, err := w.tryRead(r, *c)
-			if done || err != nil {
-				return err
-			}
-		}
-	}
-}
-
 // awaitPrimary waits until the group has a primary that accepts writes.
 func (w *worker) awaitPrimary(r *request, reason database.Reason) error {
 	err := r.serving.Monitor.Await(r.ctx, (*process.Group).Writable)
@@ -232,123 +209,28 @@
 	return nil
 }
 
-// tryRead runs a read on one database. It returns false if the read must go
-// to another.
-func (w *worker) tryRead(r *request, use database.Use) (bool, error) {
-	primary := w.isPrimary(r, use.Database)
-	r.tries.Waited(use.Wait)
-	if use.Wait > 0 && !pause(r.ctx, use.Wait) {
-		return true, w.refuseBatch(outcome.NewRefused(outcome.CodeOverloaded, "no replica qualified in time"), false)
-	}
-	pool := r.serving.Pools[use.Database]
-	conn, err := r.acquire(pool)
-	if err != nil {
-		return w.notAcquired(r, use.Database, primary, err)
-	}
-	x := &w.x
-	x.prepare(w.session, conn, &w.batch)
-	x.verify = func() error { return w.verifyRead(r, primary) }
-	if r.read.MaxAge == 0 {
-		// The primary's own word comes with the read.
-		r.serving.Monitor.RefreshReplicas()
-	}
-	r.sent, r.sentAt = w.sequence.Next(), w.clock.Now()
-	err = x.assemble(true, primary && !w.batch.copies)
-	if err == nil {
-		err = w.runExchange(conn)
-	}
-	switch {
-	case err != nil:
-		return w.readFailed(r, use.Database, primary, pool, conn, err)
-	case x.failedCode == codeReadOnly && !primary && !x.flushed:
-		pool.Release(conn)
-		return true, w.runRefusedWrite(r)
-	case !x.verifyOnce():
-		return w.readDropped(r, use.Database, primary, pool, conn)
-	}
-	r.serving.Monitor.View(func(*process.Group) { r.serving.Router.Succeeded(use.Database) })
-	w.decided(r, r.serving.Monitor.Members()[use.Database].Name, use.Reason, "answered")
-	return true, w.finish(r, pool, conn, use.Database)
-}
+// errCancelled is the end of a request that was cancelled before it was
+// sent.
+var errCancelled = outcome.NewRefused(outcome.CodeCancelled, "the request was cancelled before it ran")
 
-// runRefusedWrite runs on the primary what a replica refused as a write. It
-// did not run there.
-func (w *worker) runRefusedWrite(r *request) error {
-	defer w.leaveUnlessHeld()
-	if err := w.enter(r); err != nil {
-		return w.refuseBatch(err, false)
+// lostOutcome is what is known of a request whose exchange has failed.
+func lostOutcome(err error) *outcome.Error {
+	if errors.Is(err, errCancelled) {
+		return errCancelled
 	}
-	return w.runOnPrimary(r, database.ReasonRefusedWrite)
-}
-
-func (w *worker) isPrimary(r *request, i int) bool {
-	var is bool
-	r.serving.Monitor.View(func(g *process.Group) {
-		primary, _ := g.Primary()
-		is = primary == i
-	})
-	return is
+	return outcome.NewUnknown(err.Error())
 }
 
 // runExchange runs the prepared exchange, with the connection open to
 // cancel requests.
 func (w *worker) runExchange(conn *connection.Conn) error {
-	w.session.SetRunning(conn)
+	if !w.session.SetRunning(conn) {
+		return errCancelled
+	}
 	defer w.session.SetRunning(nil)
 	return w.x.run()
 }
 
-// verifyRead decides whether the answer may be passed on. A fresh read
-// waits for a sample taken after its arrival.
-func (w *worker) verifyRead(r *request, primary bool) error {
-	if !w.x.hasBefore {
-		return errDropped
-	}
-	status := w.x.before
-	w.report(r, status)
-	if w.verifies(r, status) {
-		return nil
-	}
-	if r.read.MaxAge > 0 && !primary {
-		return errDropped
-	}
-	if _, err := r.serving.Monitor.AwaitFresh(r.ctx, r.read.Arrived); err != nil {
-		return err
-	}
-	if w.verifies(r, status) {
-		return nil
-	}
-	return errDropped
-}
-
-// report feeds a status that came with a statement to the monitor.
-func (w *worker) report(r *request, status process.Status) {
-	r.serving.Monitor.Observe(process.Report{Database: r.use.Database, Sent: r.sent, SentAt: r.sentAt, Status: status})
-}
-
-func (w *worker) verifies(r *request, status process.Status) bool {
-	var ok bool
-	now := w.clock.Now()
-	r.serving.Monitor.View(func(g *process.Group) { ok = database.Verify(now, r.read, status, g) })
-	return ok
-}
-
-// notAcquired handles a database that lends no connection. The request has
-// not been sent.
-func (w *worker) notAcquired(r *request, i int, primary bool, err error) (bool, error) {
-	var refused *outcome.Error
-	if errors.As(err, &refused) && primary {
-		w.decided(r, "", database.ReasonFresh, "refused")
-		return true, w.refuseBatch(err, false)
-	}
-	if !primary {
-		r.serving.Monitor.View(func(*process.Group) { r.serving.Router.Failed(w.clock.Now(), i) })
-		r.tries.Exclude(i)
-		return false, nil
-	}
-	return w.retryLater(r)
-}
-
 // retryLater waits before a request that did not run is routed again: until
 // the group's primary changes, or for a time that grows with the tries and is
 // spread at random.
@@ -390,245 +272,6 @@
 // retryInterval is the time between two looks for an outcome.
 const retryInterval = 10 * clock.Millisecond
 
-// readFailed handles a connection lost during a read. A replica cannot
-// have written, so that the read may run elsewhere; on a primary it may have
-// written.
-func (w *worker) readFailed(r *request, i int, primary bool, pool *connection.Pool, conn *connection.Conn, err error) (bool, error) {
-	conn.Doubtful = true
-	pool.Release(conn)
-	if primary || w.x.flushed {
-		w.decided(r, r.serving.Monitor.Members()[i].Name, database.ReasonFresh, "unknown")
-		return true, w.refuseBatch(outcome.NewUnknown(err.Error()), false)
-	}
-	r.serving.Monitor.View(func(*process.Group) { r.serving.Router.Failed(w.clock.Now(), i) })
-	r.tries.Exclude(i)
-	return false, nil
-}
-
-// readDropped handles an answer that did not pass its verification. No byte
-// of it has reached the caller.
-func (w *worker) readDropped(r *request, i int, primary bool, pool *connection.Pool, conn *connection.Conn) (bool, error) {
-	if w.x.txStatus != 'I' {
-		conn.Doubtful = true
-	}
-	pool.Release(conn)
-	if !primary {
-		r.tries.Missed(i)
-		return false, nil
-	}
-	if w.x.hasAfter && w.x.before.Applied == w.x.after.Applied {
-		return w.retryLater(r)
-	}
-	return true, w.refuseBatch(outcome.NewUnknown("the primary was replaced while the statement ran"), false)
-}
-
-// runOnPrimary runs a batch that may write. It is sent once, unless the
-// database itself refuses it.
-func (w *worker) runOnPrimary(r *request, reason database.Reason) error {
-	for {
-		var choice database.Choice
-		r.serving.Monitor.View(func(g *process.Group) {
-			choice = r.serving.Router.Write(g, &r.use)
-			_, r.term = g.Primary()
-		})
-		switch c := choice.(type) {
-		case database.Hold:
-			if err := w.awaitPrimary(r, c.Reason); err != nil {
-				return w.refuseBatch(err, false)
-			}
-		case *database.Use:
-			done, err := w.tryWrite(r, c.Database, reason)
-			if done || err != nil {
-				return err
-			}
-		}
-	}
-}
-
-func (w *worker) tryWrite(r *request, i int, reason database.Reason) (bool, error) {
-	pool := r.serving.Pools[i]
-	conn, err := r.acquire(pool)
-	if err != nil {
-		var refused *outcome.Error
-		if errors.As(err, &refused) {
-			w.decided(r, "", reason, "refused")
-			return true, w.refuseBatch(err, false)
-		}
-		return w.retryLater(r)
-	}
-	x := &w.x
-	x.prepare(w.session, conn, &w.batch)
-	begins := w.batch.kind == KindBegin
-	r.sent, r.sentAt = w.sequence.Next(), w.clock.Now()
-	if err = x.assemble(begins, !w.batch.copies && !begins && !x.midBatch); err == nil {
-		err = w.runExchange(conn)
-	}
-	name := r.serving.Monitor.Members()[i].Name
-	if err != nil {
-		conn.Doubtful = true
-		pool.Release(conn)
-		w.decided(r, name, reason, "unknown")
-		return true, w.refuseBatch(outcome.NewUnknown(err.Error()), false)
-	}
-	if w.refusedByDatabase() {
-		pool.Release(conn)
-		return w.retryLater(r)
-	}
-	if begins && x.txStatus != 'I' && w.verifyBegin(r) != nil {
-		// Closing the connection rolls back what the batch may have done.
-		conn.Doubtful = true
-		pool.Release(conn)
-		if x.flushed || w.batch.ends {
-			return true, w.refuseBatch(outcome.NewRefused(outcome.CodeRefused, "the transaction was begun on a primary that has been replaced"), false)
-		}
-		return w.retryLater(r)
-	}
-	w.decided(r, name, reason, "answered")
-	return true, w.finish(r, pool, conn, i)
-}
-
-// refusedByDatabase reports whether the database refused the whole batch
-// because it leads no more, so that it did not run.
-func (w *worker) refusedByDatabase() bool {
-	refused := w.x.failedCode == codeReadOnly || w.x.failedCode == codeFenced
-	return refused && !w.x.flushed && !w.x.wrote && w.x.txStatus == 'I' && w.batch.kind != KindBegin && !w.batch.ends
-}
-
-// finish ends an exchange: an open transaction keeps the connection, a
-// commit waits for its confirmation without one.
-func (w *worker) finish(r *request, pool *connection.Pool, conn *connection.Conn, i int) error {
-	x := &w.x
-	if x.midBatch || x.txStatus != 'I' {
-		return w.hold(r, pool, conn, i)
-	}
-	w.midBatch = false
-	w.session.Transaction = nil
-	commit, needed, err := w.commitPosition(conn)
-	pool.Release(conn)
-	if err != nil {
-		return w.refuseBatch(outcome.NewUnknown(err.Error()), false)
-	}
-	if needed && x.hasAfter && r.sent > 0 {
-		w.report(r, x.after)
-	}
-	if needed {
-		if err := w.acknowledge(r, commit); err != nil {
-			return w.refuseBatch(err, false)
-		}
-	}
-	if needed {
-		w.session.RaiseFloor(commit)
-		w.session.FloorKnown = true
-	}
-	return w.deliver()
-}
-
-// hold keeps the connection for an open transaction.
-func (w *worker) hold(r *request, pool *connection.Pool, conn *connection.Conn, i int) error {
-	w.midBatch = w.x.midBatch
-	held := &caller.Held{Conn: conn, Pool: pool, Database: i}
-	w.session.Transaction = held
-	if w.batch.kind == KindBegin && r.id != "" {
-		if err := w.beginLedgered(r); err != nil {
-			w.abandonTransaction()
-			return w.refuseBatch(err, false)
-		}
-	}
-	return w.deliver()
-}
-
-// verifyBegin makes sure that a transaction reads from a primary that had
-// not been replaced when the transaction arrived.
-func (w *worker) verifyBegin(r *request) error {
-	if !w.x.hasBefore || !w.x.before.Applied.AtLeast(w.session.Floor) {
-		return errDropped
-	}
-	sample, err := r.serving.Monitor.AwaitFresh(r.ctx, r.read.Arrived)
-	if err != nil {
-		return err
-	}
-	if !w.x.before.Leads() || sample.Position.Term != w.x.before.Term {
-		return errDropped
-	}
-	return nil
-}
-
-// commitPosition returns the position that must be confirmed before the
-// answer is passed on, and whether there is one.
-func (w *worker) commitPosition(conn *connection.Conn) (position.Position, bool, error) {
-	x := &w.x
-	hidden := x.hasBefore && x.hasAfter && x.before.Applied != x.after.Applied
-	if !x.wrote && !hidden {
-		return position.Position{}, false, nil
-	}
-	status := x.after
-	if !x.hasAfter {
-		var err error
-		if status, err = askStatus(conn); err != nil {
-			return position.Position{}, true, err
-		}
-	}
-	if !status.Leads() {
-		return position.Position{}, true, errors.New("the primary was replaced while the statement ran")
-	}
-	return status.Applied, true, nil
-}
-
-// askStatus asks for the status on a connection that is at rest.
-func askStatus(conn *connection.Conn) (process.Status, error) {
-	var status process.Status
-	conn.Frontend.Send(&pgproto3.Query{String: connection.StatusStatement})
-	if err := conn.Frontend.Flush(); err != nil {
-		conn.Doubtful = true
-		return status, err
-	}
-	for {
-		msg, err := conn.Frontend.Receive()
-		if err != nil {
-			conn.Doubtful = true
-			return status, err
-		}
-		switch m := msg.(type) {
-		case *pgproto3.DataRow:
-			if status, err = connection.ParseStatus(m.Values); err != nil {
-				conn.Doubtful = true
-				return status, err
-			}
-		case *pgproto3.ReadyForQuery:
-			return status, nil
-		}
-	}
-}
-
-// acknowledge waits until a commit is confirmed by enough of its group.
-func (w *worker) acknowledge(r *request, p position.Position) error {
-	ctx, cancel := context.WithTimeout(context.Background(), r.serving.CommitWait.Std())
-	defer cancel()
-	verdict, err := r.serving.Monitor.AwaitCommit(ctx, p)
-	if err == nil && verdict.Verdict == process.Confirmed && w.clock.Now().Sub(verdict.At) > confirmationLife {
-		err = w.confirmAnew(ctx, r, p)
-	}
-	switch {
-	case err != nil:
-		w.decided(r, "", "commit not confirmed in time", "unknown")
-		return outcome.NewUnknown("the commit was not confirmed by the group in time")
-	case verdict.Verdict == process.Lost:
-		w.decided(r, "", "primary replaced before the commit was confirmed", "unknown")
-		return outcome.NewUnknown("the primary was replaced before the commit was confirmed")
-	}
-	return nil
-}
-
-// confirmAnew settles a commit whose confirmation was taken before this
-// process stood still.
-func (w *worker) confirmAnew(ctx context.Context, r *request, p position.Position) error {
-	sample, err := r.serving.Monitor.AwaitFresh(ctx, w.sequence.Next())
-	if err == nil && !sample.Position.AtLeast(p) {
-		err = errDropped
-	}
-	return err
-}
-
 // deliver passes the gathered answer on, with the session's token before
 // ReadyForQuery if the floor has changed.
 func (w *worker) deliver() error {
@@ -660,66 +303,6 @@
 	return append(out, ready[:]...), err
 }
 
-// runHeld runs a batch on the connection that the session holds.
-func (w *worker) runHeld() error {
-	defer w.leaveUnlessHeld()
-	held := w.session.Transaction
-	serving := w.groups.Serving(w.session.Group)
-	if serving == nil {
-		w.abandonTransaction()
-		return w.refuseBatch(outcome.NewRefused(outcome.CodeNoGroup, "the database group is not declared any more"), false)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), serving.WriteWait.Std())
-	defer cancel()
-	r := &request{serving: serving, began: w.clock.Now(), ctx: ctx}
-	x := &w.x
-	wrote := x.wrote && w.midBatch
-	x.prepare(w.session, held.Conn, &w.batch)
-	x.wrote = wrote
-	if w.batch.kind == KindSet || w.batch.kind == KindWrite && containsFold(w.batch.query, "set ") {
-		held.Conn.Settings = settingsUnknown
-	}
-	err := w.assembleHeld(held)
-	if err == nil {
-		err = w.runExchange(held.Conn)
-	}
-	if err != nil {
-		return w.heldFailed(r, err)
-	}
-	if held.Forwarded {
-		w.decided(r, "", database.ReasonForwarded, "answered")
-		return w.finishForwarded(database.Home{Pool: held.Pool}, held.Conn)
-	}
-	w.decided(r, serving.Monitor.Members()[held.Database].Name, database.ReasonTransaction, "answered")
-	return w.finish(r, held.Pool, held.Conn, held.Database)
-}
-
-// assembleHeld builds the request for a held connection, whose settings are
-// the transaction's own.
-func (w *worker) assembleHeld(held *caller.Held) error {
-	if err := w.x.addBatch(); err != nil {
-		return err
-	}
-	if !held.Forwarded && w.batch.ends && !w.batch.copies && !w.x.midBatch {
-		return w.x.addQuery(phaseAfter, connection.StatusStatement)
-	}
-	return nil
-}
-
-// heldFailed handles the loss of a transaction's connection. Only a batch
-// that may have committed has an unknown outcome.
-func (w *worker) heldFailed(r *request, err error) error {
-	implicit := w.midBatch
-	w.midBatch = false
-	w.abandonTransaction()
-	if w.batch.ends || implicit {
-		w.decided(r, "", database.ReasonTransaction, "unknown")
-		return w.refuseBatch(outcome.NewUnknown(err.Error()), false)
-	}
-	w.decided(r, "", database.ReasonTransaction, "refused")
-	return w.refuseBatch(outcome.NewRefused("40001", "the transaction was rolled back: "+err.Error()), false)
-}
-
 // pause waits for d. It returns false if the context ends first.
 func pause(ctx context.Context, d clock.Duration) bool {
 	timer := time.NewTimer(d.Std())
@@ -741,9 +324,9 @@
 }
 
 // Cancel passes a cancel request on to the connection on which the
-// session's request runs, if there is one.
+// session's request runs, or ends its wait for one.
 func Cancel(s *caller.Session) error {
-	conn := s.Running()
+	conn := s.Cancel()
 	if conn == nil {
 		return nil
 	}
--- a/internal/version/operator/bundle.go
+++ b/internal/version/operator/bundle.go
@@ -59,19 +59,21 @@
 	return "declarations do not match their hash: expected " + e.Expected + ", got " + e.Actual
 }
 
-// ForSite returns the checked configuration of a site. A site without an
-// overlay of its own runs on the base alone.
-func (b Bundle) ForSite(site string) (*Configuration, *Document, error) {
+// ForSite returns the checked configuration of a site, read by p. A site
+// without an overlay of its own runs on the base alone.
+func (b Bundle) ForSite(p *Parser, site string) (*Configuration, error) {
+	overlay := File{}
 	for _, o := range b.Overlays {
-		config, merged, err := Load(b.Base.Name, []byte(b.Base.Text), o.Name, []byte(o.Text))
+		d, err := Parse(o.Name, []byte(o.Text))
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
-		if config.Site == site {
-			return config, merged, nil
+		if s := d.find("site"); s != nil && s.find("name") != nil && s.find("name").Text == site {
+			overlay = o
 		}
 	}
-	return Load(b.Base.Name, []byte(b.Base.Text), "", nil)
+	config, _, err := p.Load(b.Base.Name, []byte(b.Base.Text), overlay.Name, []byte(overlay.Text))
+	return config, err
 }
 
 // Check checks the base with every overlay. It returns an *InvalidError
--- a/internal/version/operator/capacity_test.go
+++ b/internal/version/operator/capacity_test.go
@@ -48,3 +48,23 @@
 		})
 	}
 }
+
+// BenchmarkCapacityChange gives the time to read and check a file of which
+// one section has changed.
+func BenchmarkCapacityChange(b *testing.B) {
+	for _, n := range []int{100, 1000, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			text := declaration(n)
+			parser := operator.NewParser()
+			for i := range b.N + 1 {
+				changed := strings.Replace(text, "connections = 50", fmt.Sprintf("connections = %d", 40+i%2), 1)
+				if _, _, err := parser.Load("base.ini", []byte(changed), "", nil); err != nil {
+					b.Fatal(err)
+				}
+				if i == 0 {
+					b.ResetTimer()
+				}
+			}
+		})
+	}
+}
--- a/internal/version/operator/check.go
+++ b/internal/version/operator/check.go
@@ -35,12 +35,18 @@
 // Load parses, merges and checks a base and an overlay. An empty overlay
 // file name means none.
 func Load(baseFile string, base []byte, overlayFile string, overlay []byte) (*Configuration, *Document, error) {
-	b, err := Parse(baseFile, base)
+	return NewParser().Load(baseFile, base, overlayFile, overlay)
+}
+
+// Load parses, merges and checks as the function Load does.
+func (p *Parser) Load(baseFile string, base []byte, overlayFile string, overlay []byte) (*Configuration, *Document, error) {
+	b, err := p.Parse(baseFile, base)
 	if err != nil {
 		return nil, nil, err
 	}
 	var o *Document
 	if overlayFile != "" {
+		// An overlay is short and read anew each time.
 		if o, err = Parse(overlayFile, overlay); err != nil {
 			return nil, nil, err
 		}
--- a/internal/version/operator/document.go
+++ b/internal/version/operator/document.go
@@ -122,36 +122,128 @@
 	return strings.Join(lines, "\n")
 }
 
+// Parser reads files. It keeps what it read of each section, so that a file
+// of which little has changed is read quickly.
+type Parser struct {
+	known map[string]*chunk
+}
+
+// NewParser returns a parser that has read nothing yet.
+func NewParser() *Parser { return &Parser{known: make(map[string]*chunk)} }
+
+// chunk is the text from one section's heading to the next, as it was read.
+type chunk struct {
+	name   string
+	values []Value
+	// lines are the values' lines, counted from the heading.
+	lines      []int
+	duplicates []duplicate
+}
+
 // Parse reads the sections of a file. It returns an *InvalidError for text
 // that is no INI file, is too long, or declares a name twice.
-func Parse(file string, content []byte) (*Document, error) {
+func Parse(file string, content []byte) (*Document, error) { return NewParser().Parse(file, content) }
+
+// Parse reads the sections of a file as the function Parse does.
+func (p *Parser) Parse(file string, content []byte) (*Document, error) {
 	if len(content) > MaxLength {
 		return nil, invalid(Source{File: file, Line: 1}, "", "", fmt.Sprintf("file has %d bytes", len(content)), fmt.Sprintf("at most %d", MaxLength))
 	}
-	parsed, err := ini.LoadSources(ini.LoadOptions{
-		KeyValueDelimiters: "=", IgnoreInlineComment: false, SkipUnrecognizableLines: false,
-	}, content)
-	if err != nil {
-		return nil, invalid(Source{File: file, Line: 1}, "", "", err.Error(), "an INI file")
+	d := &Document{}
+	known := make(map[string]*chunk, len(p.known))
+	var problems []Problem
+	for line, text := range chunks(string(content)) {
+		c, err := p.read(text)
+		if err != nil {
+			return nil, invalid(Source{File: file, Line: line}, "", "", err.Error(), "an INI file")
+		}
+		known[text] = c
+		problems = append(problems, c.problems(file, line)...)
+		if c.name == ini.DefaultSection && len(c.values) == 0 {
+			continue
+		}
+		if first := d.find(c.name); first != nil {
+			problems = append(problems, Problem{
+				Source: Source{File: file, Line: line}, Section: c.name,
+				Message: fmt.Sprintf("declared twice, first in line %d", first.Source.Line),
+			})
+			continue
+		}
+		d.add(c.section(file, line))
 	}
-	lines := indexLines(string(content))
-	if len(lines.duplicates) > 0 {
-		return nil, &InvalidError{Problems: lines.problems(file)}
+	p.known = known
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
 	}
-	d := &Document{}
+	return d, nil
+}
+
+// chunks yields each section's text with the line that it begins in.
+func chunks(content string) func(yield func(int, string) bool) {
+	return func(yield func(int, string) bool) {
+		start, startLine, number, at := 0, 1, 0, 0
+		for line := range strings.Lines(content) {
+			number++
+			if strings.HasPrefix(strings.TrimSpace(line), "[") && at > start {
+				if !yield(startLine, content[start:at]) {
+					return
+				}
+				start, startLine = at, number
+			}
+			at += len(line)
+		}
+		if at > start {
+			yield(startLine, content[start:at])
+		}
+	}
+}
+
+// read returns what a section's text says.
+func (p *Parser) read(text string) (*chunk, error) {
+	if c, ok := p.known[text]; ok {
+		return c, nil
+	}
+	parsed, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", IgnoreContinuation: true}, []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	index := indexLines(text)
+	c := &chunk{name: ini.DefaultSection, duplicates: index.duplicates}
 	for _, s := range parsed.Sections() {
 		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
 			continue
 		}
-		section := Section{Name: s.Name(), Source: Source{File: file, Line: lines.of(s.Name(), "")}}
+		c.name = s.Name()
 		for _, k := range s.Keys() {
-			section.Values = append(section.Values, Value{
-				Key: k.Name(), Text: k.String(), Source: Source{File: file, Line: lines.of(s.Name(), k.Name())},
-			})
+			c.values = append(c.values, Value{Key: k.Name(), Text: k.String()})
+			c.lines = append(c.lines, index.of(s.Name(), k.Name()))
 		}
-		d.add(section)
 	}
-	return d, nil
+	if index.heading != "" {
+		c.name = index.heading
+	}
+	return c, nil
+}
+
+// section places a chunk in a file.
+func (c *chunk) section(file string, line int) Section {
+	s := Section{Name: c.name, Source: Source{File: file, Line: line}, Values: make([]Value, len(c.values))}
+	for i, v := range c.values {
+		v.Source = Source{File: file, Line: line + c.lines[i] - 1}
+		s.Values[i] = v
+	}
+	return s
+}
+
+func (c *chunk) problems(file string, line int) []Problem {
+	var problems []Problem
+	for _, d := range c.duplicates {
+		problems = append(problems, Problem{
+			Source: Source{File: file, Line: line + d.line - 1}, Section: c.name, Key: d.at.key,
+			Message: fmt.Sprintf("declared twice, first in line %d", line+d.first-1),
+		})
+	}
+	return problems
 }
 
 func invalid(at Source, section, key, message, expected string) *InvalidError {
@@ -163,6 +255,8 @@
 type lineIndex struct {
 	lines      map[lineKey]int
 	duplicates []duplicate
+	// heading is the section's name as it stands in its heading.
+	heading string
 }
 
 type duplicate struct {
@@ -183,6 +277,7 @@
 		case line == "" || line[0] == ';' || line[0] == '#':
 		case line[0] == '[' && strings.Contains(line, "]"):
 			section = strings.TrimSpace(line[1:strings.Index(line, "]")])
+			index.heading = section
 			index.note(lineKey{section, ""}, number)
 		default:
 			if key, _, ok := strings.Cut(line, "="); ok {
@@ -208,17 +303,6 @@
 	return 1
 }
 
-func (i *lineIndex) problems(file string) []Problem {
-	var problems []Problem
-	for _, d := range i.duplicates {
-		problems = append(problems, Problem{
-			Source: Source{File: file, Line: d.line}, Section: d.at.section, Key: d.at.key,
-			Message: fmt.Sprintf("declared twice, first in line %d", d.first),
-		})
-	}
-	return problems
-}
-
 // Merge lays an overlay over a base. The overlay may only change what the
 // base declares, and name its site.
 func Merge(base, overlay *Document) (*Document, error) {
--- a/internal/version/platform/history.go
+++ b/internal/version/platform/history.go
@@ -84,24 +84,13 @@
 
 // NewHistory returns the history that the platform keeps.
 func NewHistory(t platform.Table, o platform.Objects, options ...Option) *History {
-	h := &History{table: t, objects: o, sleep: sleep}
+	h := &History{table: t, objects: o, sleep: platform.Sleep}
 	for _, option := range options {
 		option(h)
 	}
 	return h
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Head returns the accepted version, version 0 before the first. It makes
 // one attempt.
 func (h *History) Head(ctx context.Context) (Head, error) {
--- a/internal/version/proxy/spread.go
+++ b/internal/version/proxy/spread.go
@@ -40,10 +40,12 @@
 	Head Head
 }
 
-// FetchFromPeer asks a peer for the content of a version.
+// FetchFromPeer asks a peer for the content of a version, or for what differs
+// from the version with the hash Have.
 type FetchFromPeer struct {
 	Peer string
 	Hash string
+	Have string
 }
 
 // FetchFromStore reads the content of a version from the object store.
@@ -152,10 +154,10 @@
 	s.fetched = now
 	s.tries++
 	if s.source != "" && s.tries == 1 {
-		return append(dst, FetchFromPeer{Peer: s.source, Hash: s.wanted.Hash})
+		return append(dst, FetchFromPeer{Peer: s.source, Hash: s.wanted.Hash, Have: s.force.Hash})
 	}
 	if len(s.peers) > 0 && s.tries%2 == 0 {
-		return append(dst, FetchFromPeer{Peer: s.peers[s.rand.IntN(len(s.peers))], Hash: s.wanted.Hash})
+		return append(dst, FetchFromPeer{Peer: s.peers[s.rand.IntN(len(s.peers))], Hash: s.wanted.Hash, Have: s.force.Hash})
 	}
 	return append(dst, FetchFromStore{Hash: s.wanted.Hash})
 }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -13,6 +13,8 @@
 	CodeUnknown = "08007"
 	// CodeAlreadyRan: a request with this id ran before.
 	CodeAlreadyRan = "23OF1"
+	// CodeCancelled: the caller cancelled the request.
+	CodeCancelled = "57014"
 	// CodeInvalid: the request itself is not acceptable and did not run.
 	CodeInvalid = "22023"
 	// CodeUnsupported: the request needs state bound to one connection.
