--- a/internal/version/operator/configuration.go
+++ b/internal/version/operator/configuration.go
@@ -128,7 +128,7 @@
 func defaults() *Configuration {
 	return &Configuration{
 		Limits: Limits{
-			Sessions: 4000, StartupTimeout: 10 * clock.Second, QueueLength: 256,
+			Sessions: 4000, StartupTimeout: 10 * clock.Second, QueueLength: 4096,
 			QueueTimeout: 2 * clock.Second, ShutdownLimit: 30 * clock.Second,
 		},
 		Reads: Reads{
