--- a/internal/core/forward_test.go
+++ b/internal/core/forward_test.go
@@ -35,9 +35,9 @@
 	_, home, others := startForwarding(t)
 	ctx := context.Background()
 	c := connect(t, others[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER, v TEXT)")
+	execute(t, c, "CREATE TABLE t (id INTEGER, v TEXT)")
 	for i := range 10 {
-		exec(t, c, "INSERT INTO t (id, v) VALUES ($1, $2)", i, "x")
+		execute(t, c, "INSERT INTO t (id, v) VALUES ($1, $2)", i, "x")
 		require.Equal(t, i+1, number(t, connect(t, others[i%2], "&oleanderflow.maxAge=5s"), "SELECT count(*) FROM t"))
 	}
 	require.NotEmpty(t, c.PgConn().ParameterStatus("oleanderflow.token"))
@@ -46,8 +46,8 @@
 	_, err = tx.Exec(ctx, "INSERT INTO t VALUES (11, 'y')")
 	require.NoError(t, err)
 	require.NoError(t, tx.Rollback(ctx))
-	exec(t, c, "INSERT INTO t VALUES (12, 'z') /*requestId='once'*/")
-	exec(t, connect(t, others[1], ""), "INSERT INTO t VALUES (12, 'z') /*requestId='once'*/")
+	execute(t, c, "INSERT INTO t VALUES (12, 'z') /*requestId='once'*/")
+	execute(t, connect(t, others[1], ""), "INSERT INTO t VALUES (12, 'z') /*requestId='once'*/")
 	require.Equal(t, 11, number(t, connect(t, home, ""), "SELECT count(*) FROM t"))
 	for _, p := range others {
 		for _, pool := range p.Serving(devGroup).Pools {
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -16,7 +16,7 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)")
+	execute(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)")
 	insert := "INSERT INTO t (v) VALUES ('fill') RETURNING id /*requestId='fill-1'*/"
 	for i, p := range []*Proxy{d.Proxies[0], d.Proxies[1], d.Proxies[2]} {
 		c := connect(t, p, "")
@@ -31,12 +31,12 @@
 func TestRequestIDOfTheSessionNamesTheNextWrite(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
-	exec(t, c, "SET oleanderflow.requestId = 'a'")
-	exec(t, c, "INSERT INTO t VALUES ($1)", 1)
-	exec(t, c, "INSERT INTO t VALUES ($1)", 2)
-	exec(t, c, "SET oleanderflow.requestId = 'a'")
-	exec(t, c, "INSERT INTO t VALUES ($1)", 1)
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "SET oleanderflow.requestId = 'a'")
+	execute(t, c, "INSERT INTO t VALUES ($1)", 1)
+	execute(t, c, "INSERT INTO t VALUES ($1)", 2)
+	execute(t, c, "SET oleanderflow.requestId = 'a'")
+	execute(t, c, "INSERT INTO t VALUES ($1)", 1)
 	require.Equal(t, 2, number(t, c, "SELECT count(*) FROM t"))
 }
 
@@ -44,12 +44,12 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY)")
-	exec(t, c, "INSERT INTO t VALUES (1)")
+	execute(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY)")
+	execute(t, c, "INSERT INTO t VALUES (1)")
 	_, err := c.Exec(ctx, "INSERT INTO t VALUES (1) /*requestId='b'*/")
 	require.Equal(t, "23505", code(err))
-	exec(t, c, "DELETE FROM t")
-	exec(t, c, "INSERT INTO t VALUES (1) /*requestId='b'*/")
+	execute(t, c, "DELETE FROM t")
+	execute(t, c, "INSERT INTO t VALUES (1) /*requestId='b'*/")
 	require.Equal(t, 1, number(t, c, "SELECT count(*) FROM t"))
 }
 
@@ -57,8 +57,8 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
-	exec(t, c, "INSERT INTO t VALUES (1) /*requestId='ran'*/")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "INSERT INTO t VALUES (1) /*requestId='ran'*/")
 	ask := func(id string) string {
 		c := connect(t, d.Proxies[2], "&oleanderflow.requestId="+id)
 		var text string
@@ -76,7 +76,7 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
 	run := func() error {
 		tx, err := c.BeginTx(ctx, pgx.TxOptions{BeginQuery: "BEGIN /*requestId='tx-1'*/"})
 		if err != nil {
@@ -98,8 +98,8 @@
 func TestRequestIDsAcrossAFailover(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id TEXT)")
-	exec(t, c, "INSERT INTO t VALUES ('warm') /*requestId='warm'*/")
+	execute(t, c, "CREATE TABLE t (id TEXT)")
+	execute(t, c, "INSERT INTO t VALUES ('warm') /*requestId='warm'*/")
 	const writers, each = 6, 30
 	done := make(chan error, writers)
 	for n := range writers {
--- /dev/null
+++ b/internal/core/processes_test.go
@@ -0,0 +1,154 @@
+package core
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/standin/caller"
+)
+
+const readyWithin = 20 * time.Second
+
+// program is the built binary.
+func program(t *testing.T) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "oleanderflow")
+	build := exec.Command("go", "build", "-o", name, "../..")
+	output, err := build.CombinedOutput()
+	require.NoError(t, err, string(output))
+	return name
+}
+
+// run starts the program and waits until it is ready.
+func run(t *testing.T, name string, environment []string, args ...string) *exec.Cmd {
+	t.Helper()
+	command := exec.Command(name, args...)
+	command.Env = append(os.Environ(), environment...)
+	out, err := command.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, command.Start())
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	ready := make(chan bool, 1)
+	go func() {
+		scanner := bufio.NewScanner(out)
+		for scanner.Scan() {
+			if strings.HasPrefix(scanner.Text(), "ready") {
+				ready <- true
+			}
+		}
+	}()
+	select {
+	case <-ready:
+	case <-time.After(readyWithin):
+		require.Fail(t, "not ready", "%v", args)
+	}
+	return command
+}
+
+// freePorts returns a port after which a development system's ports, and
+// those of three more proxies, are free.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	for range 50 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		port := l.Addr().(*net.TCPAddr).Port
+		require.NoError(t, l.Close())
+		if port < 60_000 && allFree(port, port+60) {
+			return port
+		}
+	}
+	require.Fail(t, "no free ports")
+	return 0
+}
+
+func allFree(from, to int) bool {
+	for port := from; port < to; port++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+// Separate processes under load: a proxy is killed, another stands still for
+// two seconds, the store goes, and the primary is lost. Every promise holds by
+// the record that the load keeps.
+func TestPromisesOverKilledAndFrozenProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	name := program(t)
+	base := freePorts(t)
+	at := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", base+offset) }
+	run(t, name, nil, "--log-level", "error", "dev", "--proxies", "0", "--listen", at(0))
+	environment := []string{
+		"OLEANDERFLOW_PLATFORM_ENDPOINT=http://" + at(devPlatformPort),
+		"OLEANDERFLOW_PLATFORM_KEY_ID=test", "OLEANDERFLOW_PLATFORM_SECRET=test",
+	}
+	settings := caller.Settings{Group: devGroup, Sessions: 9, Seed: 1, Pause: 2 * time.Millisecond}
+	var processes []*exec.Cmd
+	for i, zone := range devZones {
+		settings.Addresses = append(settings.Addresses, at(40+i))
+		processes = append(processes, run(t, name, environment, "--log-level", "error", "proxy",
+			"--name", fmt.Sprint("p", i), "--zone", zone, "--listen", at(40+i), "--peer-listen", at(50+i), "--peer", "p0,"+devZones[0]+","+at(50)))
+	}
+	awaitServing(t, settings.Addresses)
+	ctx := context.Background()
+	load, err := caller.Start(ctx, settings)
+	require.NoError(t, err)
+	time.Sleep(time.Second)
+	require.NoError(t, processes[2].Process.Kill())
+	time.Sleep(500 * time.Millisecond)
+	fault := func(kind string) {
+		require.NoError(t, proxy.CallAddress(ctx, at(devControlPort), methodFault, FaultMessage{Group: devGroup, Kind: kind}, nil))
+	}
+	fault("storeDown")
+	require.NoError(t, processes[1].Process.Signal(syscall.SIGSTOP))
+	time.Sleep(2 * time.Second)
+	require.NoError(t, processes[1].Process.Signal(syscall.SIGCONT))
+	time.Sleep(500 * time.Millisecond)
+	load.NoteFault()
+	fault("stopPrimary")
+	time.Sleep(3 * time.Second)
+	fault("heal")
+	fault("storeUp")
+	time.Sleep(time.Second)
+	report, err := load.Stop(ctx)
+	require.NoError(t, err)
+	t.Logf("%+v, gaps %v", report.Counts, report.Gaps)
+	require.Len(t, report.Gaps, 1, "writes did not come back")
+	for _, p := range report.Promises {
+		require.Zero(t, p.Broken, "%s: %s", p.Name, p.Example)
+	}
+}
+
+// awaitServing waits until every proxy answers a statement.
+func awaitServing(t *testing.T, addresses []string) {
+	t.Helper()
+	for _, address := range addresses {
+		require.Eventually(t, func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			_, err := caller.Bench(ctx, caller.BenchSettings{Address: address, Group: devGroup, Sessions: 1, Duration: time.Millisecond})
+			return err == nil
+		}, readyWithin, 50*time.Millisecond, address)
+	}
+}
--- a/internal/core/protocol_test.go
+++ b/internal/core/protocol_test.go
@@ -20,7 +20,7 @@
 	"github.com/oleanderflow/oleanderflow/pkg/token"
 )
 
-func exec(t *testing.T, c *pgx.Conn, query string, args ...any) {
+func execute(t *testing.T, c *pgx.Conn, query string, args ...any) {
 	t.Helper()
 	_, err := c.Exec(context.Background(), query, args...)
 	require.NoError(t, err)
@@ -44,7 +44,7 @@
 func TestErrorInTransactionRollsBack(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY)")
+	execute(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY)")
 	ctx := context.Background()
 	tx, err := c.Begin(ctx)
 	require.NoError(t, err)
@@ -61,7 +61,7 @@
 func TestSavepoints(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY)")
+	execute(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY)")
 	ctx := context.Background()
 	tx, err := c.Begin(ctx)
 	require.NoError(t, err)
@@ -80,7 +80,7 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)")
+	execute(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)")
 	_, err := c.Prepare(ctx, "put", "INSERT INTO t (id, v) VALUES ($1, $2)")
 	require.NoError(t, err)
 	_, err = c.Prepare(ctx, "get", "SELECT v FROM t WHERE id = $1")
@@ -109,7 +109,7 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)")
+	execute(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)")
 	batch := &pgx.Batch{}
 	for i := range 20 {
 		batch.Queue("INSERT INTO t (id, v) VALUES ($1, $2)", i, "x")
@@ -166,9 +166,9 @@
 func TestPortalWithRowLimit(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY)")
+	execute(t, c, "CREATE TABLE t (id INTEGER PRIMARY KEY)")
 	for i := range 10 {
-		exec(t, c, "INSERT INTO t VALUES ($1)", i)
+		execute(t, c, "INSERT INTO t VALUES ($1)", i)
 	}
 	hijacked, err := c.PgConn().Hijack()
 	require.NoError(t, err)
@@ -206,7 +206,7 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER, v TEXT)")
+	execute(t, c, "CREATE TABLE t (id INTEGER, v TEXT)")
 	rows := strings.Repeat("1\tone\n2\t\\N\n", 500)
 	tag, err := c.PgConn().CopyFrom(ctx, strings.NewReader(rows), "COPY t (id, v) FROM STDIN")
 	require.NoError(t, err)
@@ -255,7 +255,7 @@
 func TestCancelOfAWaitingRequest(t *testing.T) {
 	d := startDev(t, DevSettings{Proxies: 1})
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
 	for _, database := range d.Group.Databases {
 		database.Stop()
 	}
@@ -302,10 +302,10 @@
 func TestSettingsFollowTheSession(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "SET search_path = 'public'")
-	exec(t, c, "SET TIME ZONE 'UTC'")
-	exec(t, c, "RESET ALL")
-	exec(t, c, "DISCARD ALL")
+	execute(t, c, "SET search_path = 'public'")
+	execute(t, c, "SET TIME ZONE 'UTC'")
+	execute(t, c, "RESET ALL")
+	execute(t, c, "DISCARD ALL")
 	require.Equal(t, 1, number(t, c, "SELECT 1"))
 }
 
@@ -313,8 +313,8 @@
 	d := startDev(t, DevSettings{Lag: 300})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
-	exec(t, c, "INSERT INTO t VALUES (1)")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "INSERT INTO t VALUES (1)")
 	text := c.PgConn().ParameterStatus("oleanderflow.token")
 	parsed, err := token.Parse(text)
 	require.NoError(t, err)
@@ -324,7 +324,7 @@
 		require.Equal(t, 1, number(t, other, "SELECT count(*) FROM t /*maxAge='10s'*/"))
 	}
 	other := connect(t, d.Proxies[2], "&oleanderflow.maxAge=10s")
-	exec(t, other, "SET oleanderflow.token = '"+text+"'")
+	execute(t, other, "SET oleanderflow.token = '"+text+"'")
 	require.Equal(t, text, other.PgConn().ParameterStatus("oleanderflow.token"), "the raised floor is reported")
 	require.Equal(t, 1, number(t, other, "SELECT count(*) FROM t"))
 	var shown string
@@ -359,9 +359,9 @@
 func TestWriteThatLooksLikeAReadRunsOnceOnThePrimary(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "&oleanderflow.maxAge=5s")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
 	time.Sleep(50 * time.Millisecond)
-	exec(t, c, "WITH x AS (SELECT 7 AS id) INSERT INTO t SELECT id FROM x")
+	execute(t, c, "WITH x AS (SELECT 7 AS id) INSERT INTO t SELECT id FROM x")
 	require.Equal(t, 1, number(t, c, "SELECT count(*) FROM t"))
 }
 
--- a/internal/core/shutdown_test.go
+++ b/internal/core/shutdown_test.go
@@ -29,7 +29,7 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	p := d.Proxies[0]
-	exec(t, connect(t, p, ""), "CREATE TABLE t (id INTEGER)")
+	execute(t, connect(t, p, ""), "CREATE TABLE t (id INTEGER)")
 	running, idle, open := connect(t, p, ""), connect(t, p, ""), connect(t, p, "")
 	tx, err := open.Begin(ctx)
 	require.NoError(t, err)
@@ -74,7 +74,7 @@
 func TestLeavingBackendServerGetsNoNewWork(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "&oleanderflow.maxAge=5s")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
 	d.SetLeaving("a")
 	d.SetLeaving("b")
 	require.Eventually(t, func() bool {
@@ -85,7 +85,7 @@
 	replica, _ := d.Proxies[0].metrics.DeclaredReads()
 	for range 20 {
 		require.Equal(t, 0, number(t, c, "SELECT count(*) FROM t"))
-		exec(t, c, "INSERT INTO t (id) SELECT 1 WHERE 1 = 0")
+		execute(t, c, "INSERT INTO t (id) SELECT 1 WHERE 1 = 0")
 	}
 	after, _ := d.Proxies[0].metrics.DeclaredReads()
 	require.Equal(t, replica, after, "a read went to a leaving backend server")
--- a/internal/core/switchover_test.go
+++ b/internal/core/switchover_test.go
@@ -49,7 +49,7 @@
 	d := startDev(t, DevSettings{})
 	ctx := context.Background()
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
 	tx, err := c.Begin(ctx)
 	require.NoError(t, err)
 	_, err = tx.Exec(ctx, "INSERT INTO t VALUES (1)")
@@ -58,13 +58,13 @@
 	require.ErrorContains(t, err, "nothing was changed: 1 writes or transactions still run at proxy-1")
 	require.NoError(t, tx.Commit(ctx))
 	require.Equal(t, "a", d.Group.Primary().Name())
-	exec(t, c, "INSERT INTO t VALUES (2)")
+	execute(t, c, "INSERT INTO t VALUES (2)")
 }
 
 func TestForcedPromotionNeedsAMajorityOrAConfirmation(t *testing.T) {
 	d := startDev(t, DevSettings{})
 	c := connect(t, d.Proxies[0], "")
-	exec(t, c, "CREATE TABLE t (id INTEGER)")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
 	d.Group.Find("a").Stop()
 	d.Group.Find("b").Stop()
 	_, err := d.Proxies[0].promote(proxy.PromoteMessage{Group: devGroup, Database: "c", Force: true})
