--- a/internal/connection/caller/start.go
+++ b/internal/connection/caller/start.go
@@ -50,8 +50,8 @@
 	// HasGroup reports whether a group of this name is declared.
 	HasGroup func(name string) bool
 	// Register gives the session its process number, before the caller is
-	// told of it.
-	Register func(*Session)
+	// told of it, or returns a *ProtocolError if it cannot be held.
+	Register func(*Session) error
 }
 
 // Accept starts a session on c within the acceptor's timeout. For a cancel
@@ -166,7 +166,9 @@
 	if err := s.applyStart(m.Parameters); err != nil {
 		return err
 	}
-	a.Register(s)
+	if err := a.Register(s); err != nil {
+		return err
+	}
 	return s.sendStarted()
 }
 
--- a/internal/core/dev_test.go
+++ b/internal/core/dev_test.go
@@ -17,7 +17,7 @@
 	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
 )
 
-func startDev(t *testing.T, settings DevSettings) *Dev {
+func startDev(t testing.TB, settings DevSettings) *Dev {
 	t.Helper()
 	settings.Listen = netip.MustParseAddrPort("127.0.0.1:0")
 	settings.AnyPorts = true
@@ -33,7 +33,7 @@
 	return d
 }
 
-func connect(t *testing.T, p *Proxy, parameters string) *pgx.Conn {
+func connect(t testing.TB, p *Proxy, parameters string) *pgx.Conn {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
--- a/internal/core/hostile_test.go
+++ b/internal/core/hostile_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -8,7 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
 	"github.com/stretchr/testify/require"
 )
 
@@ -141,3 +144,12 @@
 	}
 	require.Equal(t, 1, number(t, connect(t, d.Proxies[0], ""), "SELECT 1"))
 }
+
+func TestSessionsOverTheLimitAreRefused(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1, Declarations: "[limits]\nsessions = 3\n"})
+	for range 3 {
+		connect(t, d.Proxies[0], "")
+	}
+	_, err := pgx.Connect(context.Background(), "postgres://shop@"+d.Proxies[0].Address()+"/shop1?sslmode=disable")
+	require.Equal(t, outcome.CodeOverloaded, code(err))
+}
--- a/internal/core/processes_test.go
+++ b/internal/core/processes_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -152,3 +153,56 @@
 		}, readyWithin, 50*time.Millisecond, address)
 	}
 }
+
+// Ten thousand connections that send nothing to one proxy hold bounded memory,
+// leave room for a caller, and are ended after the declared time.
+func TestTenThousandConnectionsThatSendNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const count = 10_000
+	var files syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files))
+	if files.Cur < count+1000 {
+		t.Skipf("only %d files may be open", files.Cur)
+	}
+	name := program(t)
+	base := freePorts(t)
+	at := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", base+offset) }
+	run(t, name, nil, "--log-level", "error", "dev", "--proxies", "0", "--listen", at(0))
+	process := run(t, name, []string{
+		"OLEANDERFLOW_PLATFORM_ENDPOINT=http://" + at(devPlatformPort),
+		"OLEANDERFLOW_PLATFORM_KEY_ID=test", "OLEANDERFLOW_PLATFORM_SECRET=test",
+	}, "--log-level", "error", "proxy", "--name", "p0", "--zone", devZones[0], "--listen", at(40), "--peer-listen", at(50))
+	awaitServing(t, []string{at(40)})
+	before := residentKilobytes(t, process)
+	conns := make([]net.Conn, 0, count)
+	for range count {
+		c, err := net.Dial("tcp", at(40))
+		require.NoError(t, err)
+		conns = append(conns, c)
+	}
+	held := residentKilobytes(t, process) - before
+	t.Logf("%d connections hold %d KB, %.1f KB each", count, held, float64(held)/count)
+	require.Less(t, held, 20*count, "more than 20 KB for each connection")
+	awaitServing(t, []string{at(40)})
+	for _, c := range conns {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(30*time.Second)))
+		_, err := io.Copy(io.Discard, c)
+		require.NoError(t, err, "the connection was not ended")
+		_ = c.Close()
+	}
+}
+
+// residentKilobytes reads a process's resident memory.
+func residentKilobytes(t *testing.T, c *exec.Cmd) int {
+	t.Helper()
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.Process.Pid))
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(content), "VmRSS:")
+	require.True(t, found)
+	var kilobytes int
+	_, err = fmt.Sscan(rest, &kilobytes)
+	require.NoError(t, err)
+	return kilobytes
+}
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +22,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/version/operator"
 	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
 )
 
 const (
@@ -46,6 +49,8 @@
 // Proxy is one running proxy.
 type Proxy struct {
 	*parts
+	// starting counts the connections that have not started a session yet.
+	starting atomic.Int64
 
 	instance Instance
 	log      *zap.Logger
@@ -221,11 +226,19 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
+		if starting := p.starting.Add(1); starting > maxStarting {
+			p.starting.Add(-1)
+			_ = c.Close()
+			continue
+		}
 		p.wait.Add(1)
 		go p.serveCaller(c)
 	}
 }
 
+// maxStarting bounds the connections that have not sent their start yet.
+const maxStarting = 20_000
+
 // acceptBackoff is the pause after a failed accept, as when file
 // descriptors run out.
 const acceptBackoff = 10 * time.Millisecond
@@ -234,6 +247,7 @@
 	defer p.wait.Done()
 	defer c.Close()
 	s, cancel, err := p.acceptor.Accept(c)
+	p.starting.Add(-1)
 	switch {
 	case cancel != nil:
 		p.cancel(*cancel, true)
@@ -257,9 +271,15 @@
 	return uint32(xxhash.Sum64String(name)) & proxyNumberMask
 }
 
-func (p *Proxy) register(s *callerconn.Session) {
+// register gives a session its number, unless the proxy holds as many as are
+// declared.
+func (p *Proxy) register(s *callerconn.Session) error {
+	limit := p.Configuration().Limits.Sessions
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.sessions) >= limit {
+		return &callerconn.ProtocolError{Code: outcome.CodeOverloaded, Message: fmt.Sprintf("this proxy holds %d sessions, as many as are declared; connect again later", limit)}
+	}
 	for {
 		p.nextSlot++
 		s.PID = proxyNumber(p.instance.Name) | uint32(p.nextSlot)
@@ -272,6 +292,7 @@
 	if p.leaving {
 		s.Leave()
 	}
+	return nil
 }
 
 func (p *Proxy) unregister(s *callerconn.Session) {
