Put every declared figure in force, and keep the watch of groups opened anew

Found while reading what each key does: queueTimeout bound nothing but classes, [spread] stayed at its defaults on proxies that run on accepted versions, [reads] and [failover] did not reach groups that were open, and a group whose databases changed was watched by one proxy less until the next change of membership. A test changes figures and looks for each; it failed on the watch before.

--- a/internal/core/dev_test.go
+++ b/internal/core/dev_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/oleanderflow/oleanderflow/internal/version/operator"
 	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 func startDev(t testing.TB, settings DevSettings) *Dev {
@@ -121,3 +122,30 @@
 	var one int
 	require.NoError(t, connect(t, p, "").QueryRow(ctx, "SELECT 1").Scan(&one))
 }
+
+// Every declared figure takes force, also in groups that are open already.
+func TestChangedFiguresTakeForce(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	p := d.Proxies[0]
+	before := p.Serving(devGroup)
+	h := operatorArguments(d).history()
+	head, err := h.Head(ctx)
+	require.NoError(t, err)
+	bundle, err := h.Bundle(ctx, head)
+	require.NoError(t, err)
+	bundle.Base.Text += "[reads]\nreplicaWait = 35ms\n[spread]\ngossipInterval = 700ms\n[limits]\nqueueTimeout = 3s\n"
+	_, err = h.Apply(ctx, versionplatform.Change{ID: "figures", Bundle: bundle, Onto: head.Version})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.Status().Version == 2 }, 9*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		p.spread.mu.Lock()
+		defer p.spread.mu.Unlock()
+		return p.spread.spread.Settings().GossipInterval == 700
+	}, 9*time.Second, 10*time.Millisecond)
+	after := p.Serving(devGroup)
+	require.NotSame(t, before.Router, after.Router, "the group works by its old figures")
+	require.True(t, p.Status().Groups[0].Watching, "the group is not watched any more")
+	require.Equal(t, clock.Duration(3000), after.QueueTimeout)
+	require.Equal(t, 1, number(t, connect(t, p, ""), "SELECT 1"))
+}
--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -42,13 +42,14 @@
 	opened := &group{declared: declared, monitor: monitor}
 	opened.serving = &dbrequest.Serving{
 		Name: declared.Name, Monitor: monitor, Pools: pools,
-		Gate:       dbrequest.NewGate(),
-		Retries:    dbrequest.NewRetryBudget(),
-		Homes:      dbrequest.NewHomes(p.instance.Zone),
-		Router:     dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
-		Ages:       declaredAges(declared.Name, config),
-		Classes:    matches,
-		Durability: declared.Durability, CommitWait: declared.CommitWait, WriteWait: declared.WriteWait,
+		Gate:         dbrequest.NewGate(),
+		Retries:      dbrequest.NewRetryBudget(),
+		Homes:        dbrequest.NewHomes(p.instance.Zone),
+		Router:       dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
+		Ages:         declaredAges(declared.Name, config),
+		Classes:      matches,
+		QueueTimeout: config.Limits.QueueTimeout,
+		Durability:   declared.Durability, CommitWait: declared.CommitWait, WriteWait: declared.WriteWait,
 	}
 	opened.watch = p.newWatch(opened, config)
 	monitor.SetEvents(func(e dbprocess.Event) { interrupt(pools, e) })
@@ -130,8 +131,11 @@
 	return matches, shares
 }
 
-// sameShares reports whether pools made for one configuration admit as
-// another asks.
-func sameShares(a, b []operator.Class) bool {
-	return slices.EqualFunc(a, b, func(x, y operator.Class) bool { return x.Name == y.Name && x.Reserved == y.Reserved })
+// sameFigures reports whether a group opened under one configuration works
+// by the figures of another.
+func sameFigures(a, b *operator.Configuration) bool {
+	classes := slices.EqualFunc(a.Classes, b.Classes, func(x, y operator.Class) bool {
+		return x.Name == y.Name && x.Reserved == y.Reserved
+	})
+	return classes && a.Reads == b.Reads && a.Failover == b.Failover
 }
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -79,18 +79,20 @@
 	before := g.force.Load().config
 	g.force.Store(next)
 	var retired []*group
+	var reopened []string
 	for name, old := range g.open {
 		declared, ok := next.declared[name]
-		if ok && sameDatabases(old.declared, declared) && sameShares(before.Classes, config.Classes) {
+		if ok && sameDatabases(old.declared, declared) && sameFigures(before, config) {
 			g.open[name] = g.keep(old, declared, config)
 			continue
 		}
 		delete(g.open, name)
 		retired = append(retired, old)
+		reopened = append(reopened, name)
 	}
 	changed := g.assignments.SetCount(config.Watchers)
 	changed = append(changed, g.assignments.SetGroups(slices.Collect(maps.Keys(next.declared)))...)
-	g.assignLocked(changed)
+	g.assignLocked(append(changed, reopened...))
 	g.shareLocked()
 	g.mu.Unlock()
 	for _, old := range retired {
@@ -105,6 +107,7 @@
 	serving := *old.serving
 	serving.Ages = declaredAges(declared.Name, config)
 	serving.Classes, _ = declaredClasses(config)
+	serving.QueueTimeout = config.Limits.QueueTimeout
 	serving.CommitWait, serving.WriteWait = declared.CommitWait, declared.WriteWait
 	kept.serving = &serving
 	return &kept
@@ -142,6 +145,7 @@
 	opened := g.proxy.newGroup(declared, force.config)
 	g.open[name] = opened
 	g.share(opened)
+	g.assignWatch(opened)
 	return opened
 }
 
@@ -215,25 +219,31 @@
 // have changed.
 func (g *groups) assignLocked(names []string) {
 	for _, name := range names {
-		mine := g.assignments.Watches(name, g.proxy.instance.Name)
-		if _, ok := g.open[name]; !ok && !mine {
-			continue
-		}
-		opened := g.openLocked(name)
-		if opened == nil {
-			continue
-		}
-		opened.watch.SetWatchers(watcherList(g.assignments.Watchers(name)))
+		opened, ok := g.open[name]
 		switch {
-		case mine && !opened.watching:
-			g.proxy.registry.Add(opened.watch)
-		case !mine && opened.watching:
-			g.proxy.registry.Remove(opened.watch)
+		case ok:
+			g.assignWatch(opened)
+		case g.assignments.Watches(name, g.proxy.instance.Name):
+			// Opening the group begins its watch.
+			g.openLocked(name)
 		}
-		opened.watching = mine
 	}
 }
 
+// assignWatch begins or ends this proxy's watch of one group.
+func (g *groups) assignWatch(opened *group) {
+	name := opened.serving.Name
+	mine := g.assignments.Watches(name, g.proxy.instance.Name)
+	opened.watch.SetWatchers(watcherList(g.assignments.Watchers(name)))
+	switch {
+	case mine && !opened.watching:
+		g.proxy.registry.Add(opened.watch)
+	case !mine && opened.watching:
+		g.proxy.registry.Remove(opened.watch)
+	}
+	opened.watching = mine
+}
+
 func watcherList(peers []proxy.Peer) []dbprocess.Watcher {
 	list := make([]dbprocess.Watcher, len(peers))
 	for i, w := range peers {
--- a/internal/core/spread.go
+++ b/internal/core/spread.go
@@ -63,16 +63,23 @@
 }
 
 func newSpread(p *Proxy, h *versionplatform.History) *spread {
-	figures := p.Configuration().Spread
 	source := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(proxyNumber(p.instance.Name))))
-	s := &spread{proxy: p, history: h, parser: operator.NewParser(), ready: make(map[string]*operator.Configuration), spread: versionproxy.NewSpread(versionproxy.Settings{
-		PollInterval: figures.PollInterval, GossipInterval: figures.GossipInterval,
-		Fanout: figures.Fanout, FetchTimeout: fetchTimeout,
-	}, source)}
+	s := &spread{
+		proxy: p, history: h, parser: operator.NewParser(), ready: make(map[string]*operator.Configuration),
+		spread: versionproxy.NewSpread(spreadSettings(p.Configuration()), source),
+	}
 	p.registry.Add(s)
 	return s
 }
 
+func spreadSettings(config *operator.Configuration) versionproxy.Settings {
+	figures := config.Spread
+	return versionproxy.Settings{
+		PollInterval: figures.PollInterval, GossipInterval: figures.GossipInterval,
+		Fanout: figures.Fanout, FetchTimeout: fetchTimeout,
+	}
+}
+
 // setLive tells who can be told of versions, and whether this proxy polls.
 func (s *spread) setLive(live []proxy.Peer) {
 	var names []string
@@ -230,6 +237,10 @@
 		return
 	}
 	s.proxy.PutInForce(config)
+	s.mu.Lock()
+	s.spread.SetSettings(spreadSettings(config))
+	s.mu.Unlock()
+	s.setLive(s.proxy.livePeers())
 	s.proxy.log.Info("version in force", zap.Uint64("version", a.Head.Version), zap.String("hash", a.Head.Hash))
 }
 
--- a/internal/request/database/serving.go
+++ b/internal/request/database/serving.go
@@ -34,7 +34,7 @@
 		}
 		return i, c.Deadline
 	}
-	return connection.NoClass, 0
+	return connection.NoClass, s.QueueTimeout
 }
 
 // Serving is a database group as one accepted configuration serves it. A
@@ -53,6 +53,9 @@
 	Ages       []Age
 	Classes    []Class
 	Durability process.Durability
+	// QueueTimeout bounds the wait for a connection of a request that no class
+	// claims.
+	QueueTimeout clock.Duration
 	// CommitWait bounds the wait for a commit's confirmation.
 	CommitWait clock.Duration
 	// WriteWait bounds the wait for a primary and a connection.
--- a/internal/version/proxy/spread.go
+++ b/internal/version/proxy/spread.go
@@ -87,6 +87,12 @@
 // random source chooses the peers that are told.
 func NewSpread(s Settings, r *rand.Rand) *Spread { return &Spread{settings: s, rand: r} }
 
+// SetSettings replaces the figures.
+func (s *Spread) SetSettings(settings Settings) { s.settings = settings }
+
+// Settings returns the figures.
+func (s *Spread) Settings() Settings { return s.settings }
+
 // SetPeers replaces the live peers, and says whether this proxy is one of
 // the few that poll.
 func (s *Spread) SetPeers(peers []string, poller bool) {
