Let a transaction keep the configuration that it began with

Cause, found while feeding every status to the monitor: a held transaction took its group anew with each statement, so that after a change of the declared order its status would have been counted as another database's word, and a commit confirmed by one database twice; a guard on the event number hid it. The transaction keeps its group now, and a group that is not declared any more confirms the commits that still run.

--- a/internal/core/dev_test.go
+++ b/internal/core/dev_test.go
@@ -5,6 +5,7 @@
 	"database/sql"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/version/operator"
 	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -149,3 +151,66 @@
 	require.Equal(t, clock.Duration(3000), after.QueueTimeout)
 	require.Equal(t, 1, number(t, connect(t, p, ""), "SELECT 1"))
 }
+
+// A group of one database has no replica to ask; its own word is a majority.
+func TestGroupOfOneDatabase(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	p := d.Proxies[0]
+	h := operatorArguments(d).history()
+	head, err := h.Head(ctx)
+	require.NoError(t, err)
+	bundle, err := h.Bundle(ctx, head)
+	require.NoError(t, err)
+	bundle.Base.Text += "[group.solo]\ncustomer = shop\n[database.solo.a]\naddress = " + d.Group.Find("a").Address() + "\nzone = zone-a\n"
+	_, err = h.Apply(ctx, versionplatform.Change{ID: "solo", Bundle: bundle, Onto: head.Version})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.Status().Version == 2 }, 9*time.Second, 10*time.Millisecond)
+	c, err := pgx.Connect(ctx, "postgres://shop@"+p.Address()+"/solo?sslmode=disable")
+	require.NoError(t, err)
+	defer c.Close(ctx)
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
+	began := time.Now()
+	execute(t, c, "INSERT INTO t VALUES (1) /*requestId='one'*/")
+	_, err = c.PgConn().CopyFrom(ctx, strings.NewReader("2\n"), "COPY t FROM STDIN")
+	require.NoError(t, err)
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO t VALUES (3)")
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit(ctx))
+	require.Equal(t, 3, number(t, c, "SELECT count(*) FROM t"))
+	t.Log(time.Since(began))
+	require.Less(t, time.Since(began), 3*time.Second)
+}
+
+// A transaction that was open when the group's databases were declared in
+// another order goes on, and its commit is confirmed by the right database.
+func TestTransactionKeepsTheConfigurationItBeganWith(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	p := d.Proxies[0]
+	c := connect(t, p, "")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
+	_, err := p.promote(proxy.PromoteMessage{Group: devGroup, Database: "c"})
+	require.NoError(t, err)
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO t VALUES (1)")
+	require.NoError(t, err)
+	h := operatorArguments(d).history()
+	head, err := h.Head(ctx)
+	require.NoError(t, err)
+	base := "[group.shop1]\ncustomer = shop\nconnections = 50\n"
+	for _, name := range []string{"c", "b", "a"} {
+		base += fmt.Sprintf("[database.shop1.%s]\naddress = %s\nzone = %s\n", name, d.Group.Find(name).Address(), d.Group.Find(name).Zone())
+	}
+	bundle := operator.Bundle{Base: operator.File{Name: "dev.ini", Text: base}}
+	_, err = h.Apply(ctx, versionplatform.Change{ID: "reordered", Bundle: bundle, Onto: head.Version})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.Status().Version == 2 }, 9*time.Second, 10*time.Millisecond)
+	_, err = tx.Exec(ctx, "INSERT INTO t VALUES (2)")
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit(ctx))
+	require.Equal(t, 2, number(t, c, "SELECT count(*) FROM t"))
+}
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
 	dbprocess "github.com/oleanderflow/oleanderflow/internal/process/database"
@@ -113,16 +113,33 @@
 	return &kept
 }
 
-// retire closes a group that is not declared any more, or otherwise.
-// Requests that run on it finish.
+// retire closes a group that is not declared any more, or otherwise. What
+// runs on it finishes, and its commits are still confirmed.
 func (g *groups) retire(old *group) {
 	g.proxy.registry.Remove(old.monitor)
 	g.proxy.registry.Remove(old.watch)
-	for _, pool := range old.serving.Pools {
+	for _, pool := range append(old.serving.Homes.Set(nil), old.serving.Pools...) {
 		pool.Close()
 	}
 	old.watch.Close()
-	time.AfterFunc(g.force.Load().config.Limits.ShutdownLimit.Std(), old.monitor.Close)
+	g.proxy.wait.Add(1)
+	go func() {
+		defer g.proxy.wait.Done()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			old.serving.Gate.AwaitQuiet(ctx)
+		}()
+		select {
+		case <-ended:
+		case <-g.proxy.done:
+			cancel()
+			<-ended
+		}
+		old.monitor.Close()
+	}()
 }
 
 // openGroup begins to serve a declared group. It returns nil for one that is
--- a/internal/request/caller/forward.go
+++ b/internal/request/caller/forward.go
@@ -60,12 +60,12 @@
 		return false, nil
 	}
 	w.decided(r, home.Name, database.ReasonForwarded, "answered")
-	return true, w.finishForwarded(home, conn)
+	return true, w.finishForwarded(r, home, conn)
 }
 
 // finishForwarded takes in the session's new floor, and keeps the connection
 // of an open transaction.
-func (w *worker) finishForwarded(home database.Home, conn *connection.Conn) error {
+func (w *worker) finishForwarded(r *request, home database.Home, conn *connection.Conn) error {
 	x := &w.x
 	if parsed, err := token.Parse(x.token); err == nil {
 		w.session.RaiseFloor(parsed.Floor)
@@ -73,7 +73,7 @@
 	}
 	if x.midBatch || x.txStatus != 'I' {
 		w.midBatch = x.midBatch
-		w.session.Transaction = &caller.Held{Conn: conn, Pool: home.Pool, Forwarded: true}
+		w.session.Transaction, w.heldServing = &caller.Held{Conn: conn, Pool: home.Pool, Forwarded: true}, r.serving
 		return w.deliver()
 	}
 	w.midBatch = false
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -67,6 +67,8 @@
 	session *caller.Session
 	batch   batch
 	x       exchange
+	// heldServing is the group as it served the open transaction's beginning.
+	heldServing *database.Serving
 	// gate is the one that a running write or transaction has passed.
 	gate *database.Gate
 	// skipping drops messages after an error until Sync.
--- a/internal/request/caller/ledger.go
+++ b/internal/request/caller/ledger.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return true, err
 	}
-	status, err := commitLedgered(conn, "UPDATE oleanderflow_ledger SET result = "+quote(result)+" WHERE id = "+quote(r.id)+";COMMIT")
+	status, err := w.commitLedgered(r, conn, "UPDATE oleanderflow_ledger SET result = "+quote(result)+" WHERE id = "+quote(r.id)+";COMMIT")
 	pool.Release(conn)
 	if err != nil || !status.Leads() {
 		// The commit may have taken effect: the next try learns from the ledger.
@@ -223,7 +223,7 @@
 // replay answers a repeat with what the ledger has recorded.
 func (w *worker) replay(r *request, pool *connection.Pool, conn *connection.Conn) (bool, error) {
 	rollback(conn)
-	text, status, err := readLedger(conn, r.id)
+	text, status, err := w.readLedger(r, conn)
 	pool.Release(conn)
 	if err != nil || !status.Leads() {
 		return w.retryLater(r)
@@ -372,6 +372,7 @@
 	var primary int
 	r.serving.Monitor.View(func(g *process.Group) { primary, _ = g.Primary() })
 	pool := r.serving.Pools[primary]
+	r.use.Database = primary
 	conn, err := r.acquire(pool)
 	if err != nil {
 		return "", err
@@ -385,7 +386,7 @@
 	if err != nil && !(errors.As(err, &server) && server.Code == codeUnique) {
 		return "", err
 	}
-	text, status, err := readLedger(conn, r.id)
+	text, status, err := w.readLedger(r, conn)
 	if err != nil {
 		return "", err
 	}
@@ -444,19 +445,19 @@
 	}
 }
 
-func commitLedgered(conn *connection.Conn, query string) (process.Status, error) {
+func (w *worker) commitLedgered(r *request, conn *connection.Conn, query string) (process.Status, error) {
 	if _, err := runControl(conn, query); err != nil {
 		rollback(conn)
 		return process.Status{}, err
 	}
-	return askStatus(conn)
+	return w.askReported(r, conn)
 }
 
-func readLedger(conn *connection.Conn, id string) (string, process.Status, error) {
-	text, err := runControl(conn, "SELECT result FROM oleanderflow_ledger WHERE id = "+quote(id))
+func (w *worker) readLedger(r *request, conn *connection.Conn) (string, process.Status, error) {
+	text, err := runControl(conn, "SELECT result FROM oleanderflow_ledger WHERE id = "+quote(r.id))
 	if err != nil {
 		return "", process.Status{}, err
 	}
-	status, err := askStatus(conn)
+	status, err := w.askReported(r, conn)
 	return text, status, err
 }
--- a/internal/request/caller/transaction.go
+++ b/internal/request/caller/transaction.go
@@ -13,7 +13,7 @@
 func (w *worker) hold(r *request, pool *connection.Pool, conn *connection.Conn, i int) error {
 	w.midBatch = w.x.midBatch
 	held := &caller.Held{Conn: conn, Pool: pool, Database: i}
-	w.session.Transaction = held
+	w.session.Transaction, w.heldServing = held, r.serving
 	if w.batch.kind == KindBegin && r.id != "" {
 		if err := w.beginLedgered(r); err != nil {
 			w.abandonTransaction()
@@ -43,14 +43,13 @@
 func (w *worker) runHeld() error {
 	defer w.leaveUnlessHeld()
 	held := w.session.Transaction
-	serving := w.groups.Serving(w.session.Group)
-	if serving == nil {
-		w.abandonTransaction()
-		return w.refuseBatch(outcome.NewRefused(outcome.CodeNoGroup, "the database group is not declared any more"), false)
-	}
+	// A transaction keeps the configuration that it began with.
+	serving := w.heldServing
 	ctx, cancel := context.WithTimeout(context.Background(), serving.WriteWait.Std())
 	defer cancel()
 	r := &request{serving: serving, began: w.clock.Now(), ctx: ctx}
+	r.use.Database = held.Database
+	r.sent, r.sentAt = w.sequence.Next(), w.clock.Now()
 	x := &w.x
 	wrote := x.wrote && w.midBatch
 	x.prepare(w.session, held.Conn, &w.batch)
@@ -67,7 +66,7 @@
 	}
 	if held.Forwarded {
 		w.decided(r, "", database.ReasonForwarded, "answered")
-		return w.finishForwarded(database.Home{Pool: held.Pool}, held.Conn)
+		return w.finishForwarded(r, database.Home{Pool: held.Pool}, held.Conn)
 	}
 	w.decided(r, serving.Monitor.Members()[held.Database].Name, database.ReasonTransaction, "answered")
 	return w.finish(r, held.Pool, held.Conn, held.Database)
--- a/internal/request/caller/write.go
+++ b/internal/request/caller/write.go
@@ -99,14 +99,11 @@
 	}
 	w.midBatch = false
 	w.session.Transaction = nil
-	commit, needed, err := w.commitPosition(conn)
+	commit, needed, err := w.commitPosition(r, conn)
 	pool.Release(conn)
 	if err != nil {
 		return w.refuseBatch(outcome.NewUnknown(err.Error()), false)
 	}
-	if needed && x.hasAfter && r.sent > 0 {
-		w.report(r, x.after)
-	}
 	if needed {
 		if err := w.acknowledge(r, commit); err != nil {
 			return w.refuseBatch(err, false)
@@ -121,16 +118,18 @@
 
 // commitPosition returns the position that must be confirmed before the
 // answer is passed on, and whether there is one.
-func (w *worker) commitPosition(conn *connection.Conn) (position.Position, bool, error) {
+func (w *worker) commitPosition(r *request, conn *connection.Conn) (position.Position, bool, error) {
 	x := &w.x
 	hidden := x.hasBefore && x.hasAfter && x.before.Applied != x.after.Applied
 	if !x.wrote && !hidden {
 		return position.Position{}, false, nil
 	}
 	status := x.after
-	if !x.hasAfter {
+	if x.hasAfter {
+		w.report(r, status)
+	} else {
 		var err error
-		if status, err = askStatus(conn); err != nil {
+		if status, err = w.askReported(r, conn); err != nil {
 			return position.Position{}, true, err
 		}
 	}
@@ -140,6 +139,17 @@
 	return status.Applied, true, nil
 }
 
+// askReported asks for the status on a connection that is at rest, and feeds
+// it to the monitor: a commit's own database is one of those that confirm it.
+func (w *worker) askReported(r *request, conn *connection.Conn) (process.Status, error) {
+	r.sent, r.sentAt = w.sequence.Next(), w.clock.Now()
+	status, err := askStatus(conn)
+	if err == nil {
+		w.report(r, status)
+	}
+	return status, err
+}
+
 // askStatus asks for the status on a connection that is at rest.
 func askStatus(conn *connection.Conn) (process.Status, error) {
 	var status process.Status
