Hold own settings inside transactions, and drop what nothing uses

SET oleanderflow.maxAge inside of a transaction went to the database, which keeps no such setting; the proxy answers it now, and a test does so. Each UPDATE in a transaction had the connection's settings reset for the next session; only SET and several statements at once do now.

--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -123,19 +123,12 @@
 	s.Backend.SetMaxBodyLen(maxMessageLength)
 }
 
-// RemoteAddr returns the caller's address.
-func (s *Session) RemoteAddr() string { return s.net.RemoteAddr().String() }
-
 // Write sends encoded messages to the caller.
 func (s *Session) Write(messages []byte) error {
 	_, err := s.net.Write(messages)
 	return err
 }
 
-// SetDeadline bounds all further reads and writes. The zero time lifts the
-// bound.
-func (s *Session) SetDeadline(t time.Time) { _ = s.net.SetDeadline(t) }
-
 // Close ends the connection.
 func (s *Session) Close() error { return s.net.Close() }
 
--- a/internal/core/protocol_test.go
+++ b/internal/core/protocol_test.go
@@ -309,6 +309,22 @@
 	require.Equal(t, 1, number(t, c, "SELECT 1"))
 }
 
+func TestOwnSettingsHoldInsideATransaction(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	c := connect(t, d.Proxies[0], "")
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "SET oleanderflow.maxAge = '3s'")
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "CREATE TABLE t (id INTEGER)")
+	require.NoError(t, err, "the transaction goes on")
+	require.NoError(t, tx.Commit(ctx))
+	var age string
+	require.NoError(t, c.QueryRow(ctx, "SHOW oleanderflow.maxAge").Scan(&age))
+	require.Equal(t, "3s", age)
+}
+
 func TestTokenCarriesTheFloor(t *testing.T) {
 	d := startDev(t, DevSettings{Lag: 300})
 	ctx := context.Background()
--- a/internal/process/database/failover.go
+++ b/internal/process/database/failover.go
@@ -188,9 +188,6 @@
 // Phase returns what the failover is doing, and in which term.
 func (f *Failover) Phase() (Phase, uint64) { return f.phase, f.term }
 
-// Suspects reports whether this watcher holds the primary to be lost.
-func (f *Failover) Suspects() bool { return f.suspect }
-
 // Tick advances time and appends to dst what is to be done.
 func (f *Failover) Tick(now clock.Time, dst []Action) []Action {
 	f.forgiveOwnPause(now)
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -58,9 +58,6 @@
 	return h
 }
 
-// Sequence numbers the events that the handler's decisions refer to.
-func (h *Handler) Sequence() *process.Sequence { return h.sequence }
-
 // worker serves the requests of one session in turn.
 type worker struct {
 	*Handler
@@ -267,7 +264,8 @@
 
 func (w *worker) dispatch() error {
 	b := &w.batch
-	if b.steps[0].kind == stepQuery && isLocal(b.kind) && w.session.Transaction == nil {
+	local := b.steps[0].kind == stepQuery && isLocal(b.kind)
+	if local && (w.session.Transaction == nil || concernsProxy(b.query)) {
 		return w.answerLocalQuery()
 	}
 	if b.onlyLocal() && !w.midBatch {
@@ -300,7 +298,7 @@
 		replies = append(describeLocal(query), replies...)
 	}
 	var out []byte
-	for _, m := range append(replies, &pgproto3.ReadyForQuery{TxStatus: 'I'}) {
+	for _, m := range append(replies, &pgproto3.ReadyForQuery{TxStatus: w.transactionStatus()}) {
 		if out, err = m.Encode(out); err != nil {
 			return err
 		}
--- a/internal/request/caller/local.go
+++ b/internal/request/caller/local.go
@@ -43,6 +43,17 @@
 	return complete("SET"), nil
 }
 
+// concernsProxy reports whether a SET, RESET or SHOW names a setting of the
+// proxy's own, which holds inside a transaction too.
+func concernsProxy(query string) bool {
+	_, rest := cutWord(skipComments(query))
+	name, after := cutWord(rest)
+	if name == "session" {
+		name, _ = cutWord(after)
+	}
+	return caller.IsOwnSetting(name)
+}
+
 func complete(tag string) []pgproto3.BackendMessage {
 	return []pgproto3.BackendMessage{&pgproto3.CommandComplete{CommandTag: []byte(tag)}}
 }
--- a/internal/request/caller/transaction.go
+++ b/internal/request/caller/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/caller"
 	connection "github.com/oleanderflow/oleanderflow/internal/connection/database"
@@ -54,7 +55,7 @@
 	wrote := x.wrote && w.midBatch
 	x.prepare(w.session, held.Conn, &w.batch)
 	x.wrote = wrote
-	if w.batch.kind == KindSet || w.batch.kind == KindWrite && containsFold(w.batch.query, "set ") {
+	if mayChangeSettings(w.batch.kind, w.batch.query) {
 		held.Conn.Settings = settingsUnknown
 	}
 	err := w.assembleHeld(held)
@@ -72,6 +73,13 @@
 	return w.finish(r, held.Pool, held.Conn, held.Database)
 }
 
+// mayChangeSettings reports whether a batch may leave settings behind that
+// outlast its transaction.
+func mayChangeSettings(kind Kind, query string) bool {
+	several := strings.IndexByte(query, ';') >= 0
+	return kind == KindSet || several && containsFold(query, "set ")
+}
+
 // assembleHeld builds the request for a held connection, whose settings are
 // the transaction's own.
 func (w *worker) assembleHeld(held *caller.Held) error {
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -2,10 +2,7 @@
 // passed in, so that every decision also runs in virtual time.
 package clock
 
-import (
-	"sync/atomic"
-	"time"
-)
+import "time"
 
 // Time is a point on one clock, in milliseconds since that clock's origin.
 // Times of two clocks are not comparable.
@@ -54,22 +51,3 @@
 
 // Now returns the time elapsed since the clock was created.
 func (s *System) Now() Time { return Time(time.Since(s.origin).Milliseconds()) }
-
-// Virtual is a clock that moves only when told to. It is safe for
-// concurrent use.
-type Virtual struct {
-	now atomic.Int64
-}
-
-// NewVirtual returns a virtual clock that stands at start.
-func NewVirtual(start Time) *Virtual {
-	v := &Virtual{}
-	v.now.Store(int64(start))
-	return v
-}
-
-// Now returns the virtual time.
-func (v *Virtual) Now() Time { return Time(v.now.Load()) }
-
-// Advance moves the clock forward by d.
-func (v *Virtual) Advance(d Duration) { v.now.Add(int64(d)) }
