--- a/internal/core/capacity_test.go
+++ b/internal/core/capacity_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -14,6 +16,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	callerrequest "github.com/oleanderflow/oleanderflow/internal/request/caller"
 	dbrequest "github.com/oleanderflow/oleanderflow/internal/request/database"
+	"github.com/oleanderflow/oleanderflow/internal/version/operator"
 )
 
 // BenchmarkCapacityDecisionLog gives the cost of one decision's log line and
@@ -58,3 +61,37 @@
 	}
 	return len(encoded)
 }
+
+// BenchmarkCapacityOpenGroup gives what a proxy holds for each group that it
+// serves, before its ring has filled: pools, monitor, watch and router.
+func BenchmarkCapacityOpenGroup(b *testing.B) {
+	for _, n := range []int{4, 16, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := &Proxy{parts: initializeParts(), log: zap.NewNop(), instance: Instance{Name: "entry-1", Zone: "zone-1"}}
+			defer p.parts.close()
+			config := operator.Default()
+			declared := make([]operator.Group, n)
+			for i := range declared {
+				declared[i].Name = fmt.Sprintf("shop%05d", i)
+				for d := range 3 {
+					database := operator.Database{Address: fmt.Sprintf("10.0.%d.%d:5432", i, d), Zone: fmt.Sprintf("zone-%d", d)}
+					database.Name = string(rune('a' + d))
+					declared[i].Databases = append(declared[i].Databases, database)
+				}
+			}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			opened := make([]*group, n)
+			for i := range declared {
+				opened[i] = p.newGroup(&declared[i], config)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for range b.N {
+				runtime.KeepAlive(opened)
+			}
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(n), "bytes/group")
+		})
+	}
+}
--- a/internal/core/drivers_test.go
+++ b/internal/core/drivers_test.go
@@ -15,7 +15,8 @@
 			d := startDev(t, DevSettings{})
 			var dbs []*sql.DB
 			for _, p := range d.Proxies {
-				db, err := sql.Open(driver, "postgres://shop@"+p.Address()+"/shop1?sslmode=disable")
+				// One session that runs on several kept connections says so.
+				db, err := sql.Open(driver, "postgres://shop@"+p.Address()+"/shop1?sslmode=disable&oleanderflow.session=suite")
 				require.NoError(t, err)
 				defer db.Close()
 				dbs = append(dbs, db)
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -51,6 +51,7 @@
 	*parts
 	// starting counts the connections that have not started a session yet.
 	starting atomic.Int64
+	closing  sync.Once
 
 	instance Instance
 	log      *zap.Logger
@@ -378,14 +379,11 @@
 	}
 }
 
-// Close ends the proxy at once.
-func (p *Proxy) Close() {
-	select {
-	case <-p.done:
-		return
-	default:
-		close(p.done)
-	}
+// Close ends the proxy at once. Further calls wait for the first.
+func (p *Proxy) Close() { p.closing.Do(p.close) }
+
+func (p *Proxy) close() {
+	close(p.done)
 	_ = p.listener.Close()
 	p.closeSessions()
 	p.registry.Close()
