Take a forwarded caller's floor after its own arrival

The test that causes it, replicas 200 ms late and two homes, read 1 row of 2 before; three runs of 12 writes pass after.

Beside it, without a change of behaviour: one branch on a confirmed commit instead of two, and a request id taken for forwarding is not looked for again when the request is served here after all, which would have lost it.

--- a/internal/core/forward_test.go
+++ b/internal/core/forward_test.go
@@ -84,3 +84,33 @@
 		require.Zero(t, p.Broken, "%s: %s", p.Name, p.Example)
 	}
 }
+
+// A caller without a token arrives after a write was acknowledged elsewhere.
+// The connection between the proxies is older than the write, and must not be
+// taken for the caller's arrival.
+func TestFloorOfAForwardedCallerIsTakenAfterItsArrival(t *testing.T) {
+	d := startDev(t, DevSettings{GroupDeclarations: "homes = 2\n"})
+	var home, other *Proxy
+	require.Eventually(t, func() bool {
+		home, other = nil, nil
+		for _, p := range d.Proxies {
+			if p.Serving(devGroup).Homes.Forwards() {
+				other = p
+			} else {
+				home = p
+			}
+		}
+		return home != nil && other != nil
+	}, 10*time.Second, 10*time.Millisecond)
+	c := connect(t, home, "")
+	execute(t, c, "CREATE TABLE t (id INTEGER)")
+	for _, database := range d.Group.Databases {
+		database.SetLag(200)
+	}
+	for i := range 12 {
+		// The replicas have all but the next write.
+		time.Sleep(300 * time.Millisecond)
+		execute(t, c, "INSERT INTO t VALUES (1)")
+		require.Equal(t, i+1, number(t, connect(t, other, ""), "SELECT count(*) FROM t /*maxAge='10s'*/"))
+	}
+}
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -175,6 +175,10 @@
 // takeRequestID finds the id of a writing request. One that was set for the
 // session names the next writing request alone.
 func (w *worker) takeRequestID(r *request, tags Tags) {
+	if r.id != "" {
+		// Taken before the request was to be forwarded.
+		return
+	}
 	r.id, r.tagged = tags.RequestID, tags.RequestID != ""
 	if r.id == "" && w.session.RequestID != "" && w.batch.executed && w.batch.kind != KindRead {
 		r.id = w.session.RequestID
@@ -185,10 +189,14 @@
 // learnFloor samples the floor of a session that brought no token.
 func (w *worker) learnFloor(r *request) error {
 	after := w.session.Arrived
-	if w.session.Shared != "" {
+	switch {
+	case w.session.Shared != "":
 		after = r.read.Arrived
-	} else if w.session.FloorKnown {
+	case w.session.FloorKnown:
 		return nil
+	case w.session.Forwarded:
+		// The connection is another proxy's and older than its caller.
+		after = r.read.Arrived
 	}
 	sample, err := r.serving.Monitor.AwaitFresh(r.ctx, after)
 	if err != nil {
--- a/internal/request/caller/write.go
+++ b/internal/request/caller/write.go
@@ -108,8 +108,6 @@
 		if err := w.acknowledge(r, commit); err != nil {
 			return w.refuseBatch(err, false)
 		}
-	}
-	if needed {
 		w.session.RaiseFloor(commit)
 		w.session.FloorKnown = true
 	}
