End feeds soon that few proxies ask of a silent store

Cause: below 50 proxies no relay stands in, and a feed could hang for 31.5 s at a store that had gone silent; a configuration has to be in force after 3 s, a leaving database left alone after 7 s, by machines 4 s in touch. Change: the configuration's feed is held for 4 s, that of the databases for 8 s, and a failed call ends the feeds of all tables. A feed ended so is not counted as one more failure. Ruled out: the same bound on every table, which costs four calls in place of one and a half.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -38,6 +38,13 @@
 	// storeWait is how long a proxy that follows the store for itself lets it
 	// hold a feed open: as long as the store likes.
 	storeWait = clock.Minute
+	// ownPulse takes its place in the configuration's table, ownRegistryWait in
+	// that of the databases. A store that went silent may be back for a while
+	// before the answer to an earlier call is given up: both leave seconds of
+	// the times in which a configuration has to be in force and a leaving
+	// database gets no more requests.
+	ownPulse        = 4 * clock.Second
+	ownRegistryWait = 8 * clock.Second
 )
 
 // outage spaces the calls to a store that does not answer, for all tables
@@ -183,6 +190,9 @@
 	case errors.Is(err, store.ErrHistoryGone):
 		f.outage.answered()
 		f.relays.heard(now)
+	case errors.Is(err, context.Canceled):
+		// Another table's call has failed and counts.
+		f.relays.lose()
 	default:
 		f.outage.failed(now)
 		f.relays.lose()
@@ -201,25 +211,41 @@
 		changes.Rows, changes.Version, err = f.peers.Store.Table(ctx, table)
 		return changes, err
 	}
-	ctx, wait := context.Background(), storeWait
+	ctx, wait := f.outage.untilFailed(), f.holdTime(table)
 	switch {
 	case f.outage.on():
-		wait = trialWait
-	case !f.relays.exist():
-	case !f.relays.isRelay(), table == f.peers.ConfigurationTable:
-		// One that no relay answers asks a store that may be silent: its call
-		// must not hang for as long as the store may hold a feed open.
-		wait = pulse
-		limited, cancel := context.WithTimeout(ctx, (pulse + pulseGrace).Std())
+		ctx, wait = context.Background(), trialWait
+	case wait < relayStoreWait:
+		limited, cancel := context.WithTimeout(ctx, (wait + pulseGrace).Std())
 		defer cancel()
 		ctx = limited
-	default:
-		ctx, wait = f.outage.untilFailed(), relayStoreWait
 	}
 	changes.Rows, changes.Version, err = f.peers.Store.Feed(ctx, table, version, wait)
 	return changes, err
 }
 
+// holdTime returns how long the store may hold a feed of a table open. The
+// configuration's feeds also show soon that the store has gone silent; the
+// other tables' feeds end with them.
+func (f *Front) holdTime(table string) clock.Duration {
+	switch {
+	case !f.relays.exist():
+		switch table {
+		case f.peers.ConfigurationTable:
+			return ownPulse
+		case f.peers.RegistryTable:
+			return ownRegistryWait
+		default:
+			return storeWait
+		}
+	case !f.relays.isRelay(), table == f.peers.ConfigurationTable:
+		// One that no relay answers asks a store that may be silent.
+		return pulse
+	default:
+		return relayStoreWait
+	}
+}
+
 func (f *Front) isDone() bool {
 	select {
 	case <-f.done:
--- a/internal/front/follow_test.go
+++ b/internal/front/follow_test.go
@@ -189,3 +189,30 @@
 		require.LessOrEqual(t, f.clock.Now().Sub(began), pulse+pulseGrace+clock.Second)
 	}
 }
+
+// A standard site has too few proxies for relays. A configuration has to be in
+// force 3 s after its acknowledgement, and a leaving database gets no requests
+// after 7 s, by machines that were in touch with the store for 4 s.
+func TestFewProxiesAreNotHeldByASilentStore(t *testing.T) {
+	const inTouch = 4 * clock.Second
+	s := &silentStore{}
+	f := New(Settings{}, Peers{Store: s, ConfigurationTable: "op", RegistryTable: "servers"},
+		clock.NewBoot(), zap.NewNop(), NewMetrics())
+	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers", "agreement"}, f.clock, f.log)
+	var wg sync.WaitGroup
+	for table, bound := range map[string]clock.Duration{"op": inTouch + 3*clock.Second, "servers": inTouch + 7*clock.Second} {
+		wg.Go(func() {
+			began := f.clock.Now()
+			_, _, err := f.changes(table, true, 5)
+			require.Error(t, err)
+			// The next try follows within twice mostRetry.
+			require.Less(t, f.clock.Now().Sub(began)+2*mostRetry, bound, table)
+		})
+	}
+	// A table without a bound of its own ends with the first that has failed.
+	began := f.clock.Now()
+	_, _, err := f.changes("agreement", true, 5)
+	require.Error(t, err)
+	require.Less(t, f.clock.Now().Sub(began), inTouch+3*clock.Second)
+	wg.Wait()
+}
