Have one proxy in twenty serve a group for the others, not one in ten

Cause: 14 homes of a group on grown Luz Limpia kept 42 statements waiting at a primary with three places before their gates had learned of each other, in the seconds after all machines had lost power. Statements of open transactions and questions for a status wait in the same queue. Change: proxiesPerHome 20: seven homes on 121 and 138 proxies.

--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -27,7 +27,7 @@
 	homeConnections = 5
 	// proxiesPerHome is how many proxies share a home at least. With more homes
 	// each one sees too little of the primary to know recent positions.
-	proxiesPerHome = 10
+	proxiesPerHome = 20
 	// fewHomes is below how many homes the connections alone decide.
 	fewHomes = 7
 	// leastHomes are chosen where a database grants very few connections.
