Spare a store that is lost to the relays

Change: when the relays say that the store is lost, one call tries it for all tables, and followers try again after 1.5 to 3 s while they go on to ask the relays. More than two relays are asked if the first have answered at once. A feed that ended with another's failure notes nothing. Ruled out: asking only relays, since a store may be silent to just those.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -30,6 +30,10 @@
 	// the store is back. Up to as much again is added at random.
 	leastRetry = 300 * clock.Millisecond
 	mostRetry  = 600 * clock.Millisecond
+	// followerRetry takes their place where relays say that the store is lost:
+	// with up to as much again it leaves a second of the five in which a
+	// configuration has to be in force, should only the relays be cut off.
+	followerRetry = 1500 * clock.Millisecond
 	// trialWait is how long the store may hold a feed open that is to tell
 	// whether it answers.
 	trialWait = 1 * clock.Millisecond
@@ -54,6 +58,8 @@
 	mu      sync.Mutex
 	backoff clock.Duration
 	nextTry clock.Time
+	// told is set if relays answer that the store is lost to them as well.
+	told bool
 	// over is closed once a call was answered.
 	over chan struct{}
 	// spell lasts from one failure to the next, and end ends it.
@@ -94,6 +100,19 @@
 	return o.backoff > 0
 }
 
+// suspect notes that the relays say that the store is lost to them. One call
+// then tries for all tables, and few follow while the relays answer: they are
+// asked all the time, and try the store themselves.
+func (o *outage) suspect(now clock.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.told = true
+	if o.backoff == 0 {
+		o.over = make(chan struct{})
+		o.backoff, o.nextTry = leastRetry, now
+	}
+}
+
 // failed notes that a call was not answered.
 func (o *outage) failed(now clock.Time) {
 	o.mu.Lock()
@@ -102,6 +121,10 @@
 		o.over = make(chan struct{})
 	}
 	o.backoff = min(max(2*o.backoff, leastRetry), mostRetry)
+	if o.told {
+		o.backoff = followerRetry
+	}
+	o.told = false
 	o.nextTry = now.Add(o.backoff + clock.Duration(rand.Int64N(int64(o.backoff))))
 	if o.end != nil {
 		o.end()
@@ -114,7 +137,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.backoff > 0 {
-		o.backoff = 0
+		o.backoff, o.told = 0, false
 		close(o.over)
 	}
 }
@@ -169,11 +192,16 @@
 // the relay that it is from, empty for the store.
 func (f *Front) changes(table string, known bool, version uint64) (store.Changes, string, error) {
 	for {
-		if changes, from, ok := f.relays.follow(table, known, version); ok {
+		changes, from, err := f.relays.follow(table, known, version)
+		if err == nil {
 			f.relays.take(table, changes)
 			return changes, from, nil
 		}
-		wait, over := f.outage.turn(f.clock.Now())
+		now := f.clock.Now()
+		if errors.Is(err, errStoreLost) && !f.relays.heardLately(now) {
+			f.outage.suspect(now)
+		}
+		wait, over := f.outage.turn(now)
 		if wait == 0 {
 			break
 		}
@@ -191,8 +219,7 @@
 		f.outage.answered()
 		f.relays.heard(now)
 	case errors.Is(err, context.Canceled):
-		// Another table's call has failed and counts.
-		f.relays.lose()
+		// Another table's call has failed, which has been noted.
 	default:
 		f.outage.failed(now)
 		f.relays.lose()
--- a/internal/front/follow_test.go
+++ b/internal/front/follow_test.go
@@ -124,6 +124,69 @@
 	}
 }
 
+// While the relays answer that the store is lost to them, a process tries it
+// itself now and then only, for all its tables together. When they have
+// another reason not to answer, it tries as often as without relays.
+func TestFollowersSpareAStoreThatIsLostToTheRelays(t *testing.T) {
+	const configurationLimit = 5 * clock.Second
+	var o outage
+	now := clock.Time(1000)
+	o.suspect(now)
+	tries, last := 0, now
+	for ; now < 21_000; now += 10 {
+		for range 4 {
+			o.suspect(now)
+			if wait, _ := o.turn(now); wait == 0 {
+				require.Less(t, now.Sub(last), configurationLimit-clock.Second)
+				tries, last = tries+1, now
+				o.failed(now)
+			}
+		}
+	}
+	require.LessOrEqual(t, tries, 20_000/int(followerRetry)+2)
+	o.failed(now)
+	o.failed(now)
+	wait, _ := o.turn(now)
+	require.LessOrEqual(t, wait, 2*mostRetry)
+	o.suspect(now)
+	_, over := o.turn(now)
+	o.answered()
+	<-over
+	wait, _ = o.turn(now)
+	require.Zero(t, wait)
+}
+
+// A suspicion lets one table's call try, not all at once.
+func TestSuspectedStoreIsTriedOnce(t *testing.T) {
+	var o outage
+	o.suspect(1000)
+	first, _ := o.turn(1000)
+	require.Zero(t, first)
+	second, over := o.turn(1000)
+	require.NotZero(t, second)
+	require.NotNil(t, over)
+}
+
+// A feed that ends with another table's failure says nothing new: by then the
+// other table may have been asked again, and those who follow this process rely
+// on it.
+func TestEndedFeedLeavesOtherTablesUsable(t *testing.T) {
+	f := New(Settings{}, Peers{Store: endedStore{}, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
+	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, f.clock, f.log)
+	f.relays.take("op", store.Changes{Whole: true, Version: 5})
+	_, _, err := f.changes("servers", true, 5)
+	require.Error(t, err)
+	require.True(t, f.relays.copies["op"].Usable())
+	require.False(t, f.outage.on())
+}
+
+// endedStore answers as a client does whose call was ended.
+type endedStore struct{ store.Store }
+
+func (endedStore) Feed(context.Context, string, uint64, clock.Duration) ([]store.Row, uint64, error) {
+	return nil, 0, errors.Wrap(context.Canceled, "feed")
+}
+
 // silentStore answers a first question about each table and then none.
 type silentStore struct {
 	store.Store
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -43,8 +43,16 @@
 	pulseGrace = 500 * clock.Millisecond
 	// relayStoreWait takes the place of pulse in the other tables.
 	relayStoreWait = 10 * clock.Second
-	// relaysAsked is how many relays are asked before the store.
+	// relaysAsked is how many relays are asked before the store, and more if
+	// those have taken no longer than quickRound: a relay in the same part of
+	// the network spares the store a call.
 	relaysAsked = 2
+	quickRound  = 300 * clock.Millisecond
+)
+
+var (
+	errNoRelay   = errors.New("no relay answers")
+	errStoreLost = errors.New("the store does not answer the relays")
 )
 
 // methodFollow asks a relay for the changes of a table.
@@ -161,7 +169,7 @@
 	}
 	var names []string
 	for _, p := range r.ordered {
-		if now >= r.avoided[p.Name] && len(names) < relaysAsked {
+		if now >= r.avoided[p.Name] {
 			names = append(names, p.Name)
 		}
 	}
@@ -174,16 +182,22 @@
 	r.avoided[name] = r.clock.Now().Add(pause)
 }
 
-// follow asks the relays for what has changed. It returns false if none can
-// tell.
-func (r *relays) follow(table string, known bool, version uint64) (store.Changes, string, bool) {
+// follow asks the relays for what has changed, and returns the one that told.
+// The error is errStoreLost if relays answer and the store does not answer
+// them, and errNoRelay if none answers.
+func (r *relays) follow(table string, known bool, version uint64) (store.Changes, string, error) {
 	names := r.candidates()
 	wait, grace := relayWait, relayGrace
 	if !known {
 		names = names[:min(len(names), 1)]
 		wait, grace = firstWait, firstGrace
 	}
-	for _, name := range names {
+	failure := errNoRelay
+	began := r.clock.Now()
+	for i, name := range names {
+		if i >= relaysAsked && r.clock.Now().Sub(began) > quickRound {
+			break
+		}
 		p := followParams{Table: table, Known: known, Version: version, WaitMillis: int64(wait)}
 		result, err := r.ask(name, p, wait+grace)
 		switch {
@@ -193,11 +207,12 @@
 		case result.Lost:
 			r.log.Debug("relay without the store", zap.String("relay", name), zap.String("table", table))
 			r.avoid(name, leastRetry)
+			failure = errStoreLost
 		default:
-			return result.Changes, name, true
+			return result.Changes, name, nil
 		}
 	}
-	return store.Changes{}, "", false
+	return store.Changes{}, "", failure
 }
 
 func (r *relays) ask(name string, p followParams, limit clock.Duration) (followResult, error) {
@@ -232,10 +247,13 @@
 }
 
 // hears reports whether this process is a relay that the store answers.
-func (r *relays) hears(now clock.Time) bool {
+func (r *relays) hears(now clock.Time) bool { return r.isRelay() && r.heardLately(now) }
+
+// heardLately reports whether the store has answered this process of late.
+func (r *relays) heardLately(now clock.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.relay && now.Sub(r.heardAt) < pulse+pulseGrace
+	return r.heardAt != 0 && now.Sub(r.heardAt) < pulse+pulseGrace
 }
 
 // serve answers another proxy's question.
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -93,8 +93,8 @@
 func TestRelayHandsOnChanges(t *testing.T) {
 	asking, relay := relayPair(t)
 	now := relay.clock.Now
-	_, _, ok := asking.follow("t", false, 0)
-	require.False(t, ok, "the relay knows nothing yet")
+	_, _, err := asking.follow("t", false, 0)
+	require.ErrorIs(t, err, errStoreLost, "the relay knows nothing yet")
 	time.Sleep((leastRetry + 10).Std())
 
 	// A first question waits for a relay that has just started.
@@ -102,8 +102,8 @@
 		time.Sleep((firstWait / 2).Std())
 		relay.take("t", store.Changes{Rows: []store.Row{{Key: "a", Value: []byte("1"), Version: 4}}, Whole: true, Version: 4})
 	}()
-	changes, from, ok := asking.follow("t", false, 0)
-	require.True(t, ok)
+	changes, from, err := asking.follow("t", false, 0)
+	require.NoError(t, err)
 	require.Equal(t, relay.self.Name, from)
 	require.Equal(t, store.Changes{Rows: []store.Row{{Key: "a", Value: []byte("1"), Version: 4}}, Whole: true, Version: 4}, changes)
 
@@ -113,8 +113,8 @@
 		time.Sleep(100 * time.Millisecond)
 		relay.take("t", store.Changes{Rows: []store.Row{{Key: "a", Version: 6, Deleted: true}}, Version: 6})
 	}()
-	changes, _, ok = asking.follow("t", true, 4)
-	require.True(t, ok)
+	changes, _, err = asking.follow("t", true, 4)
+	require.NoError(t, err)
 	require.Equal(t, uint64(6), changes.Version)
 	require.True(t, changes.Rows[0].Deleted)
 	require.Less(t, now().Sub(began), clock.Second)
@@ -125,8 +125,8 @@
 		relay.lose()
 	}()
 	began = now()
-	_, _, ok = asking.follow("t", true, 6)
-	require.False(t, ok)
+	_, _, err = asking.follow("t", true, 6)
+	require.ErrorIs(t, err, errStoreLost)
 	require.Less(t, now().Sub(began), clock.Second)
 	require.Empty(t, asking.candidates())
 }
@@ -139,11 +139,11 @@
 	asking.mu.Unlock()
 	relay.take("t", store.Changes{Whole: true, Version: 4})
 	// A process that knows nothing asks one relay only, since callers wait.
-	_, _, ok := asking.follow("t", false, 0)
-	require.False(t, ok)
+	_, _, err := asking.follow("t", false, 0)
+	require.ErrorIs(t, err, errNoRelay)
 	require.Equal(t, []string{relay.self.Name}, asking.candidates())
-	_, from, ok := asking.follow("t", false, 0)
-	require.True(t, ok)
+	_, from, err := asking.follow("t", false, 0)
+	require.NoError(t, err)
 	require.Equal(t, relay.self.Name, from)
 }
 
