Take a table for no older than its rows

A relay that told a version below those of its rows would be asked for the same rows without a pause.

--- a/internal/process/platform/store/copy.go
+++ b/internal/process/platform/store/copy.go
@@ -48,6 +48,8 @@
 		news = c.dropMissingLocked(t) || news
 	}
 	for _, r := range t.Rows {
+		// A table older than its rows would be told of them again and again.
+		t.Version = max(t.Version, r.Version)
 		if old, ok := c.rows[r.Key]; !ok || old.Version < r.Version {
 			c.rows[r.Key] = r
 			news = true
--- a/internal/process/platform/store/copy_test.go
+++ b/internal/process/platform/store/copy_test.go
@@ -121,3 +121,13 @@
 		require.Fail(t, "open")
 	}
 }
+
+// A follower asks for what is newer than the table: rows that were newer than
+// that would be handed to it without end.
+func TestCopyIsNoOlderThanItsRows(t *testing.T) {
+	c := NewCopy()
+	c.Take(Changes{Rows: []Row{{Key: "a", Version: 9}}, Whole: true, Version: 4})
+	first := c.Since(false, 0)
+	require.Equal(t, uint64(9), first.Version)
+	require.Empty(t, c.Since(true, first.Version).Rows)
+}
