--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -26,7 +26,8 @@
 	// planned with.
 	homeConnections = 5
 	// proxiesPerHome is how many proxies share a home at least. With more homes
-	// each one sees too little of the primary to know recent positions.
+	// each one sees too little of the primary to know recent positions, and
+	// together they begin with more requests than its queue holds.
 	proxiesPerHome = 20
 	// fewHomes is below how many homes the connections alone decide.
 	fewHomes = 7
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -219,7 +219,7 @@
 		f.outage.answered()
 		f.relays.heard(now)
 	case errors.Is(err, context.Canceled):
-		// Another table's call has failed, which has been noted.
+		err = errors.Wrap(err, "ended as another table's call has failed")
 	default:
 		f.outage.failed(now)
 		f.relays.lose()
