Mend the red test and the faults found on the platform's side

Relays take their time from an interface, and the test from a clock that it moves itself. Silence counts from the first request that the peer owes an answer to. - Homes.Choose advanced its rotation with each attempt, so attempts 0 and 1 of one request met the same of two homes. A request asks for an order once. connection/peer excludes homes that were tried: a test shows that it cannot happen there. - *Group.Expire did not notify waiters when a drain expires. - *store.Cache marked rows newer than a whole table as deleted. - Queued tasks of a removed link connected to the old address again; a failed Accept ended the listener for peers silently. - *The failover driver stored a zero status when a database refused a step and then did not tell its status. The refusal counts as a lost answer. - FileDescriptors was read and not used: sessions beyond the limit less a reserve are refused at once. *Reload reports that it and memoryMB need a restart. - Histogram buckets were not cumulative, and there was no count. - Errors of pools and replacements name the database, token, term and time.

--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -196,7 +196,7 @@
 func (g *GroupClient) Command(id string, op statement.Operation, limit clock.Duration) (database.Status, error) {
 	p := g.Pool(id)
 	if p == nil {
-		return database.Status{}, ErrClosed
+		return database.Status{}, &ClosedError{Database: id}
 	}
 	c, err := p.Acquire(g.clock.Now().Add(limit), nil)
 	if err != nil {
--- a/internal/connection/backend/group_client_test.go
+++ b/internal/connection/backend/group_client_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -23,14 +24,17 @@
 	return silentConn{}, statement.Answer{}, nil
 }
 
+// errSilent is the error of a connection on which no answer arrives.
+var errSilent = errors.New("no answer")
+
 type silentConn struct{}
 
 func (silentConn) Exchange(clock.Duration, []statement.Request, []statement.Answer) (int, error) {
-	return 0, ErrAcquireTimeout
+	return 0, errSilent
 }
 
 func (silentConn) DecodeStatus(*statement.Answer) (database.Status, error) {
-	return database.Status{}, ErrAcquireTimeout
+	return database.Status{}, errSilent
 }
 
 func (silentConn) Close() {}
--- a/internal/connection/backend/latency.go
+++ b/internal/connection/backend/latency.go
@@ -28,9 +28,12 @@
 	// observedAt is when the last measurement was recorded, zero if none was.
 	observedAt clock.Time
 	inFlight   int
-	// busySince is when inFlight last rose from zero.
-	busySince  clock.Time
-	avoidUntil clock.Time
+	// silentSince is when the peer was sent the first request that it has not
+	// answered since its last answer, zero if it owes none.
+	silentSince clock.Time
+	// abandonedAt is when a request was last abandoned, zero if none was.
+	abandonedAt clock.Time
+	avoidUntil  clock.Time
 	// laggingUntil is until when the database is considered too far behind.
 	laggingUntil clock.Time
 	// misses counts the requests that were abandoned since the last answer,
@@ -51,6 +54,9 @@
 	maxMisses = 4
 	// maxTokens bounds how many requests may be abandoned in a row.
 	maxTokens = 5
+	// silenceMemory is how long after a request was abandoned its missing answer
+	// still counts as silence of a peer that was idle since.
+	silenceMemory = 4 * clock.Second
 )
 
 // NewLatencyTracker returns a tracker without measurements. It allows one
@@ -60,8 +66,9 @@
 // Begin records that a request is sent.
 func (t *LatencyTracker) Begin(now clock.Time) {
 	t.mu.Lock()
-	if t.inFlight++; t.inFlight == 1 {
-		t.busySince = now
+	t.inFlight++
+	if t.silentSince == 0 || t.inFlight == 1 && now.Sub(t.abandonedAt) >= silenceMemory {
+		t.silentSince = now
 	}
 	t.mu.Unlock()
 }
@@ -71,6 +78,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
+	t.silentSince = 0
+	if t.inFlight > 0 {
+		t.silentSince = now
+	}
 	t.tokens = min(t.tokens+tokensPerAnswer, maxTokens)
 	t.misses = 0
 	t.observeLocked(now, float64(took))
@@ -83,6 +94,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
+	t.abandonedAt = now
 	t.tokens = max(t.tokens-1, 0)
 	if waited > 0 {
 		t.observeLocked(now, float64(2*waited))
@@ -159,10 +171,11 @@
 	return min(max(clock.Duration(t.latency+5*t.deviation), minTimeout), maxTimeout)
 }
 
-// Unresponsive reports whether requests have been in flight for at least after
-// without any new measurement, whether from an answer or an abandoned request.
+// Unresponsive reports whether a request is in flight and the peer has answered
+// nothing for at least after, counted from the first request that it owes an
+// answer to, abandoned ones included.
 func (t *LatencyTracker) Unresponsive(now clock.Time, after clock.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.inFlight > 0 && now.Sub(max(t.observedAt, t.busySince)) >= after
+	return t.inFlight > 0 && now.Sub(t.silentSince) >= after
 }
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -49,12 +50,46 @@
 	}
 }
 
-// Errors of a pool. With each of them, no request was sent.
-var (
-	ErrClosed         = errors.New("the database has gone")
-	ErrQueueFull      = errors.New("too many requests wait for a connection")
-	ErrAcquireTimeout = errors.New("no connection became free in time")
-)
+// The following errors are returned instead of a connection, so nothing was
+// sent to the database that they name.
+
+// ClosedError reports that the database has left its group.
+type ClosedError struct{ Database string }
+
+func (e *ClosedError) Error() string { return "database " + e.Database + " has gone" }
+
+// QueueFullError reports that too many requests wait for a connection already.
+type QueueFullError struct {
+	Database string
+	// Waiting is how many requests wait.
+	Waiting int
+}
+
+func (e *QueueFullError) Error() string {
+	return fmt.Sprintf("%d requests already wait for a connection to %s", e.Waiting, e.Database)
+}
+
+// AcquireTimeoutError reports that no connection became free in time.
+type AcquireTimeoutError struct {
+	Database string
+	Waited   clock.Duration
+}
+
+func (e *AcquireTimeoutError) Error() string {
+	return fmt.Sprintf("no connection to %s became free within %s", e.Database, e.Waited)
+}
+
+// NoConnectionsError reports that this process may open no connection to the
+// database.
+type NoConnectionsError struct {
+	Database string
+	// Limit is the number of connections that the process may open.
+	Limit int
+}
+
+func (e *NoConnectionsError) Error() string {
+	return fmt.Sprintf("no connection to %s is open, and %d may be opened", e.Database, e.Limit)
+}
 
 // DialError is returned when a database could not be reached.
 type DialError struct {
@@ -114,26 +149,26 @@
 // Acquire returns a connection for a session with the given values, preferring
 // one that needs the least work to set them. If none is free, it opens another
 // one as far as the limits allow and waits until the deadline for whichever
-// connection is free first. It returns ErrClosed, ErrQueueFull or
-// ErrAcquireTimeout, or the error of the last attempt to connect.
+// connection is free first. It returns one of the errors above, or that of the
+// last attempt to connect.
 func (p *Pool) Acquire(deadline clock.Time, values map[string]string) (*PooledConn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
-		return nil, ErrClosed
+		return nil, &ClosedError{Database: p.ID}
 	}
 	if len(p.idle) > 0 {
 		c := p.takeIdleLocked(values)
 		p.mu.Unlock()
 		return c, nil
 	}
-	if len(p.waiting) >= p.settings.MaxWaiting {
+	if waiting := len(p.waiting); waiting >= p.settings.MaxWaiting {
 		p.mu.Unlock()
-		return nil, ErrQueueFull
+		return nil, &QueueFullError{Database: p.ID, Waiting: waiting}
 	}
 	p.dialMoreLocked(1)
 	if p.open+p.dialing == 0 {
-		err := p.dialErr
+		err := p.noConnectionErrorLocked()
 		p.mu.Unlock()
 		return nil, err
 	}
@@ -143,6 +178,14 @@
 	return p.wait(ch, deadline)
 }
 
+// noConnectionErrorLocked returns why no connection is open or being opened.
+func (p *Pool) noConnectionErrorLocked() error {
+	if p.dialErr != nil && p.settings.MaxOpen > 0 {
+		return p.dialErr
+	}
+	return &NoConnectionsError{Database: p.ID, Limit: p.settings.MaxOpen}
+}
+
 // AttemptTimeout returns how long to wait for the answer to a request that can
 // be sent elsewhere. It returns maxTimeout for a database that recently refused
 // requests because of load: it runs every request that it has accepted, so
@@ -221,7 +264,8 @@
 }
 
 func (p *Pool) wait(ch chan grant, deadline clock.Time) (*PooledConn, error) {
-	timer := time.NewTimer(max(deadline.Sub(p.clock.Now()), 0).Std())
+	limit := max(deadline.Sub(p.clock.Now()), 0)
+	timer := time.NewTimer(limit.Std())
 	defer timer.Stop()
 	select {
 	case g := <-ch:
@@ -233,7 +277,7 @@
 			g.conn.Release()
 		}
 	}
-	return nil, ErrAcquireTimeout
+	return nil, &AcquireTimeoutError{Database: p.ID, Waited: limit}
 }
 
 // stopWaiting removes ch from the queue. It returns false if a grant was already
@@ -290,9 +334,16 @@
 		p.backoff, wait = 0, 1+clock.Duration(rand.Int64N(int64(p.settings.MaxFullRetryDelay)))
 	}
 	p.retryAt = p.clock.Now().Add(wait)
+	p.refuseWaitingLocked()
+}
+
+// refuseWaitingLocked refuses the waiting requests if no connection that is open
+// or being opened can serve them.
+func (p *Pool) refuseWaitingLocked() {
 	if p.open+p.dialing > 0 {
 		return
 	}
+	err := p.noConnectionErrorLocked()
 	for p.wakeLocked(grant{err: err}) {
 	}
 }
@@ -333,8 +384,9 @@
 	p.mu.Unlock()
 }
 
-// Discard closes the connection instead of returning it to the pool, and opens
-// others if requests are waiting.
+// Discard closes the connection instead of returning it to the pool. If requests
+// are waiting, it opens others, or refuses the requests if it was the last
+// connection and no other may be opened now.
 func (c *PooledConn) Discard() {
 	c.Close()
 	p := c.pool
@@ -342,6 +394,7 @@
 	p.open--
 	if !p.closed {
 		p.dialMoreLocked(0)
+		p.refuseWaitingLocked()
 	}
 	p.mu.Unlock()
 }
@@ -362,7 +415,7 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	for p.wakeLocked(grant{err: ErrClosed}) {
+	for p.wakeLocked(grant{err: &ClosedError{Database: p.ID}}) {
 	}
 	p.mu.Unlock()
 	p.DiscardIdle()
--- a/internal/connection/peer/homes_test.go
+++ b/internal/connection/peer/homes_test.go
@@ -111,3 +111,29 @@
 	}
 	return members
 }
+
+// With two homes in a zone, the second attempt of a request goes to the other
+// one.
+func TestSecondAttemptGoesToAnotherHome(t *testing.T) {
+	peers, err := proxy.NewPeers("127.0.0.1:0", nil, zap.NewNop())
+	require.NoError(t, err)
+	defer peers.Close()
+	h := NewHomes("self", "a", peers, clock.NewBoot())
+	h.SetMembers(testMembers(61))
+	h.SetConnectionLimits(map[string]int{"shop": 40})
+	var local []string
+	for i, p := range h.assignmentLocked("shop").homes {
+		if i < 2 {
+			local = append(local, p.Name)
+		} else {
+			h.assignments["shop"].homes[i].Zone = "b"
+		}
+	}
+	for range 100 {
+		first, ok := h.Choose("shop", nil)
+		require.True(t, ok)
+		second, ok := h.Choose("shop", []string{first})
+		require.True(t, ok)
+		require.ElementsMatch(t, local, []string{first, second})
+	}
+}
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -137,6 +137,22 @@
 	}
 }
 
+// refusalTimeout is how long a caller that is refused may take to send its
+// startup message.
+const refusalTimeout = clock.Second
+
+// Refuse ends a session that has not been run. It reads the startup message
+// first, since a close with unread bytes could discard the failure.
+func (s *Session) Refuse(f *statement.Failure) {
+	defer s.caller.Close()
+	if _, err := s.caller.ReadStartup(refusalTimeout); err == nil {
+		_ = s.caller.Refuse(f)
+	}
+}
+
+// Close closes the caller's connection without an answer.
+func (s *Session) Close() { s.caller.Close() }
+
 // defaultStartupTimeout is how long a caller may take to open its session if no
 // configuration sets a timeout.
 const defaultStartupTimeout = 3 * clock.Second
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -222,7 +222,7 @@
 func (s *Session) logContains(g *backend.GroupClient, m group.Member, at position.Position, deadline clock.Time) (bool, error) {
 	p := g.Pool(m.ID)
 	if p == nil {
-		return false, backend.ErrClosed
+		return false, &backend.ClosedError{Database: m.ID}
 	}
 	c, err := p.Acquire(deadline, nil)
 	if err != nil {
--- a/internal/front/follow_test.go
+++ b/internal/front/follow_test.go
@@ -70,7 +70,7 @@
 	s.setDown(false)
 	f := New(Settings{}, Platform{Store: s}, clock.NewBoot(), zap.NewNop(), NewMetrics())
 	tables := []string{"a", "b", "c", "d", "e", "f"}
-	f.relays = newRelays(proxy.Peer{Name: "self"}, tables, f.clock, f.log)
+	f.relays = newRelays(proxy.Peer{Name: "self"}, tables, systemTimers{f.clock}, f.log)
 	defer close(f.done)
 	for _, table := range tables {
 		go f.follow(table, maxPollInterval, func([]store.Row, bool) {})
@@ -172,7 +172,7 @@
 // followers of this relay depend on its copy.
 func TestCancelledFeedLeavesOtherTablesUsable(t *testing.T) {
 	f := New(Settings{}, Platform{Store: cancelledStore{}, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
-	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, f.clock, f.log)
+	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, systemTimers{f.clock}, f.log)
 	f.relays.update("op", store.Changes{Whole: true, Version: 5})
 	_, _, err := f.fetchChanges("servers", true, 5)
 	require.Error(t, err)
@@ -214,7 +214,7 @@
 	const configurationLimit = 5 * clock.Second
 	s := &hangingStore{}
 	f := New(Settings{}, Platform{Store: s, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
-	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, f.clock, f.log)
+	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, systemTimers{f.clock}, f.log)
 	f.relays.selfIsRelay, f.relays.preferred = true, []proxy.Peer{{Name: "self"}}
 	defer close(f.done)
 	began := f.clock.Now()
@@ -243,7 +243,7 @@
 func TestProxyWithUnavailableRelaysTimesOutOnUnresponsiveStore(t *testing.T) {
 	s := &hangingStore{}
 	f := New(Settings{}, Platform{Store: s, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
-	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, f.clock, f.log)
+	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, systemTimers{f.clock}, f.log)
 	f.relays.preferred = []proxy.Peer{{Name: "relay"}}
 	f.relays.avoid("relay", clock.Minute)
 	for _, table := range []string{"op", "servers"} {
@@ -262,7 +262,7 @@
 	s := &hangingStore{}
 	f := New(Settings{}, Platform{Store: s, ConfigurationTable: "op", RegistryTable: "servers"},
 		clock.NewBoot(), zap.NewNop(), NewMetrics())
-	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers", "agreement"}, f.clock, f.log)
+	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers", "agreement"}, systemTimers{f.clock}, f.log)
 	bounds := map[string]clock.Duration{
 		"op": contactTime + 3*clock.Second, "servers": contactTime + 7*clock.Second,
 		// The feed of a table without a deadline of its own is cancelled by the
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -100,8 +101,10 @@
 	registryLoaded atomic.Bool
 	stopping       atomic.Bool
 	lastSessionID  atomic.Uint64
-	listener       net.Listener
-	done           chan struct{}
+	// refusals counts the callers that are being refused.
+	refusals atomic.Int64
+	listener net.Listener
+	done     chan struct{}
 	// membersKnown is closed once the list of live proxies includes this one or
 	// is long enough for relays.
 	membersKnown     chan struct{}
@@ -141,7 +144,7 @@
 	f.listener = l
 	f.host = session.NewHost(&f.sessionDeps)
 	tables := []string{membersTable, f.platform.ConfigurationTable, f.platform.RegistryTable, agreementTable}
-	f.relays = newRelays(f.self, tables, f.clock, f.log)
+	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log)
 	if f.peerConns, err = proxy.NewPeers(f.settings.PeerAddress, &peerHandler{relays: f.relays, host: f.host}, f.log); err != nil {
 		return err
 	}
@@ -394,12 +397,37 @@
 	}
 }
 
+const (
+	// reservedDescriptors is how many file descriptors are left to everything
+	// but the sessions of callers: files, connections to databases, and
+	// connections to and from other proxies. Of a limit lower than twice that,
+	// half is left.
+	reservedDescriptors = 800
+	// maxRefusals is how many callers beyond the limit may be told so at the
+	// same time. The connections of further ones are closed at once.
+	maxRefusals = 64
+)
+
+// maxSessions returns how many sessions an instance with this many file
+// descriptors takes. If it took more, it could not connect to the databases.
+func maxSessions(fileDescriptors int) int {
+	return fileDescriptors - min(reservedDescriptors, fileDescriptors/2)
+}
+
 func (f *Front) serveCaller(c net.Conn) {
 	id := f.lastSessionID.Add(1)
 	s := session.New(&f.sessionDeps, id, f.platform.WrapCaller(c))
+	limit := maxSessions(f.settings.FileDescriptors)
 	f.mu.Lock()
-	f.sessions[id] = s
+	full := len(f.sessions) >= limit
+	if !full {
+		f.sessions[id] = s
+	}
 	f.mu.Unlock()
+	if full {
+		f.refuseCaller(s, id, limit)
+		return
+	}
 	go func() {
 		s.Run()
 		f.mu.Lock()
@@ -407,3 +435,17 @@
 		f.mu.Unlock()
 	}()
 }
+
+// refuseCaller ends a session beyond the limit.
+func (f *Front) refuseCaller(s *session.Session, id uint64, limit int) {
+	f.log.Warn("session refused: too many sessions", zap.Uint64("session", id), zap.Int("limit", limit))
+	if f.refusals.Add(1) > maxRefusals {
+		f.refusals.Add(-1)
+		s.Close()
+		return
+	}
+	go func() {
+		defer f.refusals.Add(-1)
+		s.Refuse(&statement.Failure{Code: statement.CodeTooManyConnections, Text: fmt.Sprintf("this proxy holds %d sessions, its limit", limit)})
+	}()
+}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
+	"math"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -50,7 +53,7 @@
 
 // NewMetrics returns metrics with all counters at zero.
 func NewMetrics() *Metrics {
-	text := &textReporter{values: make(map[string]float64)}
+	text := &textReporter{values: make(map[string]float64), histograms: make(map[string]*histogram)}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "oleanderflow", Reporter: text, Separator: "_", OmitCardinalityMetrics: true,
 	}, reportInterval)
@@ -130,6 +133,42 @@
 type textReporter struct {
 	mu     sync.Mutex
 	values map[string]float64
+	// histograms maps the name and labels of a histogram, without the label of
+	// the bucket, to its buckets.
+	histograms map[string]*histogram
+}
+
+// histogram holds the number of samples in each bucket.
+type histogram struct {
+	metric string
+	tags   map[string]string
+	// bounds are the upper bounds of the buckets, in ascending order. counts
+	// has the samples of each bucket alone.
+	bounds []float64
+	counts []float64
+}
+
+// add counts n samples in the bucket with the given upper bound.
+func (h *histogram) add(bound float64, n int64) {
+	i, found := slices.BinarySearch(h.bounds, bound)
+	if !found {
+		h.bounds, h.counts = slices.Insert(h.bounds, i, bound), slices.Insert(h.counts, i, 0)
+	}
+	h.counts[i] += float64(n)
+}
+
+// write writes the buckets in the exposition format, in which each bucket counts
+// the samples of all buckets below it too, and the last one is unbounded.
+func (h *histogram) write(b *bytes.Buffer) {
+	total := 0.0
+	for i, bound := range h.bounds {
+		total += h.counts[i]
+		if !math.IsInf(bound, 1) {
+			fmt.Fprintf(b, "%s %g\n", seriesName(h.metric+"_bucket", h.tags, "le", fmt.Sprintf("%g", bound)), total)
+		}
+	}
+	fmt.Fprintf(b, "%s %g\n", seriesName(h.metric+"_bucket", h.tags, "le", "+Inf"), total)
+	fmt.Fprintf(b, "%s %g\n", seriesName(h.metric+"_count", h.tags), total)
 }
 
 // seriesName returns the name of a time series with its labels. extra has the
@@ -167,9 +206,29 @@
 	for _, k := range keys {
 		fmt.Fprintf(&b, "%s %g\n", k, t.values[k])
 	}
+	for _, k := range slices.Sorted(maps.Keys(t.histograms)) {
+		t.histograms[k].write(&b)
+	}
 	return b.Bytes()
 }
 
+// addSamples counts n samples in the bucket of a histogram with the given upper
+// bound.
+func (t *textReporter) addSamples(metric string, tags map[string]string, bounds []float64, upper float64, n int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := seriesName(metric, tags)
+	h, ok := t.histograms[key]
+	if !ok {
+		h = &histogram{metric: metric, tags: tags}
+		for _, bound := range bounds {
+			h.add(bound, 0)
+		}
+		t.histograms[key] = h
+	}
+	h.add(upper, n)
+}
+
 // ReportCounter implements tally.StatsReporter.
 func (t *textReporter) ReportCounter(metric string, tags map[string]string, v int64) {
 	t.add(seriesName(metric, tags), float64(v))
@@ -188,17 +247,24 @@
 }
 
 // ReportHistogramValueSamples implements tally.StatsReporter.
-func (t *textReporter) ReportHistogramValueSamples(metric string, tags map[string]string, _ tally.Buckets, _, upper float64, n int64) {
-	t.add(seriesName(metric, tags, "le", fmt.Sprintf("%g", upper)), float64(n))
+func (t *textReporter) ReportHistogramValueSamples(metric string, tags map[string]string, buckets tally.Buckets, _, upper float64, n int64) {
+	if upper == math.MaxFloat64 {
+		upper = math.Inf(1)
+	}
+	t.addSamples(metric, tags, buckets.AsValues(), upper, n)
 }
 
 // ReportHistogramDurationSamples implements tally.StatsReporter.
-func (t *textReporter) ReportHistogramDurationSamples(metric string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, n int64) {
-	le := "+Inf"
+func (t *textReporter) ReportHistogramDurationSamples(metric string, tags map[string]string, buckets tally.Buckets, _, upper time.Duration, n int64) {
+	bound := math.Inf(1)
 	if upper < time.Hour {
-		le = fmt.Sprintf("%g", upper.Seconds())
+		bound = upper.Seconds()
+	}
+	var bounds []float64
+	for _, d := range buckets.AsDurations() {
+		bounds = append(bounds, d.Seconds())
 	}
-	t.add(seriesName(metric+"_bucket", tags, "le", le), float64(n))
+	t.addSamples(metric, tags, bounds, bound, n)
 }
 
 // Capabilities implements tally.BaseStatsReporter.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -11,7 +11,6 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -88,7 +87,7 @@
 // forward the changes. No other lock is taken while its lock is held.
 type relays struct {
 	self  proxy.Peer
-	clock clock.Clock
+	clock timers
 	log   *zap.Logger
 	// peers is set before the first poll of a relay.
 	peers  *proxy.Peers
@@ -104,7 +103,7 @@
 	storeAnsweredAt clock.Time
 }
 
-func newRelays(self proxy.Peer, tables []string, c clock.Clock, log *zap.Logger) *relays {
+func newRelays(self proxy.Peer, tables []string, c timers, log *zap.Logger) *relays {
 	r := &relays{self: self, clock: c, log: log, copies: make(map[string]*store.Cache), avoidUntil: make(map[string]clock.Time)}
 	for _, t := range tables {
 		r.copies[t] = store.NewCache()
@@ -228,7 +227,7 @@
 }
 
 func (r *relays) call(name string, p followParams, limit clock.Duration) (followResult, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
+	ctx, cancel := r.clock.WithTimeout(limit)
 	defer cancel()
 	var result followResult
 	err := r.peers.Call(ctx, name, methodFollow, p, &result)
@@ -302,7 +301,7 @@
 		if !fresh && (p.Known || now >= until) {
 			return followResult{Lost: true}
 		}
-		backend.WaitOrTimeout(changed, until.Sub(now))
+		r.clock.WaitOrTimeout(changed, until.Sub(now))
 	}
 }
 
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -55,11 +55,11 @@
 }
 
 // newRelayPair returns a relay and a proxy that polls it over the loopback
-// interface.
-func newRelayPair(t *testing.T) (follower, relay *relays) {
+// interface. Both use the clock c.
+func newRelayPair(t *testing.T, c timers) (follower, relay *relays) {
 	members := makeProxies(60)
 	list := chooseRelays(members)
-	c, log := clock.NewBoot(), zap.NewNop()
+	log := zap.NewNop()
 	relay = newRelays(list[0], []string{"t"}, c, log)
 	server, err := proxy.NewPeers("127.0.0.1:0", &peerHandler{relays: relay}, log)
 	require.NoError(t, err)
@@ -92,51 +92,66 @@
 	return follower, relay
 }
 
-func TestRelayForwardsChanges(t *testing.T) {
-	follower, relay := newRelayPair(t)
-	now := relay.clock.Now
-	_, _, err := follower.poll("t", false, 0)
-	require.ErrorIs(t, err, errStoreLost, "the relay knows nothing yet")
-	time.Sleep((minRetryDelay + 10).Std())
+// polled is the outcome of a poll.
+type polled struct {
+	changes store.Changes
+	from    string
+	err     error
+}
 
-	// An initial poll waits for a relay that has just started.
+// startPoll polls the relay in the background and returns once the relay holds
+// the poll.
+func startPoll(c *manualClock, follower *relays, known bool, version uint64) <-chan polled {
+	result := make(chan polled, 1)
+	held := c.waits()
 	go func() {
-		time.Sleep((initialPollWait / 2).Std())
-		relay.update("t", store.Changes{Rows: []store.Row{{Key: "a", Value: []byte("1"), Version: 4}}, Whole: true, Version: 4})
+		changes, from, err := follower.poll("t", known, version)
+		result <- polled{changes, from, err}
 	}()
-	changes, from, err := follower.poll("t", false, 0)
-	require.NoError(t, err)
-	require.Equal(t, relay.self.Name, from)
-	require.Equal(t, store.Changes{Rows: []store.Row{{Key: "a", Value: []byte("1"), Version: 4}}, Whole: true, Version: 4}, changes)
+	for c.waits() == held && len(result) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return result
+}
+
+func TestRelayForwardsChanges(t *testing.T) {
+	c := newManualClock()
+	follower, relay := newRelayPair(t, c)
+	result := startPoll(c, follower, false, 0)
+	c.Advance(initialPollWait)
+	require.ErrorIs(t, (<-result).err, errStoreLost, "the relay knows nothing yet")
+	c.Advance(minRetryDelay)
+
+	// An initial poll waits for a relay that has just started.
+	whole := store.Changes{Rows: []store.Row{{Key: "a", Value: []byte("1"), Version: 4}}, Whole: true, Version: 4}
+	result = startPoll(c, follower, false, 0)
+	c.Advance(initialPollWait / 2)
+	relay.update("t", whole)
+	require.Equal(t, polled{changes: whole, from: relay.self.Name}, <-result)
 
 	// Later polls are held open until something changes.
-	began := now()
-	go func() {
-		time.Sleep(100 * time.Millisecond)
-		relay.update("t", store.Changes{Rows: []store.Row{{Key: "a", Version: 6, Deleted: true}}, Version: 6})
-	}()
-	changes, _, err = follower.poll("t", true, 4)
-	require.NoError(t, err)
-	require.Equal(t, uint64(6), changes.Version)
-	require.True(t, changes.Rows[0].Deleted)
-	require.Less(t, now().Sub(began), clock.Second)
+	result = startPoll(c, follower, true, 4)
+	c.Advance(relayPollWait - 1)
+	require.Empty(t, result)
+	relay.markStoreAnswered(c.Now())
+	relay.update("t", store.Changes{Rows: []store.Row{{Key: "a", Version: 6, Deleted: true}}, Version: 6})
+	got := <-result
+	require.NoError(t, got.err)
+	require.Equal(t, uint64(6), got.changes.Version)
+	require.True(t, got.changes.Rows[0].Deleted)
 
 	// A relay that has lost the store reports it at once.
-	go func() {
-		time.Sleep(100 * time.Millisecond)
-		relay.markStoreLost()
-	}()
-	began = now()
-	_, _, err = follower.poll("t", true, 6)
-	require.ErrorIs(t, err, errStoreLost)
-	require.Less(t, now().Sub(began), clock.Second)
+	result = startPoll(c, follower, true, 6)
+	require.Empty(t, result)
+	relay.markStoreLost()
+	require.ErrorIs(t, (<-result).err, errStoreLost)
 	require.Empty(t, follower.candidates())
 }
 
 // A relay that does not respond costs one wait before the store is called. It
 // is then avoided for a while, and the next poll goes to another relay.
 func TestFailedRelayIsAvoided(t *testing.T) {
-	follower, relay := newRelayPair(t)
+	follower, relay := newRelayPair(t, systemTimers{clock.NewBoot()})
 	follower.mu.Lock()
 	follower.preferred = []proxy.Peer{{Name: "p059"}, relay.self}
 	follower.mu.Unlock()
@@ -154,7 +169,7 @@
 // must report the store as lost, so that its followers call the store
 // themselves.
 func TestOnlyRelaysWithRecentStoreContactAnswer(t *testing.T) {
-	r := newRelays(proxy.Peer{Name: "self", Zone: "a"}, []string{"t"}, clock.NewBoot(), zap.NewNop())
+	r := newRelays(proxy.Peer{Name: "self", Zone: "a"}, []string{"t"}, systemTimers{clock.NewBoot()}, zap.NewNop())
 	r.update("t", store.Changes{Whole: true, Version: 4})
 	require.True(t, r.awaitChanges(r.copies["t"], followParams{Known: true, Version: 4}).Lost)
 	r.selfIsRelay = true
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -174,7 +175,7 @@
 }
 
 // claim acquires the group's claim. The version of its row is the fencing
-// token. It returns errClaimed if another proxy is known to have the claim, and
+// token. It returns a *claimedError if another proxy may still act on its claim, and
 // a *store.ConflictError if the row has been written by another proxy since.
 func (r *replacement) claim() (group.Lease, error) {
 	c := group.Claim{Holder: r.self, Nonce: rand.Uint64() >> 1, Open: true}
@@ -188,7 +189,7 @@
 	expected, free := r.agreement.Claimable(askedAt, r.self)
 	r.mu.Unlock()
 	if !free {
-		return group.Lease{}, errClaimed
+		return group.Lease{}, &claimedError{Group: r.client.Name, Token: expected}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
 	defer cancel()
@@ -251,14 +252,39 @@
 	r.observe(store.Row{Key: key, Value: value, Version: version})
 }
 
-// errClaimed is returned if another proxy has claimed the replacement.
-var errClaimed = errors.New("another proxy has claimed the replacement")
+// claimedError reports that an earlier claim on the replacement may still be in
+// effect.
+type claimedError struct {
+	Group string
+	// Token is the fencing token of the earlier claim.
+	Token uint64
+}
 
-// errExpired is returned if too little time is left of the claim's lease.
-var errExpired = errors.New("the claim has expired")
+func (e *claimedError) Error() string {
+	return fmt.Sprintf("the replacement in group %s is claimed with token %d", e.Group, e.Token)
+}
 
-// errSuperseded is returned if another replacement has taken effect first.
-var errSuperseded = errors.New("a later term has begun")
+// leaseExpiredError reports that too little time is left of the claim's lease.
+type leaseExpiredError struct {
+	Token uint64
+	// Left is the rest of the lease, and Needed what the next step may take.
+	Left, Needed clock.Duration
+}
+
+func (e *leaseExpiredError) Error() string {
+	return fmt.Sprintf("the claim with token %d ends in %s, and the next step may take %s", e.Token, e.Left, e.Needed)
+}
+
+// supersededError reports that another replacement has taken effect first.
+type supersededError struct {
+	Database string
+	// Term is the term of the database, and Planned that of this replacement.
+	Term, Planned uint64
+}
+
+func (e *supersededError) Error() string {
+	return fmt.Sprintf("database %s is in term %d already, expected one before %d", e.Database, e.Term, e.Planned)
+}
 
 // replace fences the group and promotes the database that has received most of
 // the log. If the reason is that replicas are still fenced, it only resumes
@@ -351,16 +377,16 @@
 }
 
 // fence stops the databases from receiving log entries of the current term, and
-// returns once enough of them are fenced. It returns errSuperseded if a
-// database has reached the new term, and errExpired if too little of the lease
-// is left for a promotion.
+// returns once enough of them are fenced. It returns a *supersededError if a
+// database has reached the new term, and a *leaseExpiredError if too little of
+// the lease is left for a promotion.
 func (r *replacement) fence(primary string, term uint64, fences map[string]group.Fence, l group.Lease) error {
 	for {
 		members := r.client.Members()
 		answers := r.sendFences(members, primary, term, fences)
 		for _, f := range answers {
 			if f.Status.Term >= term {
-				return errSuperseded
+				return &supersededError{Database: f.ID, Term: f.Status.Term, Planned: term}
 			}
 			if f.Status.Fenced >= term || f.ID == primary && f.Status.Role == database.RoleReplica {
 				fences[f.ID] = f
@@ -369,8 +395,8 @@
 		if group.HasFenceQuorum(fenceList(fences), r.client.Size()) {
 			return nil
 		}
-		if r.clock.Now().Add(promoteTimeout) >= l.Until {
-			return errExpired
+		if left := l.Until.Sub(r.clock.Now()); left <= promoteTimeout {
+			return &leaseExpiredError{Token: l.Token, Left: left, Needed: promoteTimeout}
 		}
 		backend.Sleep(stepRetryDelay)
 	}
@@ -432,7 +458,7 @@
 		}
 		limit := min(promoteTimeout, l.Until.Sub(r.clock.Now()))
 		if limit <= 0 {
-			return target, errExpired
+			return target, &leaseExpiredError{Token: l.Token, Left: limit, Needed: promoteTimeout}
 		}
 		target = successor.ID
 		ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
@@ -478,7 +504,7 @@
 		}
 		remaining := l.Until.Sub(r.clock.Now())
 		if remaining <= 0 {
-			return errExpired
+			return &leaseExpiredError{Token: l.Token, Left: remaining, Needed: commandTimeout}
 		}
 		if _, err := r.client.Command(m.ID, statement.Resume{Term: m.FencedTerm}, min(commandTimeout, remaining)); err != nil {
 			return err
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -65,12 +65,15 @@
 }
 
 // Reload applies the shutdown grace, the only setting that can change at run
-// time. It logs whether a restart is needed for others, except for the limits
-// of memory and file descriptors, which it does not compare.
+// time. It logs whether a restart is needed for others.
 func (f *Front) Reload(s Settings) {
 	f.grace.Store(int64(s.ShutdownGrace))
-	old := f.settings
-	restartOnly := s
-	restartOnly.ShutdownGrace, restartOnly.MemoryMB, restartOnly.FileDescriptors = old.ShutdownGrace, old.MemoryMB, old.FileDescriptors
-	f.log.Info("settings reloaded", zap.Stringer("grace", s.ShutdownGrace), zap.Bool("restartNeeded", restartOnly != old))
+	f.log.Info("settings reloaded", zap.Stringer("grace", s.ShutdownGrace), zap.Bool("restartNeeded", f.needsRestart(s)))
+}
+
+// needsRestart reports whether settings differ from those in use in a setting
+// that is read only at the start.
+func (f *Front) needsRestart(s Settings) bool {
+	s.ShutdownGrace = f.settings.ShutdownGrace
+	return s != f.settings
 }
--- a/internal/process/database/driver.go
+++ b/internal/process/database/driver.go
@@ -175,7 +175,9 @@
 		return
 	}
 	if !accepted {
-		status = d.refreshStatus(ctx, a.Database, status)
+		if status, answered = d.statusAfterRefusal(ctx, a.Database); !answered {
+			return
+		}
 	}
 	now := d.clock.Now()
 	d.runStep(func(dst []Action) []Action {
@@ -183,13 +185,17 @@
 	})
 }
 
-// refreshStatus requests the status of a database that refused an operation. It
-// returns the given status if the request fails.
-func (d *FailoverDriver) refreshStatus(ctx context.Context, i int, status Status) Status {
-	if fresh, err := d.operations[i].Status(ctx); err == nil {
-		return fresh
+// statusAfterRefusal requests the status of a database that refused an operation.
+// It returns false if the database does not answer. The refusal then counts as a
+// lost answer: without the status it does not tell which term the database is in,
+// and the failover repeats the step or gives up in time.
+func (d *FailoverDriver) statusAfterRefusal(ctx context.Context, i int) (Status, bool) {
+	status, err := d.operations[i].Status(ctx)
+	if err != nil {
+		d.log.Info("group operation refused, and the status of the database is unknown", zap.String("group", d.monitor.Name()),
+			zap.String("database", d.monitor.Members()[i].Name), zap.Error(err))
 	}
-	return status
+	return status, err == nil
 }
 
 func (d *FailoverDriver) promote(a Promote) {
@@ -205,8 +211,8 @@
 	if accepted {
 		report.Status = status
 		d.monitor.Observe(report)
-	} else {
-		status = d.refreshStatus(ctx, a.Database, status)
+	} else if status, answered = d.statusAfterRefusal(ctx, a.Database); !answered {
+		return
 	}
 	now := d.clock.Now()
 	d.runStep(func(dst []Action) []Action {
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -119,11 +119,14 @@
 			delete(g.members, id)
 		}
 	}
+	changed := len(removed) > 0
 	for _, m := range g.members {
-		m.DrainExpired = m.LeavingAt != 0 && g.DrainLimit > 0 && now.Sub(m.LeavingAt) >= g.DrainLimit
+		expired := m.LeavingAt != 0 && g.DrainLimit > 0 && now.Sub(m.LeavingAt) >= g.DrainLimit
+		changed = changed || expired != m.DrainExpired
+		m.DrainExpired = expired
 	}
 	g.updateSizeLocked(now)
-	if len(removed) > 0 {
+	if changed {
 		g.notifyLocked()
 	}
 	return removed
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -253,3 +253,25 @@
 	require.False(t, fencedMember(database.RoleReplica, 2, 2).Releasable(2), "it follows the term that it was fenced for")
 	require.False(t, fencedMember(database.RolePrimary, 1, 2).Releasable(2))
 }
+
+// Whoever waits for a change must learn that a leaving primary may get no more
+// requests, as it does when the primary's entry expires.
+func TestExpiredDrainWakesWaiters(t *testing.T) {
+	now := clock.Time(1000)
+	g := newTestGroup(now)
+	g.DrainLimit = 5 * clock.Second
+	g.ObserveEntry(now, Entry{ID: "a", Group: "shop1", Address: "a", Slots: 3, Role: database.RolePrimary, Leaving: true})
+	changed := g.Changed()
+	g.Expire(now.Add(4 * clock.Second))
+	select {
+	case <-changed:
+		require.Fail(t, "nothing has changed yet")
+	default:
+	}
+	g.Expire(now.Add(5 * clock.Second))
+	select {
+	case <-changed:
+	default:
+		require.Fail(t, "the expired drain was not notified")
+	}
+}
--- a/internal/process/platform/store/cache.go
+++ b/internal/process/platform/store/cache.go
@@ -68,7 +68,8 @@
 }
 
 // markMissingDeletedLocked marks the rows that are missing in a whole table as
-// deleted. It reports whether there were any.
+// deleted, unless they are newer than the table. It reports whether there were
+// any.
 func (c *Cache) markMissingDeletedLocked(changes Changes) bool {
 	present := make(map[string]struct{}, len(changes.Rows))
 	for _, r := range changes.Rows {
@@ -76,7 +77,7 @@
 	}
 	updated := false
 	for key, r := range c.rows {
-		if _, ok := present[key]; !ok && !r.Deleted {
+		if _, ok := present[key]; !ok && !r.Deleted && r.Version <= changes.Version {
 			c.rows[key] = Row{Key: key, Version: changes.Version, Deleted: true}
 			updated = true
 		}
--- a/internal/process/platform/store/cache_test.go
+++ b/internal/process/platform/store/cache_test.go
@@ -131,3 +131,16 @@
 	require.Equal(t, uint64(9), first.Version)
 	require.Empty(t, c.Since(true, first.Version).Rows)
 }
+
+// A whole table can be older than a row that another source has delivered since.
+// The row is not missing then, and a later table that lacks it deletes it.
+func TestOlderWholeTableKeepsNewerRows(t *testing.T) {
+	c := NewCache()
+	a, b := Row{Key: "a", Version: 3}, Row{Key: "b", Version: 9}
+	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 5})
+	c.Apply(Changes{Rows: []Row{b}, Version: 9})
+	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 7})
+	require.Equal(t, Changes{Rows: []Row{a, b}, Whole: true, Version: 9}, c.Since(false, 0))
+	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 10})
+	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: 10, Deleted: true}}, Version: 10}, c.Since(true, 9))
+}
--- a/internal/process/proxy/peers.go
+++ b/internal/process/proxy/peers.go
@@ -27,6 +27,8 @@
 	callTimeout = 5 * time.Second
 	// maxQueued is the maximum number of messages queued for one peer.
 	maxQueued = 64
+	// acceptBackoff is the pause after a failed accept.
+	acceptBackoff = 50 * time.Millisecond
 	// linkIdleTimeout is how long an unused connection to a peer is kept open.
 	linkIdleTimeout = time.Minute
 )
@@ -88,6 +90,9 @@
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
+	// removed is set when the link is no longer used. No connection is opened
+	// for the messages that are still queued or being sent.
+	removed bool
 	// dialErr is the error of the last dial, nil if it succeeded. failedAt is
 	// when that dial ended.
 	dialErr  error
@@ -101,13 +106,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for other proxies")
 	}
+	return newPeers(l, r, log), nil
+}
+
+func newPeers(l net.Listener, r Receiver, log *zap.Logger) *Peers {
 	p := &Peers{
 		receiver: r, log: log, listener: l, done: make(chan struct{}),
 		known: make(map[string]Peer), links: make(map[string]*link), incoming: make(map[*jsonrpc2.Conn]struct{}),
 	}
 	p.wg.Add(1)
 	go p.serve()
-	return p, nil
+	return p
 }
 
 // Address returns the address that other proxies connect to.
@@ -153,7 +162,7 @@
 	}
 	delete(p.links, name)
 	close(l.queue)
-	go l.close()
+	go l.remove()
 }
 
 // runQueue sends the queued messages of a link in order. Each link has its own
@@ -266,6 +275,9 @@
 func (p *Peers) connect(ctx context.Context, l *link) (*jsonrpc2.Conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.removed {
+		return nil, &UnknownPeerError{Name: l.peer.Name}
+	}
 	if l.conn != nil {
 		select {
 		case <-l.conn.DisconnectNotify():
@@ -295,20 +307,42 @@
 func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.closeLocked()
+}
+
+func (l *link) closeLocked() {
 	if l.conn != nil {
 		_ = l.conn.Close()
 		l.conn = nil
 	}
 }
 
+// remove closes the connection for good.
+func (l *link) remove() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removed = true
+	l.closeLocked()
+}
+
 func (p *Peers) serve() {
 	defer p.wg.Done()
 	for {
 		c, err := p.listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			p.accept(c)
+		case errors.Is(err, net.ErrClosed):
 			return
+		default:
+			// For example, the file descriptors have run out.
+			p.log.Warn("accept peer failed", zap.Error(err))
+			select {
+			case <-p.done:
+				return
+			case <-time.After(acceptBackoff):
+			}
 		}
-		p.accept(c)
 	}
 }
 
--- a/internal/request/caller/forward.go
+++ b/internal/request/caller/forward.go
@@ -14,11 +14,16 @@
 // directly if there is none. A home proxy does all that this proxy would do, on
 // database connections that few proxies share.
 func (w *worker) runForwarded(r *request) error {
-	for attempt := 0; ; attempt++ {
-		home, ok := r.group.Homes.Choose(attempt)
-		if !ok {
+	var untried []database.Home
+	for {
+		if len(untried) == 0 {
+			untried = r.group.Homes.Order()
+		}
+		if len(untried) == 0 {
 			return w.runDirect(r)
 		}
+		home := untried[0]
+		untried = untried[1:]
 		done, err := w.tryHome(r, home)
 		if done || err != nil {
 			return err
--- a/internal/request/database/homes.go
+++ b/internal/request/database/homes.go
@@ -1,6 +1,7 @@
 package database
 
 import (
+	"slices"
 	"sync"
 
 	connection "github.com/oleanderflow/oleanderflow/internal/connection/database"
@@ -20,7 +21,7 @@
 
 	mu    sync.Mutex
 	homes []Home
-	// rotation advances on each call of Choose, to spread requests over homes.
+	// rotation advances on each call of Order, to spread requests over homes.
 	rotation int
 }
 
@@ -67,16 +68,12 @@
 	return len(h.homes) > 0
 }
 
-// Choose returns the home for a request's attempt, counted from 0. It takes as
-// many attempts to homes in the proxy's zone as the zone has homes, and further
-// attempts to homes in other zones, if any. It returns false if there are no
-// homes.
-func (h *Homes) Choose(attempt int) (Home, bool) {
+// Order returns all homes in the order in which a request tries them: those in
+// the proxy's zone first. Within a zone and among the others, the order rotates
+// from request to request.
+func (h *Homes) Order() []Home {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.homes) == 0 {
-		return Home{}, false
-	}
 	h.rotation++
 	var sameZone, otherZones []Home
 	for _, home := range h.homes {
@@ -86,11 +83,15 @@
 			otherZones = append(otherZones, home)
 		}
 	}
-	if attempt < len(sameZone) {
-		return sameZone[(h.rotation+attempt)%len(sameZone)], true
-	}
-	if len(otherZones) == 0 {
-		return sameZone[(h.rotation+attempt)%len(sameZone)], true
+	return append(rotate(sameZone, h.rotation), rotate(otherZones, h.rotation)...)
+}
+
+// rotate returns list with its first n elements moved to the end, or n modulo
+// its length if that is shorter.
+func rotate(list []Home, n int) []Home {
+	if len(list) == 0 {
+		return nil
 	}
-	return otherZones[(h.rotation+attempt)%len(otherZones)], true
+	n %= len(list)
+	return append(slices.Clone(list[n:]), list[:n]...)
 }
