--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -40,6 +40,11 @@
 	// maxConnections is the maximum number of connections from one proxy to one
 	// database.
 	maxConnections = 12
+	// homeConcurrency is how many requests of one proxy a home runs without
+	// making them wait for each other. With more in flight, other homes become
+	// the better choice, at the price of the traffic between zones and of one
+	// more connection.
+	homeConcurrency = 4
 	// crossZoneCost is added to the expected latency of a home in another
 	// availability zone, in ms. It stands for the round trip between the zones
 	// and for the price of the transferred bytes: forwarded requests are most of
@@ -212,7 +217,7 @@
 			continue
 		}
 		state := h.stateLocked(p.Name)
-		cost, avoid := state.latency.ExpectedLatency(now, 1)
+		cost, avoid := state.latency.ExpectedLatency(now, homeConcurrency)
 		if avoid {
 			continue
 		}
--- a/internal/core/version_driver.go
+++ b/internal/core/version_driver.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/patch"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/version/operator"
 	versionplatform "github.com/oleanderflow/oleanderflow/internal/version/platform"
@@ -299,8 +300,8 @@
 		return proxy.FetchAnswer{}
 	}
 	if have := p.versions.findContent(m.Have); have != nil {
-		patch := proxy.MakePatch(have, content)
-		return proxy.FetchAnswer{Patch: &patch}
+		p := patch.Make(have, content)
+		return proxy.FetchAnswer{Patch: &p}
 	}
 	return proxy.FetchAnswer{Content: content}
 }
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -40,8 +40,17 @@
 	// probeFeedWait is how long the store may hold open a feed that only tests
 	// whether the store responds.
 	probeFeedWait = 1 * clock.Millisecond
-	// tableReadTimeout is the timeout for reading a whole table.
+	// tableReadTimeout is the timeout for reading a whole table, and
+	// startReadTimeout that of a process that has no table yet. Such a process
+	// serves nobody, and the store may have just come back.
 	tableReadTimeout = 3 * clock.Second
+	startReadTimeout = 600 * clock.Millisecond
+	// startRetryDelay replaces minRetryDelay and maxRetryDelay for a process that
+	// has no table yet.
+	startRetryDelay = 150 * clock.Millisecond
+	// startPatience is how long a process that has no table yet asks only the
+	// relays for it. When all start at once, the relays are ready within it.
+	startPatience = 400 * clock.Millisecond
 	// maxFeedWait is the wait that a proxy requests when it follows the store
 	// directly. It is so long that the store decides when the feed ends.
 	maxFeedWait = clock.Minute
@@ -121,8 +130,9 @@
 }
 
 // recordFailure records a failed call, schedules the next attempt and cancels
-// the contexts returned by untilFailure.
-func (o *outage) recordFailure(now clock.Time) {
+// the contexts returned by untilFailure. starting is set if the call was for a
+// table that this process does not have yet.
+func (o *outage) recordFailure(now clock.Time, starting bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.backoff == 0 {
@@ -132,6 +142,9 @@
 	if o.reportedByRelays {
 		o.backoff = followerRetryDelay
 	}
+	if starting {
+		o.backoff = startRetryDelay
+	}
 	o.reportedByRelays = false
 	o.nextAttempt = now.Add(o.backoff + clock.Duration(rand.Int64N(int64(o.backoff))))
 	if o.cancelUntilFailure != nil {
@@ -152,7 +165,7 @@
 
 // follow reads a table and then its changes, and hands them to apply, until the
 // instance has stopped.
-func (f *Front) follow(table string, maxInterval clock.Duration, apply func(rows []store.Row, whole bool)) {
+func (f *Front) follow(table string, maxInterval clock.Duration, apply func(store.Changes)) {
 	log := f.log.With(zap.String("table", table))
 	known, lost := false, false
 	var version uint64
@@ -176,10 +189,16 @@
 			log.Info("store responding again", zap.Uint64("version", changes.Version), zap.String("from", from))
 			lost = false
 		}
+		if changes.Whole && changes.Version < version {
+			// The source has an older table than this proxy had.
+			log.Info("older table ignored", zap.String("from", from), zap.Uint64("version", changes.Version), zap.Uint64("known", version))
+			f.relays.avoid(from, minRetryDelay)
+			continue
+		}
 		if len(changes.Rows) > 0 || !known {
 			log.Debug("changes", zap.String("from", from), zap.Int("rows", len(changes.Rows)),
 				zap.Bool("whole", changes.Whole), zap.Uint64("version", changes.Version))
-			apply(changes.Rows, changes.Whole)
+			apply(changes)
 		}
 		known, version = true, max(version, changes.Version)
 		if from != "" {
@@ -199,6 +218,7 @@
 // fetchChanges returns the whole table, or its changes since a version, and the
 // name of the relay that sent them, which is empty if they come from the store.
 func (f *Front) fetchChanges(table string, known bool, version uint64) (store.Changes, string, error) {
+	began := f.clock.Now()
 	for {
 		changes, from, err := f.relays.poll(table, known, version)
 		if err == nil {
@@ -206,6 +226,10 @@
 			return changes, from, nil
 		}
 		now := f.clock.Now()
+		if !known && f.relays.hasSources() && now.Sub(began) < startPatience {
+			// Relays that have started at the same time will soon have the table.
+			continue
+		}
 		if errors.Is(err, errStoreLost) && !f.relays.storeAnsweredRecently(now) {
 			f.outage.reportByRelays(now)
 		}
@@ -229,7 +253,7 @@
 	case errors.Is(err, context.Canceled):
 		err = errors.Wrap(err, "cancelled because a call for another table failed")
 	default:
-		f.outage.recordFailure(now)
+		f.outage.recordFailure(now, !known)
 		f.relays.markStoreLost()
 	}
 	return changes, "", err
@@ -237,11 +261,14 @@
 
 // fetchFromStore reads the whole table or its changes from the store.
 func (f *Front) fetchFromStore(table string, known bool, version uint64) (store.Changes, error) {
-	f.metrics.CountStoreCall()
 	var err error
 	changes := store.Changes{Whole: !known}
 	if !known {
-		ctx, cancel := context.WithTimeout(context.Background(), tableReadTimeout.Std())
+		limit := tableReadTimeout
+		if version == 0 {
+			limit = startReadTimeout
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 		defer cancel()
 		changes.Rows, changes.Version, err = f.platform.Store.Table(ctx, table)
 		return changes, err
@@ -276,13 +303,14 @@
 		default:
 			return maxFeedWait
 		}
-	case !f.relays.isRelay(), table == f.platform.ConfigurationTable:
-		// A proxy whose relays do not respond calls a store that may not
+	}
+	heartbeat, root := f.relays.heartbeat()
+	if !root || table == f.platform.ConfigurationTable {
+		// A proxy whose sources do not respond calls a store that may not
 		// respond either.
-		return heartbeatWait
-	default:
-		return relayFeedWait
+		return heartbeat
 	}
+	return relayFeedWait
 }
 
 func (f *Front) isStopped() bool {
--- a/internal/front/follow_test.go
+++ b/internal/front/follow_test.go
@@ -73,7 +73,7 @@
 	f.relays = newRelays(proxy.Peer{Name: "self"}, tables, systemTimers{f.clock}, f.log)
 	defer close(f.done)
 	for _, table := range tables {
-		go f.follow(table, maxPollInterval, func([]store.Row, bool) {})
+		go f.follow(table, maxPollInterval, func(store.Changes) {})
 	}
 	allAsked := func() bool {
 		s.mu.Lock()
@@ -98,14 +98,14 @@
 	now := clock.Time(1000)
 	wait, _ := o.reserveAttempt(now)
 	require.Zero(t, wait)
-	o.recordFailure(now)
+	o.recordFailure(now, false)
 	require.True(t, o.active())
 	attempts := 0
 	for ; now < 11_000; now += 10 {
 		for range 4 {
 			if wait, recovered := o.reserveAttempt(now); wait == 0 {
 				attempts++
-				o.recordFailure(now)
+				o.recordFailure(now, false)
 			} else {
 				require.NotNil(t, recovered)
 			}
@@ -113,7 +113,7 @@
 	}
 	require.LessOrEqual(t, attempts, 10_000/int(maxRetryDelay)+2)
 	require.GreaterOrEqual(t, attempts, 10_000/int(2*maxRetryDelay))
-	o.recordFailure(now)
+	o.recordFailure(now, false)
 	_, recovered := o.reserveAttempt(now)
 	o.recordSuccess()
 	require.False(t, o.active())
@@ -139,13 +139,13 @@
 			if wait, _ := o.reserveAttempt(now); wait == 0 {
 				require.Less(t, now.Sub(last), configurationLimit-clock.Second)
 				attempts, last = attempts+1, now
-				o.recordFailure(now)
+				o.recordFailure(now, false)
 			}
 		}
 	}
 	require.LessOrEqual(t, attempts, 20_000/int(followerRetryDelay)+2)
-	o.recordFailure(now)
-	o.recordFailure(now)
+	o.recordFailure(now, false)
+	o.recordFailure(now, false)
 	wait, _ := o.reserveAttempt(now)
 	require.LessOrEqual(t, wait, 2*maxRetryDelay)
 	o.reportByRelays(now)
@@ -215,11 +215,13 @@
 	s := &hangingStore{}
 	f := New(Settings{}, Platform{Store: s, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
 	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, systemTimers{f.clock}, f.log)
-	f.relays.selfIsRelay, f.relays.preferred = true, []proxy.Peer{{Name: "self"}}
+	f.relays.setMembers([]proxy.Peer{{Name: "self"}})
+	f.relays.selfIsRelay, f.relays.selfIsRoot = true, true
+	f.relays.tiers = tiers{relays: []proxy.Peer{{Name: "self"}}, roots: []proxy.Peer{{Name: "self"}}}
 	defer close(f.done)
 	began := f.clock.Now()
 	for _, table := range []string{"op", "servers"} {
-		go f.follow(table, maxPollInterval, func([]store.Row, bool) {})
+		go f.follow(table, maxPollInterval, func(store.Changes) {})
 	}
 	require.Eventually(t, func() bool {
 		s.mu.Lock()
@@ -244,7 +246,8 @@
 	s := &hangingStore{}
 	f := New(Settings{}, Platform{Store: s, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
 	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, systemTimers{f.clock}, f.log)
-	f.relays.preferred = []proxy.Peer{{Name: "relay"}}
+	f.relays.tiers = tiers{relays: []proxy.Peer{{Name: "relay"}}, roots: []proxy.Peer{{Name: "relay"}}}
+	f.relays.sources = f.relays.tiers.relays
 	f.relays.avoid("relay", clock.Minute)
 	for _, table := range []string{"op", "servers"} {
 		began := f.clock.Now()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -100,12 +100,19 @@
 	// grace is Settings.ShutdownGrace, which Reload may change.
 	grace          atomic.Int64
 	registryLoaded atomic.Bool
-	stopping       atomic.Bool
-	lastSessionID  atomic.Uint64
+	// registering is set while this instance writes its member row.
+	// registeredVersion is the version of the last row that it wrote.
+	registering       atomic.Bool
+	registeredVersion atomic.Uint64
+	stopping          atomic.Bool
+	lastSessionID     atomic.Uint64
 	// refusals counts the callers that are being refused.
 	refusals atomic.Int64
 	listener net.Listener
 	done     chan struct{}
+	// membersRead is closed once the members table has been read.
+	membersRead     chan struct{}
+	membersReadOnce sync.Once
 	// membersKnown is closed once the list of live proxies includes this one or
 	// is long enough for relays.
 	membersKnown     chan struct{}
@@ -127,9 +134,10 @@
 		settings: s, platform: p, clock: c, log: log, metrics: m,
 		groups: make(map[string]*groupState), groupOf: make(map[string]string),
 		members: make(map[string]proxy.Peer), sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
-		membersKnown: make(chan struct{}),
+		membersRead: make(chan struct{}), membersKnown: make(chan struct{}),
 	}
 	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Self: s.Name}
+	f.platform.Store = countedStore{Store: p.Store, metrics: m}
 	f.grace.Store(int64(s.ShutdownGrace))
 	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress}
 	return f
@@ -144,29 +152,49 @@
 	}
 	f.listener = l
 	f.host = session.NewHost(&f.sessionDeps)
+	if err := f.startPeers(f.settings.PeerAddress); err != nil {
+		return err
+	}
+	go f.followTables()
+	go f.runTicks()
+	go f.acceptCallers()
+	return nil
+}
+
+// startPeers listens for other proxies.
+func (f *Front) startPeers(address string) error {
 	tables := []string{membersTable, f.platform.ConfigurationTable, f.platform.RegistryTable, agreementTable}
 	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log)
-	if f.peerConns, err = proxy.NewPeers(f.settings.PeerAddress, &peerHandler{relays: f.relays, host: f.host}, f.log); err != nil {
+	handler := &peerHandler{
+		relays: f.relays, host: f.host, registrar: &registrar{clock: systemTimers{f.clock}, put: f.putMembers},
+	}
+	peers, err := proxy.NewPeers(address, handler, f.log)
+	if err != nil {
 		return err
 	}
+	f.peerConns = peers
 	f.self.Address = f.peerConns.Address()
 	f.relays.peers = f.peerConns
 	f.homes = peer.NewHomes(f.settings.Name, f.settings.Zone, f.peerConns, f.clock)
 	f.sessionDeps.Homes = f.homes
-	go f.follow(membersTable, maxMembersPollInterval, f.applyMembers)
-	go f.followOtherTables()
-	go f.runTicks()
-	go f.acceptCallers()
 	return nil
 }
 
-// membersTimeout is the longest that an instance waits for the list of live
-// proxies, from which the relays are chosen, before it follows the other
-// tables. Proxies that start at the same time have all registered within it.
+// membersTimeout is the longest that an instance waits, once it has read the
+// members table, for the list of live proxies, from which the relays are chosen,
+// before it follows the other tables. Proxies that start at the same time have
+// all registered within it.
 const membersTimeout = 300 * clock.Millisecond
 
-// followOtherTables follows all tables except the members table.
-func (f *Front) followOtherTables() {
+// followTables follows all tables, the members table first.
+func (f *Front) followTables() {
+	backend.Sleep(firstReadDelay(&f.settings))
+	go f.follow(membersTable, maxMembersPollInterval, f.applyMembers)
+	select {
+	case <-f.membersRead:
+	case <-f.done:
+		return
+	}
 	backend.WaitOrTimeout(f.membersKnown, membersTimeout)
 	go f.follow(f.platform.ConfigurationTable, maxPollInterval, f.applyVersions)
 	go f.follow(f.platform.RegistryTable, maxPollInterval, f.applyEntries)
@@ -214,8 +242,8 @@
 }
 
 // applyVersions applies changed rows of the configuration table.
-func (f *Front) applyVersions(rows []store.Row, _ bool) {
-	for _, row := range rows {
+func (f *Front) applyVersions(changes store.Changes) {
+	for _, row := range changes.Rows {
 		v, err := f.platform.DecodeVersion(row)
 		switch {
 		case err != nil:
@@ -237,11 +265,11 @@
 	f.homes.SetConnectionLimits(limits)
 }
 
-// applyEntries applies changed rows of the registry table. If rows are the
-// whole table, databases without a row are marked as lapsed.
-func (f *Front) applyEntries(rows []store.Row, whole bool) {
-	seen := make(map[string]struct{}, len(rows))
-	for _, row := range rows {
+// applyEntries applies changed rows of the registry table. If they are the whole
+// table, databases without a row are marked as lapsed.
+func (f *Front) applyEntries(changes store.Changes) {
+	seen := make(map[string]struct{}, len(changes.Rows))
+	for _, row := range changes.Rows {
 		if row.Deleted {
 			f.markLapsed(row.Key)
 			continue
@@ -267,7 +295,7 @@
 		}
 		g.Update(e)
 	}
-	if whole {
+	if changes.Whole {
 		f.markLapsedExcept(seen)
 		f.registryLoaded.Store(true)
 	}
@@ -294,8 +322,8 @@
 }
 
 // applyAgreement applies changed claims and votes.
-func (f *Front) applyAgreement(rows []store.Row, _ bool) {
-	for _, row := range rows {
+func (f *Front) applyAgreement(changes store.Changes) {
+	for _, row := range changes.Rows {
 		if row.Deleted {
 			continue
 		}
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -22,19 +21,16 @@
 	// members table. It is long because the table changes often while a system
 	// starts.
 	maxMembersPollInterval = 4 * clock.Second
-	// registerRetryDelay is the delay before a failed write of this proxy's row
-	// is retried.
-	registerRetryDelay = 500 * clock.Millisecond
 )
 
 // applyMembers applies changed rows of the members table, and registers this
 // proxy if it has no row or an outdated one.
-func (f *Front) applyMembers(rows []store.Row, whole bool) {
+func (f *Front) applyMembers(changes store.Changes) {
 	f.mu.Lock()
-	if whole {
+	if changes.Whole {
 		clear(f.members)
 	}
-	for _, row := range rows {
+	for _, row := range changes.Rows {
 		var p proxy.Peer
 		if row.Deleted {
 			delete(f.members, row.Key)
@@ -56,40 +52,22 @@
 	slices.SortFunc(list, func(a, b proxy.Peer) int { return strings.Compare(a.Name, b.Name) })
 	f.homes.SetMembers(list)
 	f.relays.setMembers(list)
+	f.membersReadOnce.Do(func() { close(f.membersRead) })
 	if registered || f.relays.exist() {
 		f.membersKnownOnce.Do(func() { close(f.membersKnown) })
 	}
 	f.log.Info("proxies known", zap.Int("count", len(list)))
-	if !registered && !f.stopping.Load() {
-		go f.register()
-	}
-}
-
-// register writes the row of this proxy and retries until the store has
-// accepted it or the instance stops.
-func (f *Front) register() {
-	value, err := json.Marshal(f.self)
-	if err != nil {
-		f.log.Error("encode own member row failed", logs.Error(err))
-		return
-	}
-	for !f.stopping.Load() {
-		f.metrics.CountStoreCall()
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
-		err := f.platform.Store.Put(ctx, membersTable, f.settings.Name, value)
-		cancel()
-		if err == nil {
-			return
-		}
-		f.log.Info("write own member row failed", logs.Error(err))
-		backend.Sleep(registerRetryDelay)
+	// A row that was written with this version or a later one is not in the
+	// table yet.
+	pending := changes.Version < f.registeredVersion.Load()
+	if !registered && !pending && !f.stopping.Load() {
+		f.startRegister()
 	}
 }
 
 // unregister removes the row of this proxy, so that other proxies forward no
 // requests to it.
 func (f *Front) unregister() {
-	f.metrics.CountStoreCall()
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
 	defer cancel()
 	if err := f.platform.Store.Remove(ctx, membersTable, f.settings.Name); err != nil {
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -35,12 +35,15 @@
 	closer        io.Closer
 	text          *textReporter
 	statusQueries tally.Counter
-	storeCalls    tally.Counter
 
-	mu     sync.Mutex
-	routes map[routeKey]routeMetrics
+	mu         sync.Mutex
+	routes     map[routeKey]routeMetrics
+	storeCalls map[storeCall]tally.Counter
 }
 
+// storeCall is the kind of a call to the store, and its table.
+type storeCall struct{ kind, table string }
+
 type routeKey struct {
 	kind    routes.Consistency
 	outcome string
@@ -59,7 +62,7 @@
 	}, reportInterval)
 	return &Metrics{
 		scope: scope, closer: closer, text: text, routes: make(map[routeKey]routeMetrics),
-		statusQueries: scope.Counter("status_questions"), storeCalls: scope.Counter("store_calls"),
+		statusQueries: scope.Counter("status_questions"), storeCalls: make(map[storeCall]tally.Counter),
 	}
 }
 
@@ -67,7 +70,17 @@
 func (m *Metrics) CountStatusQuery() { m.statusQueries.Inc(1) }
 
 // CountStoreCall counts one call to the platform's store.
-func (m *Metrics) CountStoreCall() { m.storeCalls.Inc(1) }
+func (m *Metrics) CountStoreCall(kind, table string) {
+	key := storeCall{kind, table}
+	m.mu.Lock()
+	counter, ok := m.storeCalls[key]
+	if !ok {
+		counter = m.scope.Tagged(map[string]string{"call": kind, "table": table}).Counter("store_calls")
+		m.storeCalls[key] = counter
+	}
+	m.mu.Unlock()
+	counter.Inc(1)
+}
 
 // Answered counts an answered request and records its latency by route kind and
 // outcome. It implements session.Recorder.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -1,13 +1,10 @@
 package front
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
@@ -18,26 +15,23 @@
 )
 
 const (
-	// proxiesPerRelay is the upper bound of the average number of proxies per
-	// relay. One call from each of them every few seconds is a small load for
-	// the smallest machine.
-	proxiesPerRelay = 25
-	// minRelays is the number of relays below which every proxy follows the
-	// store directly.
-	minRelays = 2
 	// relayPollWait is how long a relay holds a poll open until something
-	// changes. A relay that has not responded relayPollGrace after that is not
-	// used for relayCooldown. The sum of relayPollWait and relayPollGrace, which
-	// is the delay due to one unresponsive relay, is a fraction of the time
-	// within which changes have to be known.
+	// changes, and rootPollWait how long a root holds that of a relay. A source
+	// that has not responded relayPollGrace after that is not used for
+	// relayCooldown. The sums of the waits and the grace, which are the delays
+	// due to one unresponsive source, are a fraction of the time within which
+	// changes have to be known. That of the relays is the shorter, since the
+	// proxies that follow them are delayed too.
 	relayPollWait  = 2 * clock.Second
+	rootPollWait   = 1 * clock.Second
 	relayPollGrace = 500 * clock.Millisecond
 	relayCooldown  = 4 * clock.Second
 	// initialPollWait and initialPollGrace replace relayPollWait and
 	// relayPollGrace for the first poll of a table: callers wait until the
-	// process has it.
+	// process has it. The grace leaves time to a relay that is asked for its
+	// tables by all proxies of a fleet at once.
 	initialPollWait  = 25 * clock.Millisecond
-	initialPollGrace = 25 * clock.Millisecond
+	initialPollGrace = 100 * clock.Millisecond
 	// heartbeatWait is how long the store may hold open a relay's feed of the
 	// configuration. A relay that has had no response from the store for
 	// heartbeatGrace longer may be cut off from the store. It reports this to
@@ -45,6 +39,10 @@
 	// within seconds.
 	heartbeatWait  = 2 * clock.Second
 	heartbeatGrace = 500 * clock.Millisecond
+	// rootHeartbeatWait replaces heartbeatWait for roots that other relays
+	// follow. With the wait of the relays' polls it is less than heartbeatWait
+	// and heartbeatGrace, so that relays do not take a root for cut off.
+	rootHeartbeatWait = 1 * clock.Second
 	// relayFeedWait replaces heartbeatWait for the other tables.
 	relayFeedWait = 10 * clock.Second
 	// baseRelayAttempts is how many relays are polled before the store is
@@ -68,6 +66,9 @@
 	Table   string `json:"table"`
 	Known   bool   `json:"known"`
 	Version uint64 `json:"version"`
+	// Bases has the versions of the large rows that the polling proxy has. The
+	// relay may send a change of such a row as a patch.
+	Bases map[string]uint64 `json:"bases,omitempty"`
 	// WaitMillis is how long the relay may wait for a change, in milliseconds.
 	WaitMillis int64 `json:"waitMillis"`
 }
@@ -75,16 +76,20 @@
 // followResult is the answer of a relay.
 type followResult struct {
 	store.Changes
+	// ContactAge is how long ago the store last responded to the relay or to its
+	// source. Since it adds up over tiers, proxies that follow each other, with
+	// different views of the members, notice that none of them hears of the
+	// store.
+	ContactAge clock.Duration `json:"contactAge,omitempty"`
 	// Lost is set if the answering proxy cannot serve the table: it is not a
 	// relay, or the store does not respond to it.
 	Lost bool `json:"lost,omitempty"`
 }
 
-// relays chooses the relays, which are the proxies that follow the store on
-// behalf of the others. It polls them, and answers polls if this proxy is a
-// relay itself. With many proxies, one call from each of them per change would
-// be most of the store's load, so a few relays in each availability zone
-// forward the changes. No other lock is taken while its lock is held.
+// relays follows the store through other proxies, and passes its changes on if
+// this proxy is a relay itself. With many proxies, one call from each of them per
+// change would be most of the store's load, so only a few roots follow it. No
+// other lock is taken while its lock is held.
 type relays struct {
 	self  proxy.Peer
 	clock timers
@@ -94,13 +99,18 @@
 	copies map[string]*store.Cache
 
 	mu sync.Mutex
-	// preferred has all relays, sorted by preference.
-	preferred   []proxy.Peer
+	// sources has the proxies to poll, sorted by preference.
+	sources     []proxy.Peer
+	tiers       tiers
 	selfIsRelay bool
+	selfIsRoot  bool
 	avoidUntil  map[string]clock.Time
 	// storeAnsweredAt is when the store last responded to this process, zero if
 	// never.
 	storeAnsweredAt clock.Time
+	// sourceContactAt is when the store last responded to the source of this
+	// process's changes, zero if never.
+	sourceContactAt clock.Time
 }
 
 func newRelays(self proxy.Peer, tables []string, c timers, log *zap.Logger) *relays {
@@ -111,47 +121,22 @@
 	return r
 }
 
-// chooseRelays selects the relays among the live proxies, or none if there are
-// too few proxies. The choice depends only on the members, so proxies with the
-// same view choose the same relays.
-func chooseRelays(members []proxy.Peer) []proxy.Peer {
-	n := len(members) / proxiesPerRelay
-	if n < minRelays {
-		return nil
-	}
-	return proxy.ChoosePeers("relays", members, n+1)
-}
-
-// sortByPreference returns the relays in the order in which one proxy polls
-// them: relays of its own zone first. Within a zone and among the others, the
-// order differs between proxies, which spreads the load.
-func sortByPreference(self proxy.Peer, list []proxy.Peer) []proxy.Peer {
-	ordered := slices.Clone(list)
-	rank := func(p proxy.Peer) uint64 { return xxhash.Sum64String(p.Name + "/" + self.Name) }
-	slices.SortFunc(ordered, func(a, b proxy.Peer) int {
-		aLocal, bLocal := a.Zone == self.Zone, b.Zone == self.Zone
-		switch {
-		case aLocal == bLocal:
-			return cmp.Compare(rank(a), rank(b))
-		case aLocal:
-			return -1
-		default:
-			return 1
-		}
-	})
-	return ordered
-}
-
-// setMembers updates the relays from the list of live proxies.
+// setMembers updates the tiers from the list of live proxies.
 func (r *relays) setMembers(members []proxy.Peer) {
-	list := chooseRelays(members)
-	isRelay := proxy.ContainsPeer(list, r.self.Name)
+	chosen := chooseTiers(members)
+	sources := chosen.sources(r.self)
+	isRelay, isRoot := proxy.ContainsPeer(chosen.relays, r.self.Name), proxy.ContainsPeer(chosen.roots, r.self.Name)
 	r.mu.Lock()
-	changed := isRelay != r.selfIsRelay
-	r.preferred, r.selfIsRelay = sortByPreference(r.self, list), isRelay
+	changed := isRelay != r.selfIsRelay || isRoot != r.selfIsRoot
+	r.tiers, r.sources = chosen, sources
+	r.selfIsRelay, r.selfIsRoot = isRelay, isRoot
 	r.mu.Unlock()
+	for _, c := range r.copies {
+		c.KeepHistory(isRelay)
+	}
 	if changed {
-		r.log.Info("relay role changed", zap.Bool("relay", isRelay), zap.Int("relays", len(list)))
+		r.log.Info("relay role changed", zap.Bool("relay", isRelay), zap.Bool("root", isRoot),
+			zap.Int("relays", len(chosen.relays)), zap.Int("roots", len(chosen.roots)))
 	}
 }
 
@@ -159,7 +144,7 @@
 func (r *relays) exist() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.preferred) > 0
+	return len(r.tiers.relays) > 0
 }
 
 func (r *relays) isRelay() bool {
@@ -168,17 +153,31 @@
 	return r.selfIsRelay
 }
 
-// candidates returns the relays that may be polled now. A relay itself has
-// none, since it follows the store directly.
+// heartbeat returns how long the store may hold open this proxy's feed of the
+// configuration, and whether this proxy is a root.
+func (r *relays) heartbeat() (clock.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.selfIsRoot && len(r.tiers.relays) > len(r.tiers.roots) {
+		return rootHeartbeatWait, true
+	}
+	return heartbeatWait, r.selfIsRoot
+}
+
+// hasSources reports whether this proxy follows others.
+func (r *relays) hasSources() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.sources) > 0
+}
+
+// candidates returns the sources that may be polled now. A root has none.
 func (r *relays) candidates() []string {
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.selfIsRelay {
-		return nil
-	}
 	var names []string
-	for _, p := range r.preferred {
+	for _, p := range r.sources {
 		if now >= r.avoidUntil[p.Name] {
 			names = append(names, p.Name)
 		}
@@ -192,16 +191,18 @@
 	r.avoidUntil[name] = r.clock.Now().Add(pause)
 }
 
-// poll asks the relays for changes of a table, and returns these and the name
-// of the relay that sent them. The error is errStoreLost if a relay responds
-// but cannot reach the store, and errNoRelay if no relay responds or may be
-// polled.
+// poll asks the sources for changes of a table, and returns these and the name
+// of the source that sent them. The error is errStoreLost if a source responds
+// but cannot reach the store, and errNoRelay if none responds or may be polled.
 func (r *relays) poll(table string, known bool, version uint64) (store.Changes, string, error) {
 	names := r.candidates()
-	wait, grace := relayPollWait, relayPollGrace
+	wait, grace, cooldown := relayPollWait, relayPollGrace, relayCooldown
+	if r.isRelay() {
+		wait = rootPollWait
+	}
 	if !known {
 		names = names[:min(len(names), 1)]
-		wait, grace = initialPollWait, initialPollGrace
+		wait, grace, cooldown = initialPollWait, initialPollGrace, minRetryDelay
 	}
 	failure := errNoRelay
 	began := r.clock.Now()
@@ -210,16 +211,23 @@
 			break
 		}
 		p := followParams{Table: table, Known: known, Version: version, WaitMillis: int64(wait)}
+		if known {
+			p.Bases = r.copies[table].Bases()
+		}
 		result, err := r.call(name, p, wait+grace)
+		if err == nil && !result.Lost {
+			err = r.copies[table].Expand(&result.Changes)
+		}
 		switch {
 		case err != nil:
 			r.log.Info("relay not responding", zap.String("relay", name), zap.String("table", table), logs.Error(err))
-			r.avoid(name, relayCooldown)
+			r.avoid(name, cooldown)
 		case result.Lost:
 			r.log.Debug("relay cannot reach the store", zap.String("relay", name), zap.String("table", table))
 			r.avoid(name, minRetryDelay)
 			failure = errStoreLost
 		default:
+			r.recordContact(r.clock.Now().Add(-result.ContactAge))
 			return result.Changes, name, nil
 		}
 	}
@@ -231,8 +239,10 @@
 	defer cancel()
 	var result followResult
 	err := r.peers.Call(ctx, name, methodFollow, p, &result)
-	if errors.Is(err, context.DeadlineExceeded) {
-		// The connection may be broken, so it is not reused.
+	if errors.Is(err, context.DeadlineExceeded) && p.Known {
+		// The connection may be broken, so it is not reused. After the short
+		// limit of an initial poll that is not likely, and the polls of other
+		// tables use it too.
 		r.peers.Drop(name)
 	}
 	return result, err
@@ -249,6 +259,14 @@
 	r.storeAnsweredAt = now
 }
 
+// recordContact records that a source had a response of the store at the given
+// time.
+func (r *relays) recordContact(at clock.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sourceContactAt = max(r.sourceContactAt, at)
+}
+
 // markStoreLost records that the store does not respond. The copy of a table is
 // not served to other proxies until the table has been updated again.
 func (r *relays) markStoreLost() {
@@ -257,8 +275,16 @@
 	}
 }
 
-// canServe reports whether this process is a relay with recent store contact.
-func (r *relays) canServe(now clock.Time) bool { return r.isRelay() && r.storeAnsweredRecently(now) }
+// contactAge returns how long ago the store last responded to this process or
+// to its source, and whether this process is a relay that may serve its copies of
+// the tables.
+func (r *relays) contactAge(now clock.Time) (clock.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	contactAt := max(r.storeAnsweredAt, r.sourceContactAt)
+	age := now.Sub(contactAt)
+	return age, r.selfIsRelay && contactAt != 0 && age < heartbeatWait+heartbeatGrace
+}
 
 // storeAnsweredRecently reports whether the store has responded to this process
 // within the last heartbeatWait plus heartbeatGrace.
@@ -290,10 +316,12 @@
 	for {
 		changed := c.Changed()
 		now := r.clock.Now()
-		fresh := c.Usable() && r.canServe(now)
+		// A whole table must not be older than what the polling proxy had.
+		age, contact := r.contactAge(now)
+		fresh := c.Usable() && contact && (p.Known || c.Version() >= p.Version)
 		if fresh {
-			if changes := c.Since(p.Known, p.Version); len(changes.Rows) > 0 || changes.Whole || now >= until {
-				return followResult{Changes: changes}
+			if changes := c.Since(p.Known, p.Version, p.Bases); len(changes.Rows) > 0 || changes.Whole || now >= until {
+				return followResult{Changes: changes, ContactAge: age}
 			}
 		}
 		// An initial poll waits: a relay that has just started will soon have
@@ -305,17 +333,22 @@
 	}
 }
 
-// peerHandler dispatches calls of other proxies to the relay or to the session
-// host.
+// peerHandler dispatches calls of other proxies to the relay, the registrar or
+// the session host.
 type peerHandler struct {
-	relays *relays
-	host   proxy.Receiver
+	relays    *relays
+	registrar *registrar
+	host      proxy.Receiver
 }
 
 // Receive implements proxy.Receiver.
 func (r *peerHandler) Receive(ctx context.Context, method string, params json.RawMessage) (any, error) {
-	if method == methodFollow {
+	switch method {
+	case methodFollow:
 		return r.relays.handleFollow(params)
+	case methodRegister:
+		return r.registrar.handleRegister(params)
+	default:
+		return r.host.Receive(ctx, method, params)
 	}
-	return r.host.Receive(ctx, method, params)
 }
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -24,9 +24,9 @@
 // A few proxies follow the store directly. With many, the load on the store
 // grows only with the number of relays, and every zone has one.
 func TestRelaysAreFewAndInEveryZone(t *testing.T) {
-	require.Empty(t, chooseRelays(makeProxies(17)))
+	require.Empty(t, chooseTiers(makeProxies(17)).relays)
 	for _, n := range []int{50, 121, 1000, 4900} {
-		list := chooseRelays(makeProxies(n))
+		list := chooseTiers(makeProxies(n)).relays
 		require.GreaterOrEqual(t, len(list), n/proxiesPerRelay)
 		require.LessOrEqual(t, len(list), n/proxiesPerRelay+1)
 		zones := make(map[string]bool)
@@ -41,7 +41,7 @@
 // over the relays.
 func TestProxiesSpreadOverRelaysOfTheirZone(t *testing.T) {
 	members := makeProxies(600)
-	list := chooseRelays(members)
+	list := chooseTiers(members).relays
 	asked := make(map[string]int)
 	for _, p := range members {
 		first := sortByPreference(p, list)[0]
@@ -58,7 +58,7 @@
 // interface. Both use the clock c.
 func newRelayPair(t *testing.T, c timers) (follower, relay *relays) {
 	members := makeProxies(60)
-	list := chooseRelays(members)
+	list := chooseTiers(members).relays
 	log := zap.NewNop()
 	relay = newRelays(list[0], []string{"t"}, c, log)
 	server, err := proxy.NewPeers("127.0.0.1:0", &peerHandler{relays: relay}, log)
@@ -87,7 +87,7 @@
 	follower.setMembers(members)
 	// Poll only the relay that is running.
 	follower.mu.Lock()
-	follower.preferred = list[:1]
+	follower.sources = list[:1]
 	follower.mu.Unlock()
 	return follower, relay
 }
@@ -153,7 +153,7 @@
 func TestFailedRelayIsAvoided(t *testing.T) {
 	follower, relay := newRelayPair(t, systemTimers{clock.NewBoot()})
 	follower.mu.Lock()
-	follower.preferred = []proxy.Peer{{Name: "p059"}, relay.self}
+	follower.sources = []proxy.Peer{{Name: "p059"}, relay.self}
 	follower.mu.Unlock()
 	relay.update("t", store.Changes{Whole: true, Version: 4})
 	// A process without data polls only one relay, since callers wait.
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -22,6 +22,9 @@
 	PeerAddress      string
 	StoreAddress     string
 	PromotionAddress string
+	// FirstStart is set when the whole system starts for the first time, so that
+	// no other instance is registered yet.
+	FirstStart bool
 	// MemoryMB is the memory of the instance in units of 1<<20 bytes, zero if
 	// unknown.
 	MemoryMB int
@@ -64,6 +67,7 @@
 	r := settingsReader{path: path, file: file}
 	s.Name = r.text("instance", "name")
 	s.Zone = r.text("instance", "availabilityZone")
+	s.FirstStart = r.boolean("instance", "firstStart")
 	s.MemoryMB = r.number("instance", "memoryMB", 0)
 	s.FileDescriptors = r.number("instance", "fileDescriptors", 1024)
 	s.CallerAddress = r.address("listen", "callers")
@@ -105,6 +109,19 @@
 	return v
 }
 
+// boolean returns whether a key is true. It is false if the key is missing.
+func (r *settingsReader) boolean(section, key string) bool {
+	k := r.file.Section(section).Key(key)
+	if k.String() == "" {
+		return false
+	}
+	v, err := k.Bool()
+	if err != nil {
+		r.fail(section, key, k.String(), "true or false")
+	}
+	return v
+}
+
 func (r *settingsReader) number(section, key string, defaultValue int) int {
 	k := r.file.Section(section).Key(key)
 	if k.String() == "" {
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -74,6 +74,6 @@
 // needsRestart reports whether settings differ from those in use in a setting
 // that is read only at the start.
 func (f *Front) needsRestart(s Settings) bool {
-	s.ShutdownGrace = f.settings.ShutdownGrace
+	s.ShutdownGrace, s.FirstStart = f.settings.ShutdownGrace, f.settings.FirstStart
 	return s != f.settings
 }
--- a/internal/process/platform/store/cache.go
+++ b/internal/process/platform/store/cache.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/patch"
 )
 
 // maxTombstones is the maximum number of deleted rows that a cache keeps. A
@@ -16,6 +19,13 @@
 type Cache struct {
 	mu   sync.Mutex
 	rows map[string]Row
+	// previous has earlier rows of large values, by key and in the order of their
+	// versions, from which patches are made. It is nil unless KeepHistory is set.
+	previous map[string][]Row
+	// patches has the patches made since the last change of a row, and packed the
+	// compressed values, by key.
+	patches map[patchKey]*patch.Patch
+	packed  map[string][]byte
 	// version is the version of the table. Deletions up to prunedVersion may
 	// have been pruned.
 	version, prunedVersion uint64
@@ -26,6 +36,21 @@
 	changed     chan struct{}
 }
 
+const (
+	// minPatchedLength is the length in bytes from which a value is sent as a
+	// patch, or compressed, by a process that keeps the history.
+	minPatchedLength = 4096
+	// maxPrevious is the maximum number of earlier rows that are kept for each
+	// large row. A follower that is further behind is sent the whole value.
+	maxPrevious = 4
+)
+
+// patchKey identifies the patch from an earlier version of a row to the newest.
+type patchKey struct {
+	key  string
+	base uint64
+}
+
 // NewCache returns an empty cache, which is unusable until its first Apply of a
 // whole table.
 func NewCache() *Cache { return &Cache{rows: make(map[string]Row), changed: make(chan struct{})} }
@@ -55,6 +80,7 @@
 		// sent this row again and again.
 		changes.Version = max(changes.Version, r.Version)
 		if old, ok := c.rows[r.Key]; !ok || old.Version < r.Version {
+			c.keepPreviousLocked(old)
 			c.rows[r.Key] = r
 			updated = true
 		}
@@ -67,6 +93,151 @@
 	}
 }
 
+// KeepHistory sets whether earlier values of large rows are kept, which a process
+// needs that passes changes on.
+func (c *Cache) KeepHistory(keep bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !keep:
+		c.previous, c.patches, c.packed = nil, nil, nil
+	case c.previous == nil:
+		c.previous, c.patches, c.packed = make(map[string][]Row), make(map[patchKey]*patch.Patch), make(map[string][]byte)
+	}
+}
+
+// keepPreviousLocked keeps a row that is about to be replaced.
+func (c *Cache) keepPreviousLocked(old Row) {
+	if c.previous == nil || len(old.Value) < minPatchedLength {
+		return
+	}
+	list := append(c.previous[old.Key], old)
+	c.previous[old.Key] = slices.Clone(list[max(len(list)-maxPrevious, 0):])
+	delete(c.packed, old.Key)
+	for k := range c.patches {
+		if k.key == old.Key {
+			delete(c.patches, k)
+		}
+	}
+}
+
+// Bases returns the versions of the rows with large values, by key, which a
+// follower sends to be sent their changes as patches.
+func (c *Cache) Bases() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var bases map[string]uint64
+	for key, r := range c.rows {
+		if len(r.Value) >= minPatchedLength {
+			if bases == nil {
+				bases = make(map[string]uint64)
+			}
+			bases[key] = r.Version
+		}
+	}
+	return bases
+}
+
+// encodeLocked returns a row in the form that is sent to a follower that has it at
+// version base, or 0 for none: as it is if it is short, or with a patch or the
+// compressed value in place of its value, whichever is shorter.
+func (c *Cache) encodeLocked(r Row, base uint64) Row {
+	if c.previous == nil || len(r.Value) < minPatchedLength {
+		return r
+	}
+	packed := c.packedLocked(r)
+	if p := c.patchLocked(r, base); p != nil && (packed == nil || p.Size() < len(packed)) {
+		return Row{Key: r.Key, Version: r.Version, Patch: p, Base: base}
+	}
+	if packed != nil {
+		return Row{Key: r.Key, Version: r.Version, Packed: packed}
+	}
+	return r
+}
+
+// patchLocked returns the patch from an earlier version of a row, or nil if that
+// version is not known.
+func (c *Cache) patchLocked(r Row, base uint64) *patch.Patch {
+	k := patchKey{r.Key, base}
+	if p, made := c.patches[k]; made {
+		return p
+	}
+	i := slices.IndexFunc(c.previous[r.Key], func(old Row) bool { return old.Version == base })
+	if i < 0 {
+		return nil
+	}
+	p := patch.Make(c.previous[r.Key][i].Value, r.Value)
+	c.patches[k] = &p
+	return &p
+}
+
+// packedLocked returns the compressed value of a row, or nil if it cannot be
+// compressed to less than its length.
+func (c *Cache) packedLocked(r Row) []byte {
+	packed, made := c.packed[r.Key]
+	if !made {
+		var err error
+		if packed, err = pack(r.Value); err != nil || len(packed) >= len(r.Value) {
+			// Writing to memory does not fail; the value is sent as it is.
+			packed = nil
+		}
+		c.packed[r.Key] = packed
+	}
+	return packed
+}
+
+// BaseError reports a patch for a version of a row that the cache does not have.
+type BaseError struct {
+	Key string
+	// Base is the version that the patch applies to, and Known the version in
+	// the cache.
+	Base, Known uint64
+}
+
+func (e *BaseError) Error() string {
+	return fmt.Sprintf("patch of row %q applies to version %d, but version %d is known", e.Key, e.Base, e.Known)
+}
+
+// Expand replaces patches and compressed values in changes by the values that they
+// stand for. It returns a *BaseError or a *patch.Error if the cache does not have
+// the values that the patches apply to, and another error for a value that cannot
+// be uncompressed. It leaves changes unusable then.
+func (c *Cache) Expand(changes *Changes) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range changes.Rows {
+		r := &changes.Rows[i]
+		if r.Packed != nil {
+			value, err := unpack(r.Packed)
+			if err != nil {
+				return err
+			}
+			r.Value, r.Packed = value, nil
+			continue
+		}
+		if r.Patch == nil {
+			continue
+		}
+		known := c.rows[r.Key]
+		if known.Version != r.Base {
+			return &BaseError{Key: r.Key, Base: r.Base, Known: known.Version}
+		}
+		value, err := r.Patch.Apply(known.Value)
+		if err != nil {
+			return err
+		}
+		r.Value, r.Patch, r.Base = value, nil, 0
+	}
+	return nil
+}
+
+// Version returns the version of the table.
+func (c *Cache) Version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
 // markMissingDeletedLocked marks the rows that are missing in a whole table as
 // deleted, unless they are newer than the table. It reports whether there were
 // any.
@@ -140,8 +311,9 @@
 // Since returns the changes after version, sorted by version, for a follower that
 // has the table at this version. If known is false or the version is too old, it
 // returns the whole table. If the cache itself has no table yet, it returns no
-// rows.
-func (c *Cache) Since(known bool, version uint64) Changes {
+// rows. Changes of large rows are patches where bases, the result of the
+// follower's Bases, allows it.
+func (c *Cache) Since(known bool, version uint64, bases map[string]uint64) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
@@ -150,7 +322,7 @@
 	changes := Changes{Whole: !known || version < c.prunedVersion, Version: max(c.version, version)}
 	for _, r := range c.rows {
 		if changes.Whole && !r.Deleted || !changes.Whole && r.Version > version {
-			changes.Rows = append(changes.Rows, r)
+			changes.Rows = append(changes.Rows, c.encodeLocked(r, bases[r.Key]))
 		}
 	}
 	slices.SortFunc(changes.Rows, byVersion)
--- /dev/null
+++ b/internal/process/platform/store/patch_test.go
@@ -0,0 +1,105 @@
+package store
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/patch"
+)
+
+// configurationOf returns a value like a configuration of n routes.
+func configurationOf(n int, timeout func(route int) int) []byte {
+	var b bytes.Buffer
+	b.WriteString(`{"version":1,"routes":[`)
+	for i := range n {
+		fmt.Fprintf(&b, `{"name":"route-%d","host":"db%d","timeout_ms":%d},`, i, i, timeout(i))
+	}
+	b.WriteString(`]}`)
+	return b.Bytes()
+}
+
+// A follower is sent patches as long as the relay has the value that it has, and
+// the whole value after that. It ends up with the same value either way.
+func TestFollowerOfALargeRowConverges(t *testing.T) {
+	relay, follower := NewCache(), NewCache()
+	relay.KeepHistory(true)
+	timeout := func(int) int { return 800 }
+	relay.Apply(Changes{Rows: []Row{{Key: "config", Value: configurationOf(300, timeout), Version: 1}}, Whole: true, Version: 1})
+	take := func(changes Changes) {
+		require.NoError(t, follower.Expand(&changes))
+		follower.Apply(changes)
+	}
+	take(relay.Since(false, 0, nil))
+	version := uint64(1)
+	for behind, patched := range map[int]bool{1: true, maxPrevious: true, maxPrevious + 1: false} {
+		known := follower.Version()
+		for range behind {
+			version++
+			relay.Apply(Changes{Rows: []Row{{Key: "config", Value: configurationOf(300, func(route int) int { return 800 + route*int(version) }), Version: version}}, Version: version})
+			value := configurationOf(300, func(route int) int {
+				if route == 7 {
+					return int(version)
+				}
+				return 800
+			})
+			version++
+			relay.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: version}}, Version: version})
+		}
+		changes := relay.Since(true, known, follower.Bases())
+		if behind == 1 {
+			require.Equal(t, patched, changes.Rows[0].Patch != nil, "%d changes behind", behind)
+		}
+		take(changes)
+		all := relay.Since(false, 0, nil)
+		require.NoError(t, follower.Expand(&all))
+		require.Equal(t, all, follower.Since(false, 0, nil))
+	}
+}
+
+// A patch for a value that the follower does not have is refused.
+func TestPatchOfAnUnknownBaseIsRefused(t *testing.T) {
+	c := NewCache()
+	c.Apply(Changes{Rows: []Row{{Key: "config", Value: []byte("old"), Version: 3}}, Whole: true, Version: 3})
+	changes := Changes{Rows: []Row{{Key: "config", Patch: &patch.Patch{}, Base: 2, Version: 4}}, Version: 4}
+	var base *BaseError
+	require.ErrorAs(t, c.Expand(&changes), &base)
+	require.Equal(t, BaseError{Key: "config", Base: 2, Known: 3}, *base)
+	changes.Rows[0].Base, changes.Rows[0].Patch = 3, &patch.Patch{Parts: []patch.Part{{Length: 9}}}
+	var outside *patch.Error
+	require.ErrorAs(t, c.Expand(&changes), &outside)
+}
+
+// The whole of a large configuration takes a fraction of its length.
+func TestLargeValueIsCompressed(t *testing.T) {
+	c := NewCache()
+	c.KeepHistory(true)
+	value := configurationOf(2400, func(route int) int { return 800 + route%7 })
+	c.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: 1}, {Key: "small", Value: []byte("short"), Version: 1}}, Whole: true, Version: 1})
+	for _, r := range c.Since(false, 0, nil).Rows {
+		require.Less(t, len(r.Packed), len(value)/5)
+		require.Equal(t, r.Key == "config", r.Packed != nil)
+		require.Equal(t, r.Key == "small", r.Value != nil)
+	}
+}
+
+// A compressed value comes from another process and may be anything.
+func FuzzUnpack(f *testing.F) {
+	packed, err := pack([]byte("configuration"))
+	require.NoError(f, err)
+	f.Add(packed)
+	f.Add([]byte{})
+	f.Fuzz(func(_ *testing.T, packed []byte) { _, _ = unpack(packed) })
+}
+
+func TestUnpackBoundsItsResult(t *testing.T) {
+	packed, err := pack(make([]byte, maxUnpackedLength+1))
+	require.NoError(t, err)
+	_, err = unpack(packed)
+	var long *LengthError
+	require.ErrorAs(t, err, &long)
+	changes := Changes{Rows: []Row{{Key: "config", Packed: []byte("no flate"), Version: 1}}, Whole: true}
+	require.Error(t, NewCache().Expand(&changes))
+}
--- a/internal/process/platform/store/store.go
+++ b/internal/process/platform/store/store.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/patch"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -20,6 +21,12 @@
 	// increases across the whole store.
 	Version uint64 `json:"version"`
 	Deleted bool   `json:"deleted,omitempty"`
+	// Patch or Packed, if set, stands for Value: the patch is to be applied to
+	// the value that the row had at version Base, and Packed is the compressed
+	// value. Only processes that follow each other use them.
+	Patch  *patch.Patch `json:"patch,omitempty"`
+	Base   uint64       `json:"base,omitempty"`
+	Packed []byte       `json:"packed,omitempty"`
 }
 
 // ErrHistoryGone reports that the store has dropped the requested changes, so the
@@ -34,6 +41,9 @@
 	return fmt.Sprintf("row %q has unexpected version %d", e.Current.Key, e.Current.Version)
 }
 
+// MaxPutRows is the maximum number of rows in one call of Put.
+const MaxPutRows = 100
+
 // Store is a client of the metadata store. After an error that is not defined in
 // this package, it is unknown whether a write took effect.
 type Store interface {
@@ -47,8 +57,10 @@
 	// that does not exist, and returns its new version. Otherwise it returns a
 	// *ConflictError.
 	CompareAndSwap(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error)
-	// Put writes a row regardless of its version.
-	Put(ctx context.Context, table, key string, value []byte) error
+	// Put writes rows of one table, at most MaxPutRows, regardless of their
+	// versions, and returns their new version. Either all of them are written or
+	// none.
+	Put(ctx context.Context, table string, values map[string][]byte) (uint64, error)
 	// Remove deletes a row.
 	Remove(ctx context.Context, table, key string) error
 }
--- a/internal/process/proxy/messages.go
+++ b/internal/process/proxy/messages.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/patch"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -100,8 +101,8 @@
 // the requester has. Both are empty if the proxy does not have the requested
 // declarations.
 type FetchAnswer struct {
-	Content []byte `json:"content,omitempty"`
-	Patch   *Patch `json:"patch,omitempty"`
+	Content []byte       `json:"content,omitempty"`
+	Patch   *patch.Patch `json:"patch,omitempty"`
 }
 
 // MembersMessage requests the rows of all buckets whose digests differ from
--- a/internal/process/proxy/peers.go
+++ b/internal/process/proxy/peers.go
@@ -29,8 +29,10 @@
 	maxQueued = 64
 	// acceptBackoff is the pause after a failed accept.
 	acceptBackoff = 50 * time.Millisecond
-	// linkIdleTimeout is how long an unused connection to a peer is kept open.
-	linkIdleTimeout = time.Minute
+	// linkIdleTimeout is how long an unused connection to a peer is kept open,
+	// and sweepInterval the time between two searches for such connections.
+	linkIdleTimeout = 30 * time.Second
+	sweepInterval   = 5 * time.Second
 )
 
 // UnknownPeerError reports a call to a proxy that is not in the set of known
@@ -82,11 +84,13 @@
 
 // link holds the outgoing connection to one peer and the messages queued for it.
 type link struct {
-	peer  Peer
+	peer Peer
+	// queue has the messages of Notify. It is nil before the first, and guarded
+	// by Peers.mu.
 	queue chan func()
-	// lastCall is the time of the last Call, in nanoseconds since the Unix
-	// epoch.
-	lastCall atomic.Int64
+	// usedAt is the time of the last Call or message, in nanoseconds since the
+	// Unix epoch.
+	usedAt atomic.Int64
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -114,8 +118,9 @@
 		receiver: r, log: log, listener: l, done: make(chan struct{}),
 		known: make(map[string]Peer), links: make(map[string]*link), incoming: make(map[*jsonrpc2.Conn]struct{}),
 	}
-	p.wg.Add(1)
+	p.wg.Add(2)
 	go p.serve()
+	go p.sweep()
 	return p
 }
 
@@ -148,10 +153,8 @@
 	if !ok || p.closed {
 		return nil
 	}
-	l := &link{peer: peer, queue: make(chan func(), maxQueued)}
+	l := &link{peer: peer}
 	p.links[name] = l
-	p.wg.Add(1)
-	go p.runQueue(l)
 	return l
 }
 
@@ -161,43 +164,43 @@
 		return
 	}
 	delete(p.links, name)
-	close(l.queue)
+	if l.queue != nil {
+		close(l.queue)
+	}
 	go l.remove()
 }
 
-// runQueue sends the queued messages of a link in order. Each link has its own
-// goroutine, so that a peer that hangs does not delay messages to others. It
-// removes the link once it is idle, and returns when the link is removed.
-func (p *Peers) runQueue(l *link) {
+// runQueue sends the queued messages of a link in order, until the link is
+// removed. Each link has its own goroutine, so that a peer that hangs does not
+// delay messages to others.
+func (p *Peers) runQueue(queue <-chan func()) {
+	defer p.wg.Done()
+	for task := range queue {
+		task()
+	}
+}
+
+// sweep removes the links that have not been used for linkIdleTimeout.
+func (p *Peers) sweep() {
 	defer p.wg.Done()
-	idle := time.NewTimer(linkIdleTimeout)
-	defer idle.Stop()
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
 	for {
 		select {
-		case task, ok := <-l.queue:
-			if !ok {
-				return
+		case <-p.done:
+			return
+		case now := <-ticker.C:
+			p.mu.Lock()
+			for name, l := range p.links {
+				if now.UnixNano()-l.usedAt.Load() >= int64(linkIdleTimeout) && len(l.queue) == 0 {
+					p.removeLinkLocked(name)
+				}
 			}
-			task()
-			idle.Reset(linkIdleTimeout)
-		case <-idle.C:
-			p.closeIfIdle(l)
-			idle.Reset(linkIdleTimeout)
+			p.mu.Unlock()
 		}
 	}
 }
 
-// closeIfIdle removes a link whose queue was idle, unless Call used it recently
-// or a message was queued in the meantime.
-func (p *Peers) closeIfIdle(l *link) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	inUse := time.Since(time.Unix(0, l.lastCall.Load())) < linkIdleTimeout
-	if !inUse && len(l.queue) == 0 && p.links[l.peer.Name] == l {
-		p.removeLinkLocked(l.peer.Name)
-	}
-}
-
 // Notify queues a message and returns without waiting for delivery. The message
 // is dropped if the peer is unknown or its queue is full.
 func (p *Peers) Notify(name, method string, params any) {
@@ -207,6 +210,12 @@
 	if l == nil {
 		return
 	}
+	if l.queue == nil {
+		l.queue = make(chan func(), maxQueued)
+		p.wg.Add(1)
+		go p.runQueue(l.queue)
+	}
+	l.usedAt.Store(time.Now().UnixNano())
 	task := func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
@@ -237,7 +246,7 @@
 	if l == nil {
 		return &UnknownPeerError{Name: name}
 	}
-	l.lastCall.Store(time.Now().UnixNano())
+	l.usedAt.Store(time.Now().UnixNano())
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	conn, err := p.connect(ctx, l)
