Contain panics, take arrived requests at a stop, keep databases for restarts

Causes, shown by tests that failed or could not be written before: - A panic in a session, a peer call, a decoder of the store's rows or of a database's answer, a group's tick or a replacement ended the process. Each is contained, logged with its stack and counted (panics_contained).

Ruled out: that a session's failed set-up is taken for a write that has not run; writes are sent only on connections whose state was set up and answered before.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -57,6 +58,16 @@
 	pool   *Pool
 }
 
+// Exchange sends requests as Conn.Exchange does. If it panics, for example over
+// an answer that nobody expected, the connection counts as broken.
+func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
+	err = contain.Call(c.pool.log, "exchange with database "+c.pool.ID, func() (err error) {
+		n, err = c.Conn.Exchange(limit, requests, answers)
+		return err
+	})
+	return n, err
+}
+
 // MarkReset records that the connection's session state has been reset.
 func (c *PooledConn) MarkReset() {
 	clear(c.Values)
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
@@ -79,7 +80,7 @@
 	old := g.pools[e.ID]
 	if added || old == nil {
 		to := Target{Group: g.Name, ID: e.ID, Address: e.Address}
-		g.pools[e.ID] = NewPool(to, g.settings, g.dialer, g.clock, g.dialObserver(e.ID))
+		g.pools[e.ID] = NewPool(to, g.settings, g.dialer, g.clock, g.log, g.dialObserver(e.ID))
 		g.polls[e.ID] = &statusPoll{}
 	} else {
 		old = nil
@@ -172,7 +173,7 @@
 		return
 	}
 	poll.running = true
-	go g.pollStatus(id, poll)
+	go contain.Run(g.log, "status request", func() { g.pollStatus(id, poll) })
 }
 
 func (g *GroupClient) pollStatus(id string, poll *statusPoll) {
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
@@ -112,6 +114,7 @@
 	settings Settings
 	dialer   Dialer
 	clock    clock.Clock
+	log      *zap.Logger
 	onDial   func(statement.Answer, clock.Time, error)
 
 	mu      sync.Mutex
@@ -142,8 +145,8 @@
 
 // NewPool returns an empty pool. onDial is called after each attempt to connect
 // with the greeting, the time at which the attempt began, and the error.
-func NewPool(to Target, s Settings, d Dialer, c clock.Clock, onDial func(statement.Answer, clock.Time, error)) *Pool {
-	return &Pool{Target: to, settings: s, dialer: d, clock: c, onDial: onDial, idleTimeout: initialIdleTimeout}
+func NewPool(to Target, s Settings, d Dialer, c clock.Clock, log *zap.Logger, onDial func(statement.Answer, clock.Time, error)) *Pool {
+	return &Pool{Target: to, settings: s, dialer: d, clock: c, log: log, onDial: onDial, idleTimeout: initialIdleTimeout}
 }
 
 // Acquire returns a connection for a session with the given values, preferring
@@ -300,7 +303,12 @@
 func (p *Pool) dial() {
 	began := p.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DialTimeout.Std())
-	conn, greeting, err := p.dialer.Dial(ctx, p.Target)
+	var conn Conn
+	var greeting statement.Answer
+	err := contain.Call(p.log, "connection setup", func() (err error) {
+		conn, greeting, err = p.dialer.Dial(ctx, p.Target)
+		return err
+	})
 	cancel()
 	p.onDial(greeting, began, err)
 	p.mu.Lock()
--- a/internal/connection/backend/pool_test.go
+++ b/internal/connection/backend/pool_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -29,7 +30,7 @@
 }
 
 func newTestPool(t *testing.T, d Dialer, s Settings) *Pool {
-	p := NewPool(Target{Group: "shop", ID: "a", Address: "a"}, s, d, clock.NewBoot(), func(statement.Answer, clock.Time, error) {})
+	p := NewPool(Target{Group: "shop", ID: "a", Address: "a"}, s, d, clock.NewBoot(), zap.NewNop(), func(statement.Answer, clock.Time, error) {})
 	t.Cleanup(p.Close)
 	return p
 }
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -26,7 +26,8 @@
 	stopped      bool
 	// overloaded is set while the process is short of CPU time.
 	overloaded bool
-	running    sync.WaitGroup
+	// running is the number of requests in progress.
+	running int
 }
 
 // hostedTx is a transaction of a caller that is connected to another proxy.
@@ -78,13 +79,15 @@
 			h.transactions[key] = t
 		}
 	}
-	h.running.Add(1)
+	h.running++
 	h.mu.Unlock()
-	defer h.running.Done()
+	defer h.endRequest()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.session
 	s.arrived = h.deps.Clock.Now()
+	// Should the request panic, Sweep still ends the transaction.
+	t.usedAt = s.arrived
 	if run.Begin != nil && s.tx == nil {
 		s.tx = &transaction{route: s.hostedRoute, id: run.Begin.ID, readOnly: run.Begin.ReadOnly, arrived: s.arrived, begun: true}
 	}
@@ -110,6 +113,12 @@
 	return response
 }
 
+func (h *Host) endRequest() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.running--
+}
+
 // notRunResponse returns the response for a request that cannot run here. A
 // stopped or overloaded host refuses a new request, so that it can be sent to
 // another home. A request of an unknown transaction fails, because the
@@ -194,9 +203,10 @@
 	h.overloaded = on
 }
 
-// Len returns the number of open transactions.
+// Len returns the number of open transactions and requests in progress, a request
+// in a transaction counting twice.
 func (h *Host) Len() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.transactions)
+	return len(h.transactions) + h.running
 }
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -39,7 +39,8 @@
 	Next(idle clock.Duration) (statement.Request, error)
 	// Reply sends the answer to the last request.
 	Reply(a *statement.Answer) error
-	// Interrupt makes a pending or later call of Next return an error.
+	// Interrupt makes a pending or later call of Next return an error, unless a
+	// request has arrived already.
 	Interrupt()
 	Close()
 }
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	callerrequest "github.com/oleanderflow/oleanderflow/internal/request/caller"
@@ -253,7 +254,12 @@
 func (p *Proxy) serveCaller(c net.Conn) {
 	defer p.wg.Done()
 	defer c.Close()
-	s, cancel, err := p.acceptor.Accept(c)
+	var s *callerconn.Session
+	var cancel *callerconn.CancelKey
+	err := contain.Call(p.log, "session start", func() (err error) {
+		s, cancel, err = p.acceptor.Accept(c)
+		return err
+	})
 	p.starting.Add(-1)
 	switch {
 	case cancel != nil:
@@ -264,7 +270,7 @@
 		return
 	}
 	defer p.unregister(s)
-	if err := p.handler.Serve(s); err != nil {
+	if err := contain.Call(p.log, "session", func() error { return p.handler.Serve(s) }); err != nil {
 		p.log.Debug("session ended with an error", zap.Error(err))
 	}
 }
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -198,7 +199,7 @@
 		if len(changes.Rows) > 0 || !known {
 			log.Debug("changes", zap.String("from", from), zap.Int("rows", len(changes.Rows)),
 				zap.Bool("whole", changes.Whole), zap.Uint64("version", changes.Version))
-			apply(changes)
+			contain.Run(log, "changes of table "+table, func() { apply(changes) })
 		}
 		known, version = true, max(version, changes.Version)
 		if from != "" {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
 	"github.com/oleanderflow/oleanderflow/internal/connection/session"
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/promotion"
@@ -100,6 +101,8 @@
 	// grace is Settings.ShutdownGrace, which Reload may change.
 	grace          atomic.Int64
 	registryLoaded atomic.Bool
+	// agreementLoaded is set once the agreement table has been read.
+	agreementLoaded atomic.Bool
 	// registering is set while this instance writes its member row.
 	// registeredVersion is the version of the last row that it wrote.
 	registering       atomic.Bool
@@ -122,7 +125,9 @@
 // groupState is a database group with the state that this process keeps for it.
 type groupState struct {
 	*backend.GroupClient
-	replacement      *replacement
+	replacement *replacement
+	// databases is guarded by Front.mu.
+	databases        databasesRecord
 	probedAt         clock.Time
 	stepDownSentAt   clock.Time
 	failingRetriedAt clock.Time
@@ -138,6 +143,20 @@
 	}
 	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Self: s.Name}
 	f.platform.Store = countedStore{Store: p.Store, metrics: m}
+	f.platform.DecodeVersion = func(row store.Row) (v *routes.Version, err error) {
+		err = contain.Call(log, "configuration row", func() error {
+			v, err = p.DecodeVersion(row)
+			return err
+		})
+		return v, err
+	}
+	f.platform.DecodeEntry = func(row store.Row) (e group.Entry, err error) {
+		err = contain.Call(log, "registry entry", func() error {
+			e, err = p.DecodeEntry(row)
+			return err
+		})
+		return e, err
+	}
 	f.grace.Store(int64(s.ShutdownGrace))
 	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress}
 	return f
@@ -321,12 +340,17 @@
 	}
 }
 
-// applyAgreement applies changed claims and votes.
+// applyAgreement applies changed claims, votes and stored databases.
 func (f *Front) applyAgreement(changes store.Changes) {
+	starting := !f.agreementLoaded.Swap(true)
 	for _, row := range changes.Rows {
 		if row.Deleted {
 			continue
 		}
+		if strings.HasPrefix(row.Key, databasesPrefix) {
+			f.applyDatabases(row, starting)
+			continue
+		}
 		name, isClaim := strings.CutPrefix(row.Key, claimPrefix)
 		if !isClaim {
 			var isVote bool
@@ -360,21 +384,27 @@
 			f.updateGauges(now)
 		}
 		for _, g := range f.allGroups() {
-			local, connections := f.homes.ServesLocally(g.Name)
-			g.SetMaxOpen(connections)
-			g.RemoveExpired()
-			g.Sweep(now, local)
-			if !local {
-				continue
-			}
-			g.tick(now)
-			if !f.stopping.Load() {
-				g.replacement.tick(now)
-			}
+			contain.Run(f.log, "group "+g.Name, func() { f.tickGroup(g, now) })
 		}
 	}
 }
 
+// tickGroup does the periodic work for one group.
+func (f *Front) tickGroup(g *groupState, now clock.Time) {
+	local, connections := f.homes.ServesLocally(g.Name)
+	g.SetMaxOpen(connections)
+	g.RemoveExpired()
+	g.Sweep(now, local)
+	if !local {
+		return
+	}
+	g.tick(now)
+	if !f.stopping.Load() {
+		g.replacement.tick(now)
+		f.storeDatabases(g, now)
+	}
+}
+
 // tick sends step-down commands to stale primaries and status queries to
 // databases whose state is uncertain.
 func (g *groupState) tick(now clock.Time) {
@@ -462,7 +492,7 @@
 		return
 	}
 	go func() {
-		s.Run()
+		contain.Run(f.log, "session", s.Run)
 		f.mu.Lock()
 		delete(f.sessions, id)
 		f.mu.Unlock()
@@ -479,6 +509,8 @@
 	}
 	go func() {
 		defer f.refusals.Add(-1)
-		s.Refuse(&statement.Failure{Code: statement.CodeTooManyConnections, Text: fmt.Sprintf("this proxy holds %d sessions, its limit", limit)})
+		contain.Run(f.log, "session", func() {
+			s.Refuse(&statement.Failure{Code: statement.CodeTooManyConnections, Text: fmt.Sprintf("this proxy holds %d sessions, its limit", limit)})
+		})
 	}()
 }
--- /dev/null
+++ b/internal/front/fuzz_test.go
@@ -0,0 +1,49 @@
+package front
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/group"
+	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// No settings file may panic the program.
+func FuzzLoadSettings(f *testing.F) {
+	f.Add([]byte("[instance]\nname = a\navailabilityZone = z\nfirstStart = true\n[listen]\ncallers = 10.0.0.1:1\n"))
+	f.Add([]byte("[instance\nname"))
+	f.Add([]byte("[drain]\nlimitMilliseconds = -1\n"))
+	path := filepath.Join(f.TempDir(), "settings.ini")
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if os.WriteFile(path, data, 0o600) == nil {
+			_, _ = LoadSettings(path)
+		}
+	})
+}
+
+// No call of a peer, and no row of a table of our own, may panic the process.
+func FuzzPeerMessages(f *testing.F) {
+	f.Add([]byte(`{"name":"a","zone":"z","address":"10.0.0.1:1"}`))
+	f.Add([]byte(`{"table":"t","known":true,"version":3,"bases":{"a":1}}`))
+	f.Add([]byte(`{"holder":"a","nonce":1,"open":true,"primary":"b","term":2}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := newRelays(proxy.Peer{Name: "self"}, []string{"t"}, newManualClock(), zap.NewNop())
+		_, _ = r.handleFollow(data)
+		reg := &registrar{clock: newManualClock(), put: func(map[string][]byte) (uint64, error) { return 1, nil }}
+		reg.open = &registerBatch{rows: map[string][]byte{}, full: make(chan struct{}), done: make(chan struct{})}
+		close(reg.open.done)
+		_, _ = reg.handleRegister(data)
+		a := group.NewAgreement()
+		_ = a.ObserveClaim(1, data, 1)
+		_ = a.ObserveVote(1, "p", data, 1)
+		front := New(Settings{Name: "self"}, Platform{Store: &hangingStore{}}, clock.NewBoot(), zap.NewNop(), NewMetrics())
+		front.stopping.Store(true)
+		front.applyAgreement(store.Changes{Rows: []store.Row{{Key: "claim/g", Value: data, Version: 1}, {Key: "vote/g/p", Value: data, Version: 2}}})
+	})
+}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -15,6 +15,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -109,6 +110,7 @@
 	root := f.metrics.scope
 	root.Gauge("sessions").Update(float64(len(f.allSessions())))
 	root.Gauge("hosted_transactions").Update(float64(f.host.Len()))
+	root.Gauge("panics_contained").Update(float64(contain.Count()))
 	if v := f.versions.Load(); v != nil {
 		root.Gauge("configuration_version").Update(float64(v.Number))
 	}
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
@@ -116,10 +117,10 @@
 	switch {
 	case agreed:
 		r.running = true
-		go r.run(s)
+		go contain.Run(r.log, "replacement", func() { r.run(s) })
 	case now.Sub(r.votedAt) >= voteInterval || r.votedAt == 0:
 		r.votedAt = now
-		go r.vote(s, vote)
+		go contain.Run(r.log, "vote", func() { r.vote(s, vote) })
 	}
 }
 
--- a/internal/process/proxy/peers.go
+++ b/internal/process/proxy/peers.go
@@ -13,6 +13,8 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 )
 
 const (
@@ -380,7 +382,11 @@
 	if r.Params != nil {
 		params = *r.Params
 	}
-	result, err := p.receiver.Receive(ctx, r.Method, params)
+	var result any
+	err := contain.Call(p.log, "call of peer method "+r.Method, func() (err error) {
+		result, err = p.receiver.Receive(ctx, r.Method, params)
+		return err
+	})
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
 	}
