End a stopping session after one request, pause between polls at the start, split files

Found on reading the change again: - A process without a table asked its relays again at once when all of them had refused within 0.3 s: a loop without a pause for up to 0.4 s of the smallest machines' processor time.

--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -39,7 +39,7 @@
 	Next(idle clock.Duration) (statement.Request, error)
 	// Reply sends the answer to the last request.
 	Reply(a *statement.Answer) error
-	// Interrupt makes a pending or later call of Next return an error, unless a
+	// Interrupt makes the pending or next call of Next return an error, unless a
 	// request has arrived already.
 	Interrupt()
 	Close()
@@ -105,6 +105,9 @@
 	mu       sync.Mutex
 	waiting  bool
 	draining bool
+	// ending is set if the session must end after the current request, open
+	// transaction or not.
+	ending bool
 }
 
 // New returns the session of a caller. The id must be unique in this process,
@@ -246,13 +249,13 @@
 }
 
 // markWaiting marks the session as waiting for a request outside a transaction.
-// It returns false if the session is draining and no transaction is open, so
-// that the session has to end.
+// It returns false if the session has to end: it is draining and no transaction
+// is open, or StopAfterRequest was called.
 func (s *Session) markWaiting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting = s.tx == nil
-	return !s.draining || s.tx != nil
+	return !s.ending && (!s.draining || s.tx != nil)
 }
 
 func (s *Session) markActive() {
@@ -277,7 +280,7 @@
 func (s *Session) StopAfterRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
+	s.draining, s.ending = true, true
 	s.caller.Interrupt()
 }
 
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -228,7 +228,9 @@
 		}
 		now := f.clock.Now()
 		if !known && f.relays.hasSources() && now.Sub(began) < startPatience {
-			// Relays that have started at the same time will soon have the table.
+			// Relays that have started at the same time will soon have the table. All
+			// of them may have refused just now.
+			backend.Sleep(initialPollWait)
 			continue
 		}
 		if errors.Is(err, errStoreLost) && !f.relays.storeAnsweredRecently(now) {
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -253,40 +252,6 @@
 	r.observe(store.Row{Key: key, Value: value, Version: version})
 }
 
-// claimedError reports that an earlier claim on the replacement may still be in
-// effect.
-type claimedError struct {
-	Group string
-	// Token is the fencing token of the earlier claim.
-	Token uint64
-}
-
-func (e *claimedError) Error() string {
-	return fmt.Sprintf("the replacement in group %s is claimed with token %d", e.Group, e.Token)
-}
-
-// leaseExpiredError reports that too little time is left of the claim's lease.
-type leaseExpiredError struct {
-	Token uint64
-	// Left is the rest of the lease, and Needed what the next step may take.
-	Left, Needed clock.Duration
-}
-
-func (e *leaseExpiredError) Error() string {
-	return fmt.Sprintf("the claim with token %d ends in %s, and the next step may take %s", e.Token, e.Left, e.Needed)
-}
-
-// supersededError reports that another replacement has taken effect first.
-type supersededError struct {
-	Database string
-	// Term is the term of the database, and Planned that of this replacement.
-	Term, Planned uint64
-}
-
-func (e *supersededError) Error() string {
-	return fmt.Sprintf("database %s is in term %d already, expected one before %d", e.Database, e.Term, e.Planned)
-}
-
 // replace fences the group and promotes the database that has received most of
 // the log. If the reason is that replicas are still fenced, it only resumes
 // them.
