Send whole values to proxies of earlier builds; contain control tasks of the core

Cause: a relay sent patches and compressed values to every follower. One of an earlier build ignores the new fields and takes such a row for an empty one, so that during an upgrade it would not get configurations. A follower now says that it can expand them (TestEarlierBuildsAreSentWholeValues; the code before fails it). Ruled out: the other new messages; an earlier build answers "register" with an error, upon which the proxy writes its row itself, and skips the new rows of the agreement table.

A panic in a worker's task or a tick of the core ended the process; it is contained like those of the front.

--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -121,6 +121,8 @@
 		components: initializeComponents(), instance: instance, log: log.With(zap.String("proxy", instance.Name)),
 		done: make(chan struct{}), sessions: make(map[uint32]*callerconn.Session),
 	}
+	p.workers.SetLog(p.log)
+	p.scheduler.SetLog(p.log)
 	p.acceptor = &callerconn.Acceptor{
 		Auth: callerconn.Trust{}, Timeout: func() clock.Duration { return p.Configuration().Limits.StartupTimeout },
 		HasGroup: p.hasGroup, Register: p.register, IsProxy: p.isProxy,
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -66,9 +66,11 @@
 	Table   string `json:"table"`
 	Known   bool   `json:"known"`
 	Version uint64 `json:"version"`
-	// Bases has the versions of the large rows that the polling proxy has. The
-	// relay may send a change of such a row as a patch.
-	Bases map[string]uint64 `json:"bases,omitempty"`
+	// Compact is set if the polling proxy can expand patches and compressed
+	// values, which earlier builds cannot. Bases has the versions of the large
+	// rows that it has.
+	Compact bool              `json:"compact,omitempty"`
+	Bases   map[string]uint64 `json:"bases,omitempty"`
 	// WaitMillis is how long the relay may wait for a change, in milliseconds.
 	WaitMillis int64 `json:"waitMillis"`
 }
@@ -210,7 +212,7 @@
 		if i >= baseRelayAttempts && r.clock.Now().Sub(began) > extraAttemptsLimit {
 			break
 		}
-		p := followParams{Table: table, Known: known, Version: version, WaitMillis: int64(wait)}
+		p := followParams{Table: table, Known: known, Version: version, Compact: true, WaitMillis: int64(wait)}
 		if known {
 			p.Bases = r.copies[table].Bases()
 		}
@@ -320,7 +322,10 @@
 		age, contact := r.contactAge(now)
 		fresh := c.Usable() && contact && (p.Known || c.Version() >= p.Version)
 		if fresh {
-			if changes := c.Since(p.Known, p.Version, p.Bases); len(changes.Rows) > 0 || changes.Whole || now >= until {
+			if changes := c.Since(p.Known, p.Version); len(changes.Rows) > 0 || changes.Whole || now >= until {
+				if p.Compact {
+					c.Compact(&changes, p.Bases)
+				}
 				return followResult{Changes: changes, ContactAge: age}
 			}
 		}
--- a/internal/front/tiers_test.go
+++ b/internal/front/tiers_test.go
@@ -88,7 +88,8 @@
 		if r == follower {
 			source = relay
 		}
-		sent := source.copies["t"].Since(true, 3, r.copies["t"].Bases())
+		sent := source.copies["t"].Since(true, 3)
+		source.copies["t"].Compact(&sent, r.copies["t"].Bases())
 		require.NotNil(t, sent.Rows[0].Patch, "the whole value was sent")
 		require.Less(t, sent.Rows[0].Patch.Size(), len(value)/20)
 		got := pass(t, r, true, 3)
@@ -174,3 +175,22 @@
 	}
 	return value
 }
+
+// During an upgrade, proxies of an earlier build follow this one. They know neither
+// patches nor compressed values, and would take such a row for an empty one.
+func TestEarlierBuildsAreSentWholeValues(t *testing.T) {
+	r := newRelays(proxy.Peer{Name: "relay"}, []string{"t"}, newManualClock(), zap.NewNop())
+	r.selfIsRelay = true
+	r.copies["t"].KeepHistory(true)
+	r.markStoreAnswered(r.clock.Now())
+	rows := []store.Row{{Key: "config", Value: largeValue(400), Version: 4}}
+	r.update("t", store.Changes{Rows: rows, Whole: true, Version: 4})
+	for _, params := range []string{`{"table":"t"}`, `{"table":"t","known":true,"version":3}`} {
+		answer, err := r.handleFollow([]byte(params))
+		require.NoError(t, err)
+		require.Equal(t, rows, answer.(followResult).Rows)
+	}
+	answer, err := r.handleFollow([]byte(`{"table":"t","compact":true}`))
+	require.NoError(t, err)
+	require.NotEmpty(t, answer.(followResult).Rows[0].Packed)
+}
--- a/internal/process/database/scheduler.go
+++ b/internal/process/database/scheduler.go
@@ -4,6 +4,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -23,17 +26,27 @@
 	stop    chan struct{}
 	stopped chan struct{}
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// log is where the panics of ticks are logged.
+	log   *zap.Logger
 	items map[Tickable]struct{}
 }
 
 // NewTickScheduler starts a scheduler without items.
 func NewTickScheduler(c clock.Clock) *TickScheduler {
-	s := &TickScheduler{clock: c, stop: make(chan struct{}), stopped: make(chan struct{}), items: make(map[Tickable]struct{})}
+	s := &TickScheduler{log: zap.NewNop(), clock: c, stop: make(chan struct{}), stopped: make(chan struct{}), items: make(map[Tickable]struct{})}
 	go s.run()
 	return s
 }
 
+// SetLog sets where the panics of ticks are logged. An item whose tick panics is
+// ticked again in the next round.
+func (s *TickScheduler) SetLog(log *zap.Logger) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = log
+}
+
 // Add starts ticking item.
 func (s *TickScheduler) Add(item Tickable) {
 	s.mu.Lock()
@@ -60,21 +73,22 @@
 		case <-s.stop:
 			return
 		}
-		items = s.snapshot(items[:0])
+		var log *zap.Logger
+		items, log = s.snapshot(items[:0])
 		now := s.clock.Now()
 		for _, item := range items {
-			item.Tick(now)
+			contain.Run(log, "tick", func() { item.Tick(now) })
 		}
 	}
 }
 
-func (s *TickScheduler) snapshot(items []Tickable) []Tickable {
+func (s *TickScheduler) snapshot(items []Tickable) ([]Tickable, *zap.Logger) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for item := range s.items {
 		items = append(items, item)
 	}
-	return items
+	return items, s.log
 }
 
 // Close stops the scheduler and waits for the current round of ticks to end.
--- a/internal/process/database/workers.go
+++ b/internal/process/database/workers.go
@@ -1,11 +1,19 @@
 package database
 
-import "sync"
+import (
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
+)
 
 // Workers run submitted tasks on a fixed number of goroutines. A task may take
 // any lock, because the workers hold none while it runs.
 type Workers struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// log is where the panics of tasks are logged.
+	log   *zap.Logger
 	ready *sync.Cond
 	queue []func()
 	done  chan struct{}
@@ -14,7 +22,7 @@
 
 // NewWorkers starts count worker goroutines.
 func NewWorkers(count int) *Workers {
-	w := &Workers{done: make(chan struct{})}
+	w := &Workers{log: zap.NewNop(), done: make(chan struct{})}
 	w.ready = sync.NewCond(&w.mu)
 	w.wg.Add(count)
 	for range count {
@@ -23,6 +31,14 @@
 	return w
 }
 
+// SetLog sets where the panics of tasks are logged. A task that panics does not
+// end its worker.
+func (w *Workers) SetLog(log *zap.Logger) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.log = log
+}
+
 // Submit queues a task. The queue is unbounded, so Submit does not wait for a
 // free worker. After Close, tasks are discarded.
 func (w *Workers) Submit(task func()) {
@@ -45,8 +61,9 @@
 		}
 		task := w.queue[0]
 		w.queue = w.queue[1:]
+		log := w.log
 		w.mu.Unlock()
-		task()
+		contain.Run(log, "control task", task)
 	}
 }
 
--- a/internal/process/platform/store/cache.go
+++ b/internal/process/platform/store/cache.go
@@ -138,6 +138,20 @@
 	return bases
 }
 
+// Compact replaces the values of large rows in the result of Since by patches, where
+// bases, the result of the follower's Bases, allows it, or by compressed values.
+// The follower must expand them.
+func (c *Cache) Compact(changes *Changes, bases map[string]uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, r := range changes.Rows {
+		// A row that has changed since is sent as it is.
+		if c.rows[r.Key].Version == r.Version {
+			changes.Rows[i] = c.encodeLocked(r, bases[r.Key])
+		}
+	}
+}
+
 // encodeLocked returns a row in the form that is sent to a follower that has it at
 // version base, or 0 for none: as it is if it is short, or with a patch or the
 // compressed value in place of its value, whichever is shorter.
@@ -311,9 +325,8 @@
 // Since returns the changes after version, sorted by version, for a follower that
 // has the table at this version. If known is false or the version is too old, it
 // returns the whole table. If the cache itself has no table yet, it returns no
-// rows. Changes of large rows are patches where bases, the result of the
-// follower's Bases, allows it.
-func (c *Cache) Since(known bool, version uint64, bases map[string]uint64) Changes {
+// rows.
+func (c *Cache) Since(known bool, version uint64) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
@@ -322,7 +335,7 @@
 	changes := Changes{Whole: !known || version < c.prunedVersion, Version: max(c.version, version)}
 	for _, r := range c.rows {
 		if changes.Whole && !r.Deleted || !changes.Whole && r.Version > version {
-			changes.Rows = append(changes.Rows, c.encodeLocked(r, bases[r.Key]))
+			changes.Rows = append(changes.Rows, r)
 		}
 	}
 	slices.SortFunc(changes.Rows, byVersion)
--- a/internal/process/platform/store/cache_test.go
+++ b/internal/process/platform/store/cache_test.go
@@ -11,20 +11,20 @@
 func TestCacheReturnsChangesSinceVersion(t *testing.T) {
 	c := NewCache()
 	require.False(t, c.Usable())
-	require.Equal(t, Changes{Version: 7}, c.Since(true, 7, nil))
+	require.Equal(t, Changes{Version: 7}, c.Since(true, 7))
 	a, b := Row{Key: "a", Value: []byte("1"), Version: 3}, Row{Key: "b", Value: []byte("1"), Version: 2}
 	c.Apply(Changes{Rows: []Row{a, b}, Whole: true, Version: 5})
 	require.True(t, c.Usable())
-	require.Equal(t, Changes{Rows: []Row{b, a}, Whole: true, Version: 5}, c.Since(false, 0, nil))
-	require.Equal(t, Changes{Version: 5}, c.Since(true, 5, nil))
+	require.Equal(t, Changes{Rows: []Row{b, a}, Whole: true, Version: 5}, c.Since(false, 0))
+	require.Equal(t, Changes{Version: 5}, c.Since(true, 5))
 
 	changed := c.Changed()
 	c.Apply(Changes{Version: 5})
 	requireOpen(t, changed)
 	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 9, Deleted: true}}, Version: 9})
 	requireClosed(t, changed)
-	require.Equal(t, Changes{Rows: []Row{{Key: "a", Version: 9, Deleted: true}}, Version: 9}, c.Since(true, 5, nil))
-	require.Equal(t, Changes{Rows: []Row{b}, Whole: true, Version: 9}, c.Since(false, 0, nil))
+	require.Equal(t, Changes{Rows: []Row{{Key: "a", Version: 9, Deleted: true}}, Version: 9}, c.Since(true, 5))
+	require.Equal(t, Changes{Rows: []Row{b}, Whole: true, Version: 9}, c.Since(false, 0))
 }
 
 // If the whole table is read again because the store has dropped its history,
@@ -33,7 +33,7 @@
 	c := NewCache()
 	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 3}, {Key: "b", Version: 2}}, Whole: true, Version: 5})
 	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 3}}, Whole: true, Version: 20})
-	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: 20, Deleted: true}}, Version: 20}, c.Since(true, 5, nil))
+	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: 20, Deleted: true}}, Version: 20}, c.Since(true, 5))
 	changed := c.Changed()
 	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 3}}, Whole: true, Version: 30})
 	requireOpen(t, changed)
@@ -82,10 +82,10 @@
 				c.Apply(Changes{Rows: []Row{r}, Version: version})
 			}
 			if rng.IntN(40) == 0 {
-				known, seen = applyChanges(follower, c.Since(known, seen, nil))
+				known, seen = applyChanges(follower, c.Since(known, seen))
 			}
 		}
-		applyChanges(follower, c.Since(known, seen, nil))
+		applyChanges(follower, c.Since(known, seen))
 		require.Equal(t, table, follower, "seed %d", seed)
 	}
 }
@@ -127,9 +127,9 @@
 func TestCacheVersionCoversItsRows(t *testing.T) {
 	c := NewCache()
 	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 9}}, Whole: true, Version: 4})
-	first := c.Since(false, 0, nil)
+	first := c.Since(false, 0)
 	require.Equal(t, uint64(9), first.Version)
-	require.Empty(t, c.Since(true, first.Version, nil).Rows)
+	require.Empty(t, c.Since(true, first.Version).Rows)
 }
 
 // A whole table can be older than a row that another source has delivered since.
@@ -140,7 +140,7 @@
 	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 5})
 	c.Apply(Changes{Rows: []Row{b}, Version: 9})
 	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 7})
-	require.Equal(t, Changes{Rows: []Row{a, b}, Whole: true, Version: 9}, c.Since(false, 0, nil))
+	require.Equal(t, Changes{Rows: []Row{a, b}, Whole: true, Version: 9}, c.Since(false, 0))
 	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 10})
-	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: 10, Deleted: true}}, Version: 10}, c.Since(true, 9, nil))
+	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: 10, Deleted: true}}, Version: 10}, c.Since(true, 9))
 }
--- a/internal/process/platform/store/patch_test.go
+++ b/internal/process/platform/store/patch_test.go
@@ -32,7 +32,9 @@
 		require.NoError(t, follower.Expand(&changes))
 		follower.Apply(changes)
 	}
-	take(relay.Since(false, 0, nil))
+	first := relay.Since(false, 0)
+	relay.Compact(&first, nil)
+	take(first)
 	version := uint64(1)
 	for behind, patched := range map[int]bool{1: true, maxPrevious: true, maxPrevious + 1: false} {
 		known := follower.Version()
@@ -48,14 +50,13 @@
 			version++
 			relay.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: version}}, Version: version})
 		}
-		changes := relay.Since(true, known, follower.Bases())
+		changes := relay.Since(true, known)
+		relay.Compact(&changes, follower.Bases())
 		if behind == 1 {
 			require.Equal(t, patched, changes.Rows[0].Patch != nil, "%d changes behind", behind)
 		}
 		take(changes)
-		all := relay.Since(false, 0, nil)
-		require.NoError(t, follower.Expand(&all))
-		require.Equal(t, all, follower.Since(false, 0, nil))
+		require.Equal(t, relay.Since(false, 0), follower.Since(false, 0))
 	}
 }
 
@@ -78,7 +79,9 @@
 	c.KeepHistory(true)
 	value := configurationOf(2400, func(route int) int { return 800 + route%7 })
 	c.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: 1}, {Key: "small", Value: []byte("short"), Version: 1}}, Whole: true, Version: 1})
-	for _, r := range c.Since(false, 0, nil).Rows {
+	changes := c.Since(false, 0)
+	c.Compact(&changes, nil)
+	for _, r := range changes.Rows {
 		require.Less(t, len(r.Packed), len(value)/5)
 		require.Equal(t, r.Key == "config", r.Packed != nil)
 		require.Equal(t, r.Key == "small", r.Value != nil)
