Never let a stored database replace one that the registry lists

Cause, by its log: at its start the registry and the stored databases were applied at the same time; shop-c's stored form, without a role, replaced the entry that had just been applied, counted as missing, and was given up after 3 s though it was listed. Its entry did not change again, so that only two of three databases were left.

Both are applied under one lock now. Ruled out: load; the order of the two lines for shop-c in the log shows the replacement.

--- a/internal/front/databases.go
+++ b/internal/front/databases.go
@@ -116,6 +116,8 @@
 		f.log.Warn("invalid databases row", zap.String("key", row.Key), logs.Error(err))
 		return
 	}
+	f.entriesMu.Lock()
+	defer f.entriesMu.Unlock()
 	for _, d := range list {
 		f.mu.Lock()
 		_, known := f.groupOf[d.ID]
--- a/internal/front/databases_test.go
+++ b/internal/front/databases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,3 +102,32 @@
 	f.applyAgreement(store.Changes{Rows: []store.Row{{Key: "databases/shop", Value: []byte("{"), Version: 3}}, Whole: true})
 	require.Empty(t, f.Group("shop").Members())
 }
+
+// A process that starts applies the registry and the stored databases at the same
+// time. A database that the registry lists must not end as one whose entry is
+// missing: its entry may not change again, and the database would be given up.
+func TestStoredDatabasesDoNotReplaceListedOnes(t *testing.T) {
+	entries := store.Changes{Rows: []store.Row{{Key: "1"}, {Key: "2"}, {Key: "3"}}, Whole: true}
+	value := []byte(`[{"id":"1","address":"10.0.0.1:1","zone":"a","slots":3},{"id":"2","address":"10.0.0.1:2","zone":"a","slots":3},{"id":"3","address":"10.0.0.1:3","zone":"a","slots":3}]`)
+	stored := store.Changes{Rows: []store.Row{{Key: "databases/shop", Value: value, Version: 3}}, Whole: true}
+	for range 500 {
+		f := databasesFront(&putStore{rows: make(map[string][]byte)})
+		begin := make(chan struct{})
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			<-begin
+			f.applyEntries(entries)
+		})
+		wg.Go(func() {
+			<-begin
+			f.applyAgreement(stored)
+		})
+		close(begin)
+		wg.Wait()
+		members := f.Group("shop").Members()
+		require.Len(t, members, 3)
+		for _, m := range members {
+			require.Zero(t, m.LapsedAt, "database %s is listed", m.ID)
+		}
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,6 +89,10 @@
 	gaugesUpdatedAt clock.Time
 	versions        routes.Current
 
+	// entriesMu is held while the registry or the stored databases are applied,
+	// so that neither overtakes the other. It is taken before mu.
+	entriesMu sync.Mutex
+
 	mu     sync.Mutex
 	groups map[string]*groupState
 	// groupOf maps the ID of a database to the name of its group.
@@ -285,6 +289,8 @@
 // applyEntries applies changed rows of the registry table. If they are the whole
 // table, databases without a row are marked as lapsed.
 func (f *Front) applyEntries(changes store.Changes) {
+	f.entriesMu.Lock()
+	defer f.entriesMu.Unlock()
 	seen := make(map[string]struct{}, len(changes.Rows))
 	for _, row := range changes.Rows {
 		if row.Deleted {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,7 +20,7 @@
 
 var (
 	seeds      = flag.Int("seeds", 1, "how many fresh seeds run after the regression seeds")
-	firstSeed  = flag.Uint64("seed", 1, "the first fresh seed")
+	firstSeed  = flag.Uint64("seed", 2, "the first fresh seed")
 	duration   = flag.Duration("duration", 6*time.Second, "how long faults are injected for one seed")
 	proxyCount = flag.Int("fronts", 3, "how many proxies run")
 )
@@ -29,6 +29,7 @@
 var regressionSeeds = []uint64{
 	202, // an unanswered promotion was given to another database
 	205, // SIGHUP ended a process that was still starting
+	1,   // at a start, a stored database replaced one that the registry had just listed
 }
 
 func TestSoak(t *testing.T) {
