--- a/internal/front/databases.go
+++ b/internal/front/databases.go
@@ -26,6 +26,10 @@
 	// so that one home writes them and the others see it.
 	minDatabasesDelay = 500 * clock.Millisecond
 	maxDatabasesDelay = 2500 * clock.Millisecond
+	// minDatabasesInterval is the minimum time between two writes for a group by
+	// this process: homes with different views of the registry would otherwise
+	// overwrite each other all the time.
+	minDatabasesInterval = 10 * clock.Second
 )
 
 // storedDatabase is a database as it is stored for processes that start. Its role
@@ -44,6 +48,8 @@
 	// empty if there is none.
 	stored, pending string
 	due             clock.Time
+	// notBefore is when this process may store the group again.
+	notBefore clock.Time
 }
 
 // plan returns whether current is to be stored now. It is stored once it has
@@ -55,13 +61,13 @@
 		return false
 	case current != r.pending:
 		r.pending = current
-		r.due = now.Add(minDatabasesDelay + clock.Duration(rand.Int64N(int64(maxDatabasesDelay))))
+		r.due = max(now.Add(minDatabasesDelay+clock.Duration(rand.Int64N(int64(maxDatabasesDelay)))), r.notBefore)
 		return false
 	case now < r.due:
 		return false
 	}
 	// If the write fails, the next one is planned from the start.
-	r.pending = ""
+	r.pending, r.notBefore = "", now.Add(minDatabasesInterval)
 	return true
 }
 
--- a/internal/front/databases_test.go
+++ b/internal/front/databases_test.go
@@ -95,6 +95,17 @@
 	r.stored = "c"
 	require.False(t, r.plan(now.Add(clock.Minute), "b"))
 	require.True(t, r.plan(now.Add(2*clock.Minute), "b"))
+
+	// Homes that do not agree write rarely.
+	writes := 0
+	for at := now.Add(3 * clock.Minute); at < now.Add(4*clock.Minute); at = at.Add(tickInterval) {
+		r.stored = "of another home"
+		if r.plan(at, "b") {
+			writes++
+		}
+	}
+	require.LessOrEqual(t, writes, int(clock.Minute/minDatabasesInterval))
+	require.Positive(t, writes)
 }
 
 func TestInvalidDatabasesRowIsIgnored(t *testing.T) {
