--- a/internal/core/hostile_test.go
+++ b/internal/core/hostile_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/oleanderflow/oleanderflow/pkg/outcome"
 	"github.com/stretchr/testify/require"
+
+	callerconn "github.com/oleanderflow/oleanderflow/internal/connection/caller"
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
 )
 
 // sendCancel sends a cancel request on a connection of its own.
@@ -158,3 +160,21 @@
 	_, err := pgx.Connect(context.Background(), "postgres://shop@"+d.Proxies[0].Address()+"/shop1?sslmode=disable")
 	require.Equal(t, outcome.CodeOverloaded, sqlState(err))
 }
+
+// The process IDs of a proxy's sessions have 16 bits of their own. With all of
+// them in use, a new session is refused.
+func TestSessionsAreRefusedOnceAllIDsAreInUse(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	p := d.Proxies[0]
+	p.Configuration().Limits.Sessions = 2 * maxSessionIDs
+	for range maxSessionIDs {
+		require.NoError(t, p.register(&callerconn.Session{}))
+	}
+	err := p.register(&callerconn.Session{})
+	var refused *callerconn.ProtocolError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, outcome.CodeOverloaded, refused.Code)
+	p.mu.Lock()
+	clear(p.sessions)
+	p.mu.Unlock()
+}
--- a/internal/core/switchover_test.go
+++ b/internal/core/switchover_test.go
@@ -76,3 +76,17 @@
 	_, err = d.Proxies[0].handlePromote(proxy.PromoteMessage{Group: devGroup, Database: "z"})
 	require.ErrorContains(t, err, fmt.Sprintf("group %s has no database", devGroup))
 }
+
+// A group may be closed between the check whether it is declared and its use.
+func TestPromoteOfAClosedGroupIsRefused(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	p := d.Proxies[0]
+	p.groups.mu.Lock()
+	for name := range p.groups.open {
+		delete(p.groups.open, name)
+	}
+	p.groups.closed = true
+	p.groups.mu.Unlock()
+	_, err := p.handlePromote(proxy.PromoteMessage{Group: devGroup})
+	require.ErrorContains(t, err, devGroup)
+}
