Log the store's era and what is ignored as older

The logs could not tell whether a relay had dropped a row, a follower had skipped it, or a table was refused, after a store came back from a copy.

No decision is changed: versions are still compared by their numbers alone. Tests are adapted to the type of versions, their checks are the same.

--- a/internal/front/counted_store.go
+++ b/internal/front/counted_store.go
@@ -23,25 +23,25 @@
 }
 
 // Table implements store.Store.
-func (s countedStore) Table(ctx context.Context, table string) ([]store.Row, uint64, error) {
+func (s countedStore) Table(ctx context.Context, table string) ([]store.Row, store.Version, error) {
 	s.metrics.CountStoreCall(callTable, table)
 	return s.Store.Table(ctx, table)
 }
 
 // Feed implements store.Store.
-func (s countedStore) Feed(ctx context.Context, table string, after uint64, wait clock.Duration) ([]store.Row, uint64, error) {
+func (s countedStore) Feed(ctx context.Context, table string, after store.Version, wait clock.Duration) ([]store.Row, store.Version, error) {
 	s.metrics.CountStoreCall(callFeed, table)
 	return s.Store.Feed(ctx, table, after, wait)
 }
 
 // CompareAndSwap implements store.Store.
-func (s countedStore) CompareAndSwap(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error) {
+func (s countedStore) CompareAndSwap(ctx context.Context, table, key string, value []byte, expected uint64) (store.Version, error) {
 	s.metrics.CountStoreCall(callCompareAndSwap, table)
 	return s.Store.CompareAndSwap(ctx, table, key, value, expected)
 }
 
 // Put implements store.Store.
-func (s countedStore) Put(ctx context.Context, table string, values map[string][]byte) (uint64, error) {
+func (s countedStore) Put(ctx context.Context, table string, values map[string][]byte) (store.Version, error) {
 	s.metrics.CountStoreCall(callPut, table)
 	return s.Store.Put(ctx, table, values)
 }
--- a/internal/front/databases_test.go
+++ b/internal/front/databases_test.go
@@ -27,13 +27,13 @@
 	rows map[string][]byte
 }
 
-func (s *putStore) Put(_ context.Context, table string, rows map[string][]byte) (uint64, error) {
+func (s *putStore) Put(_ context.Context, table string, rows map[string][]byte) (store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, value := range rows {
 		s.rows[table+"/"+key] = value
 	}
-	return 1, nil
+	return at(1), nil
 }
 
 func (s *putStore) row(key string) []byte {
@@ -55,7 +55,7 @@
 	require.Empty(t, s.row("oleanderflow/databases/shop"), "stored before it was known whether another home stores it")
 	before.storeDatabases(g, now.Add(minDatabasesDelay+maxDatabasesDelay))
 	require.Eventually(t, func() bool { return s.row("oleanderflow/databases/shop") != nil }, 10*time.Second, time.Millisecond)
-	row := store.Row{Key: "databases/shop", Value: s.row("oleanderflow/databases/shop"), Version: 3}
+	row := store.Row{Key: "databases/shop", Value: s.row("oleanderflow/databases/shop"), Version: at(3)}
 
 	after := databasesFront(s)
 	after.applyEntries(store.Changes{Whole: true})
@@ -110,7 +110,7 @@
 
 func TestInvalidDatabasesRowIsIgnored(t *testing.T) {
 	f := databasesFront(&putStore{rows: make(map[string][]byte)})
-	f.applyAgreement(store.Changes{Rows: []store.Row{{Key: "databases/shop", Value: []byte("{"), Version: 3}}, Whole: true})
+	f.applyAgreement(store.Changes{Rows: []store.Row{{Key: "databases/shop", Value: []byte("{"), Version: at(3)}}, Whole: true})
 	require.Empty(t, f.Group("shop").Members())
 }
 
@@ -120,7 +120,7 @@
 func TestStoredDatabasesDoNotReplaceListedOnes(t *testing.T) {
 	entries := store.Changes{Rows: []store.Row{{Key: "1"}, {Key: "2"}, {Key: "3"}}, Whole: true}
 	value := []byte(`[{"id":"1","address":"10.0.0.1:1","zone":"a","slots":3},{"id":"2","address":"10.0.0.1:2","zone":"a","slots":3},{"id":"3","address":"10.0.0.1:3","zone":"a","slots":3}]`)
-	stored := store.Changes{Rows: []store.Row{{Key: "databases/shop", Value: value, Version: 3}}, Whole: true}
+	stored := store.Changes{Rows: []store.Row{{Key: "databases/shop", Value: value, Version: at(3)}}, Whole: true}
 	for range 500 {
 		f := databasesFront(&putStore{rows: make(map[string][]byte)})
 		begin := make(chan struct{})
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -169,14 +169,15 @@
 func (f *Front) follow(table string, maxInterval clock.Duration, apply func(store.Changes)) {
 	log := f.log.With(zap.String("table", table))
 	known, lost := false, false
-	var version uint64
+	var reported uint64
+	var version store.Version
 	interval := minPollInterval
 	for !f.isStopped() {
 		began := f.clock.Now()
 		changes, from, err := f.fetchChanges(table, known, version)
 		switch {
 		case errors.Is(err, store.ErrHistoryGone):
-			log.Info("history no longer available, reading the whole table", zap.Uint64("version", version))
+			log.Info("history no longer available, reading the whole table", zap.Stringer("version", version), zap.Uint64("storeEra", changes.Era))
 			known = false
 			continue
 		case err != nil:
@@ -187,21 +188,28 @@
 			continue
 		}
 		if lost {
-			log.Info("store responding again", zap.Uint64("version", changes.Version), zap.String("from", from))
+			log.Info("store responding again", zap.Stringer("version", changes.Version), zap.String("from", from))
 			lost = false
 		}
-		if changes.Whole && changes.Version < version {
+		if changes.Whole && changes.Number < version.Number {
 			// The source has an older table than this proxy had.
-			log.Info("older table ignored", zap.String("from", from), zap.Uint64("version", changes.Version), zap.Uint64("known", version))
+			log.Info("older table ignored", zap.String("from", from), zap.Stringer("version", changes.Version), zap.Stringer("known", version))
 			f.relays.avoid(from, minRetryDelay)
 			continue
 		}
 		if len(changes.Rows) > 0 || !known {
 			log.Debug("changes", zap.String("from", from), zap.Int("rows", len(changes.Rows)),
-				zap.Bool("whole", changes.Whole), zap.Uint64("version", changes.Version))
+				zap.Bool("whole", changes.Whole), zap.Stringer("version", changes.Version))
 			contain.Run(log, "changes of table "+table, func() { apply(changes) })
 		}
-		known, version = true, max(version, changes.Version)
+		if dropped := f.relays.copies[table].Dropped(); dropped != reported {
+			log.Info("rows older than known ones dropped", zap.String("from", from), zap.Uint64("rows", dropped-reported), zap.Stringer("version", changes.Version))
+			reported = dropped
+		}
+		known = true
+		if version.Number < changes.Number {
+			version = changes.Version
+		}
 		if from != "" {
 			continue
 		}
@@ -218,7 +226,7 @@
 
 // fetchChanges returns the whole table, or its changes since a version, and the
 // name of the relay that sent them, which is empty if they come from the store.
-func (f *Front) fetchChanges(table string, known bool, version uint64) (store.Changes, string, error) {
+func (f *Front) fetchChanges(table string, known bool, version store.Version) (store.Changes, string, error) {
 	began := f.clock.Now()
 	for {
 		changes, from, err := f.relays.poll(table, known, version)
@@ -263,12 +271,12 @@
 }
 
 // fetchFromStore reads the whole table or its changes from the store.
-func (f *Front) fetchFromStore(table string, known bool, version uint64) (store.Changes, error) {
+func (f *Front) fetchFromStore(table string, known bool, version store.Version) (store.Changes, error) {
 	var err error
 	changes := store.Changes{Whole: !known}
 	if !known {
 		limit := tableReadTimeout
-		if version == 0 {
+		if version == (store.Version{}) {
 			limit = startReadTimeout
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
--- a/internal/front/follow_test.go
+++ b/internal/front/follow_test.go
@@ -38,20 +38,20 @@
 	return nil
 }
 
-func (s *unchangingStore) Table(_ context.Context, table string) ([]store.Row, uint64, error) {
-	return nil, 5, s.call(table)
+func (s *unchangingStore) Table(_ context.Context, table string) ([]store.Row, store.Version, error) {
+	return nil, at(5), s.call(table)
 }
 
-func (s *unchangingStore) Feed(_ context.Context, table string, after uint64, wait clock.Duration) ([]store.Row, uint64, error) {
+func (s *unchangingStore) Feed(_ context.Context, table string, after store.Version, wait clock.Duration) ([]store.Row, store.Version, error) {
 	if err := s.call(table); err != nil {
-		return nil, 0, err
+		return nil, store.Version{}, err
 	}
 	for until := time.Now().Add(wait.Std()); time.Now().Before(until); time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		down := s.down
 		s.mu.Unlock()
 		if down {
-			return nil, 0, errDown
+			return nil, store.Version{}, errDown
 		}
 	}
 	return nil, after, nil
@@ -173,8 +173,8 @@
 func TestCancelledFeedLeavesOtherTablesUsable(t *testing.T) {
 	f := New(Settings{}, Platform{Store: cancelledStore{}, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
 	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op", "servers"}, systemTimers{f.clock}, f.log)
-	f.relays.update("op", store.Changes{Whole: true, Version: 5})
-	_, _, err := f.fetchChanges("servers", true, 5)
+	f.relays.update("op", store.Changes{Whole: true, Version: at(5)})
+	_, _, err := f.fetchChanges("servers", true, at(5))
 	require.Error(t, err)
 	require.True(t, f.relays.copies["op"].Usable())
 	require.False(t, f.outage.active())
@@ -183,8 +183,8 @@
 // cancelledStore returns the error of a client whose call was cancelled.
 type cancelledStore struct{ store.Store }
 
-func (cancelledStore) Feed(context.Context, string, uint64, clock.Duration) ([]store.Row, uint64, error) {
-	return nil, 0, errors.Wrap(context.Canceled, "feed")
+func (cancelledStore) Feed(context.Context, string, store.Version, clock.Duration) ([]store.Row, store.Version, error) {
+	return nil, store.Version{}, errors.Wrap(context.Canceled, "feed")
 }
 
 // hangingStore responds to the first read of each table, and to no feed.
@@ -194,9 +194,11 @@
 	waiting int
 }
 
-func (*hangingStore) Table(context.Context, string) ([]store.Row, uint64, error) { return nil, 5, nil }
+func (*hangingStore) Table(context.Context, string) ([]store.Row, store.Version, error) {
+	return nil, at(5), nil
+}
 
-func (s *hangingStore) Feed(ctx context.Context, _ string, _ uint64, _ clock.Duration) ([]store.Row, uint64, error) {
+func (s *hangingStore) Feed(ctx context.Context, _ string, _ store.Version, _ clock.Duration) ([]store.Row, store.Version, error) {
 	s.mu.Lock()
 	s.waiting++
 	s.mu.Unlock()
@@ -204,7 +206,7 @@
 	s.mu.Lock()
 	s.waiting--
 	s.mu.Unlock()
-	return nil, 0, ctx.Err()
+	return nil, store.Version{}, ctx.Err()
 }
 
 // The store stops responding to one relay while its connections stay open. In
@@ -230,7 +232,7 @@
 	}, time.Second, time.Millisecond)
 	for _, table := range []string{"op", "servers"} {
 		lost := func() bool {
-			return f.relays.awaitChanges(f.relays.copies[table], followParams{Known: true, Version: 5, WaitMillis: int64(relayPollWait)}).Lost
+			return f.relays.awaitChanges(f.relays.copies[table], followParams{Known: true, Version: at(5), WaitMillis: int64(relayPollWait)}).Lost
 		}
 		for !lost() {
 			require.Less(t, f.clock.Now().Sub(began), configurationLimit, table)
@@ -251,7 +253,7 @@
 	f.relays.avoid("relay", clock.Minute)
 	for _, table := range []string{"op", "servers"} {
 		began := f.clock.Now()
-		_, err := f.fetchFromStore(table, true, 5)
+		_, err := f.fetchFromStore(table, true, at(5))
 		require.Error(t, err)
 		require.LessOrEqual(t, f.clock.Now().Sub(began), heartbeatWait+heartbeatGrace+clock.Second)
 	}
@@ -281,7 +283,7 @@
 	for table := range bounds {
 		go func() {
 			began := f.clock.Now()
-			_, _, err := f.fetchChanges(table, true, 5)
+			_, _, err := f.fetchChanges(table, true, at(5))
 			outcomes <- outcome{table, f.clock.Now().Sub(began), err}
 		}()
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -268,10 +268,14 @@
 		v, err := f.platform.DecodeVersion(row)
 		switch {
 		case err != nil:
-			f.log.Error("invalid configuration row", zap.Uint64("row", row.Version), logs.Error(err))
-		case v != nil && f.versions.Accept(v):
+			f.log.Error("invalid configuration row", zap.Stringer("row", row.Version), logs.Error(err))
+		case v == nil:
+		case f.versions.Accept(v):
 			f.setConnectionLimits(v)
 			f.log.Info("configuration in force", zap.Uint64("version", v.Number), zap.Int("routes", len(v.Routes)))
+		default:
+			f.log.Info("older configuration ignored", zap.Uint64("version", v.Number), zap.Uint64("inForce", f.versions.Load().Number),
+				zap.Stringer("row", row.Version))
 		}
 	}
 }
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -35,7 +35,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		r := newRelays(proxy.Peer{Name: "self"}, []string{"t"}, newManualClock(), zap.NewNop())
 		_, _ = r.handleFollow(data)
-		reg := &registrar{clock: newManualClock(), put: func(map[string][]byte) (uint64, error) { return 1, nil }}
+		reg := &registrar{clock: newManualClock(), put: func(map[string][]byte) (store.Version, error) { return at(1), nil }}
 		reg.open = &registerBatch{rows: map[string][]byte{}, full: make(chan struct{}), done: make(chan struct{})}
 		close(reg.open.done)
 		_, _ = reg.handleRegister(data)
@@ -44,6 +44,6 @@
 		_ = a.ObserveVote(1, "p", data, 1)
 		front := New(Settings{Name: "self"}, Platform{Store: &hangingStore{}}, clock.NewBoot(), zap.NewNop(), NewMetrics())
 		front.stopping.Store(true)
-		front.applyAgreement(store.Changes{Rows: []store.Row{{Key: "claim/g", Value: data, Version: 1}, {Key: "vote/g/p", Value: data, Version: 2}}})
+		front.applyAgreement(store.Changes{Rows: []store.Row{{Key: "claim/g", Value: data, Version: at(1)}, {Key: "vote/g/p", Value: data, Version: at(2)}}})
 	})
 }
--- a/internal/front/register.go
+++ b/internal/front/register.go
@@ -51,14 +51,14 @@
 // registration is the answer of a registrar.
 type registration struct {
 	// Version is the version of the written row.
-	Version uint64 `json:"version"`
+	store.Version
 }
 
 // registrar writes the member rows of proxies that start at the same time with
 // few calls to the store, whose writes to one table run one after another.
 type registrar struct {
 	clock timers
-	put   func(rows map[string][]byte) (uint64, error)
+	put   func(rows map[string][]byte) (store.Version, error)
 
 	mu sync.Mutex
 	// open is the batch that collects rows, nil if there is none.
@@ -71,13 +71,13 @@
 	rows    map[string][]byte
 	full    chan struct{}
 	done    chan struct{}
-	version uint64
+	version store.Version
 	err     error
 }
 
 // register writes a member row, together with others that arrive within
 // registerWindow, and returns its version.
-func (r *registrar) register(key string, value []byte) (uint64, error) {
+func (r *registrar) register(key string, value []byte) (store.Version, error) {
 	r.mu.Lock()
 	b := r.open
 	if b == nil {
@@ -133,7 +133,7 @@
 }
 
 // putMembers writes rows of the members table.
-func (f *Front) putMembers(rows map[string][]byte) (uint64, error) {
+func (f *Front) putMembers(rows map[string][]byte) (store.Version, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
 	defer cancel()
 	return f.platform.Store.Put(ctx, membersTable, rows)
@@ -163,7 +163,7 @@
 			version, err = f.putMembers(map[string][]byte{f.self.Name: value})
 		}
 		if err == nil {
-			f.registeredVersion.Store(version)
+			f.registeredVersion.Store(version.Number)
 			return
 		}
 		f.log.Info("write own member row failed", logs.Error(err))
@@ -174,7 +174,7 @@
 var errNoRegistrar = errors.New("no other proxy is known")
 
 // registerThroughPeer asks a registrar to write the row of this proxy.
-func (f *Front) registerThroughPeer() (uint64, error) {
+func (f *Front) registerThroughPeer() (store.Version, error) {
 	f.mu.Lock()
 	others := make([]proxy.Peer, 0, len(f.members))
 	for _, p := range f.members {
@@ -185,7 +185,7 @@
 	f.mu.Unlock()
 	registrars := sortByPreference(f.self, proxy.ChoosePeers("registrars", others, registrarCount))
 	if len(registrars) == 0 {
-		return 0, errNoRegistrar
+		return store.Version{}, errNoRegistrar
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout.Std())
 	defer cancel()
--- a/internal/front/register_test.go
+++ b/internal/front/register_test.go
@@ -21,7 +21,7 @@
 	var mu sync.Mutex
 	written := make(map[string]int)
 	calls := 0
-	r := &registrar{clock: systemTimers{clock.NewBoot()}, put: func(rows map[string][]byte) (uint64, error) {
+	r := &registrar{clock: systemTimers{clock.NewBoot()}, put: func(rows map[string][]byte) (store.Version, error) {
 		mu.Lock()
 		defer mu.Unlock()
 		calls++
@@ -29,7 +29,7 @@
 		for key := range rows {
 			written[key]++
 		}
-		return uint64(calls), nil
+		return at(uint64(calls)), nil
 	}}
 	const fleet = 295
 	var wg sync.WaitGroup
@@ -47,7 +47,7 @@
 
 func TestFailedBatchFailsAllItsRows(t *testing.T) {
 	failure := errors.New("store is down")
-	r := &registrar{clock: systemTimers{clock.NewBoot()}, put: func(map[string][]byte) (uint64, error) { return 0, failure }}
+	r := &registrar{clock: systemTimers{clock.NewBoot()}, put: func(map[string][]byte) (store.Version, error) { return store.Version{}, failure }}
 	_, err := r.register("a", nil)
 	require.ErrorIs(t, err, failure)
 	_, err = r.handleRegister([]byte(`{"name":"b"}`))
@@ -65,12 +65,12 @@
 	require.NoError(t, f.startPeers("127.0.0.1:0"))
 	t.Cleanup(f.peerConns.Close)
 	for version := uint64(1); version < 20; version++ {
-		f.applyMembers(store.Changes{Version: version, Whole: version == 1})
+		f.applyMembers(store.Changes{Version: at(version), Whole: version == 1})
 		require.Eventually(t, func() bool { return !f.registering.Load() }, clock.Minute.Std(), clock.Millisecond.Std())
 	}
 	require.Equal(t, 1, s.count(), "the row was written again before the table could have it")
 	// A table that is newer than the row and lacks it has lost it.
-	f.applyMembers(store.Changes{Version: rowVersion})
+	f.applyMembers(store.Changes{Version: at(rowVersion)})
 	require.Eventually(t, func() bool { return s.count() == 2 }, clock.Minute.Std(), clock.Millisecond.Std())
 	require.Equal(t, proxy.Peer{Name: "self", Zone: "a", Address: f.peerConns.Address()}, f.self)
 }
@@ -91,11 +91,11 @@
 }
 
 // Put implements store.Store.
-func (s *rowStore) Put(context.Context, string, map[string][]byte) (uint64, error) {
+func (s *rowStore) Put(context.Context, string, map[string][]byte) (store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
-	return rowVersion, nil
+	return at(rowVersion), nil
 }
 
 // At the first start of a small system some proxies may have to wait, but never
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -63,9 +63,9 @@
 
 // followParams tells a relay which version of a table the polling proxy has.
 type followParams struct {
-	Table   string `json:"table"`
-	Known   bool   `json:"known"`
-	Version uint64 `json:"version"`
+	Table string `json:"table"`
+	Known bool   `json:"known"`
+	store.Version
 	// Compact is set if the polling proxy can expand patches and compressed
 	// values, which earlier builds cannot. Bases has the versions of the large
 	// rows that it has.
@@ -196,7 +196,7 @@
 // poll asks the sources for changes of a table, and returns these and the name
 // of the source that sent them. The error is errStoreLost if a source responds
 // but cannot reach the store, and errNoRelay if none responds or may be polled.
-func (r *relays) poll(table string, known bool, version uint64) (store.Changes, string, error) {
+func (r *relays) poll(table string, known bool, version store.Version) (store.Changes, string, error) {
 	names := r.candidates()
 	wait, grace, cooldown := relayPollWait, relayPollGrace, relayCooldown
 	if r.isRelay() {
@@ -320,7 +320,7 @@
 		now := r.clock.Now()
 		// A whole table must not be older than what the polling proxy had.
 		age, contact := r.contactAge(now)
-		fresh := c.Usable() && contact && (p.Known || c.Version() >= p.Version)
+		fresh := c.Usable() && contact && (p.Known || c.Version().Number >= p.Number)
 		if fresh {
 			if changes := c.Since(p.Known, p.Version); len(changes.Rows) > 0 || changes.Whole || now >= until {
 				if p.Compact {
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -101,7 +101,7 @@
 
 // startPoll polls the relay in the background and returns once the relay holds
 // the poll.
-func startPoll(c *manualClock, follower *relays, known bool, version uint64) <-chan polled {
+func startPoll(c *manualClock, follower *relays, known bool, version store.Version) <-chan polled {
 	result := make(chan polled, 1)
 	held := c.waits()
 	go func() {
@@ -117,31 +117,31 @@
 func TestRelayForwardsChanges(t *testing.T) {
 	c := newManualClock()
 	follower, relay := newRelayPair(t, c)
-	result := startPoll(c, follower, false, 0)
+	result := startPoll(c, follower, false, at(0))
 	c.Advance(initialPollWait)
 	require.ErrorIs(t, (<-result).err, errStoreLost, "the relay knows nothing yet")
 	c.Advance(minRetryDelay)
 
 	// An initial poll waits for a relay that has just started.
-	whole := store.Changes{Rows: []store.Row{{Key: "a", Value: []byte("1"), Version: 4}}, Whole: true, Version: 4}
-	result = startPoll(c, follower, false, 0)
+	whole := store.Changes{Rows: []store.Row{{Key: "a", Value: []byte("1"), Version: at(4)}}, Whole: true, Version: at(4)}
+	result = startPoll(c, follower, false, at(0))
 	c.Advance(initialPollWait / 2)
 	relay.update("t", whole)
 	require.Equal(t, polled{changes: whole, from: relay.self.Name}, <-result)
 
 	// Later polls are held open until something changes.
-	result = startPoll(c, follower, true, 4)
+	result = startPoll(c, follower, true, at(4))
 	c.Advance(relayPollWait - 1)
 	require.Empty(t, result)
 	relay.markStoreAnswered(c.Now())
-	relay.update("t", store.Changes{Rows: []store.Row{{Key: "a", Version: 6, Deleted: true}}, Version: 6})
+	relay.update("t", store.Changes{Rows: []store.Row{{Key: "a", Version: at(6), Deleted: true}}, Version: at(6)})
 	got := <-result
 	require.NoError(t, got.err)
-	require.Equal(t, uint64(6), got.changes.Version)
+	require.Equal(t, at(6), got.changes.Version)
 	require.True(t, got.changes.Rows[0].Deleted)
 
 	// A relay that has lost the store reports it at once.
-	result = startPoll(c, follower, true, 6)
+	result = startPoll(c, follower, true, at(6))
 	require.Empty(t, result)
 	relay.markStoreLost()
 	require.ErrorIs(t, (<-result).err, errStoreLost)
@@ -155,12 +155,12 @@
 	follower.mu.Lock()
 	follower.sources = []proxy.Peer{{Name: "p059"}, relay.self}
 	follower.mu.Unlock()
-	relay.update("t", store.Changes{Whole: true, Version: 4})
+	relay.update("t", store.Changes{Whole: true, Version: at(4)})
 	// A process without data polls only one relay, since callers wait.
-	_, _, err := follower.poll("t", false, 0)
+	_, _, err := follower.poll("t", false, at(0))
 	require.ErrorIs(t, err, errNoRelay)
 	require.Equal(t, []string{relay.self.Name}, follower.candidates())
-	_, from, err := follower.poll("t", false, 0)
+	_, from, err := follower.poll("t", false, at(0))
 	require.NoError(t, err)
 	require.Equal(t, relay.self.Name, from)
 }
@@ -170,11 +170,11 @@
 // themselves.
 func TestOnlyRelaysWithRecentStoreContactAnswer(t *testing.T) {
 	r := newRelays(proxy.Peer{Name: "self", Zone: "a"}, []string{"t"}, systemTimers{clock.NewBoot()}, zap.NewNop())
-	r.update("t", store.Changes{Whole: true, Version: 4})
-	require.True(t, r.awaitChanges(r.copies["t"], followParams{Known: true, Version: 4}).Lost)
+	r.update("t", store.Changes{Whole: true, Version: at(4)})
+	require.True(t, r.awaitChanges(r.copies["t"], followParams{Known: true, Version: at(4)}).Lost)
 	r.selfIsRelay = true
 	r.markStoreAnswered(r.clock.Now())
-	require.False(t, r.awaitChanges(r.copies["t"], followParams{Known: true, Version: 4}).Lost)
+	require.False(t, r.awaitChanges(r.copies["t"], followParams{Known: true, Version: at(4)}).Lost)
 	r.markStoreAnswered(r.clock.Now().Add(-heartbeatWait - heartbeatGrace))
-	require.True(t, r.awaitChanges(r.copies["t"], followParams{Known: true, Version: 4}).Lost)
+	require.True(t, r.awaitChanges(r.copies["t"], followParams{Known: true, Version: at(4)}).Lost)
 }
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -83,14 +83,14 @@
 	defer r.mu.Unlock()
 	var err error
 	if strings.HasPrefix(row.Key, claimPrefix) {
-		err = r.agreement.ObserveClaim(now, row.Value, row.Version)
+		err = r.agreement.ObserveClaim(now, row.Value, row.Number)
 		if _, free := r.agreement.Claimable(now, r.self); !free {
 			// From now on, a commit on the old primary might not be confirmed.
 			r.client.MarkPrimaryInDoubt(now)
 		}
 	} else {
 		_, from, _ := strings.Cut(strings.TrimPrefix(row.Key, votePrefix), "/")
-		err = r.agreement.ObserveVote(now, from, row.Value, row.Version)
+		err = r.agreement.ObserveVote(now, from, row.Value, row.Number)
 	}
 	if err != nil {
 		r.log.Warn("invalid claim or vote row", zap.String("key", row.Key), logs.Error(err))
@@ -198,9 +198,9 @@
 	switch {
 	case err == nil:
 		r.observe(store.Row{Key: key, Value: value, Version: token})
-		return group.NewLease(token, askedAt), nil
+		return group.NewLease(token.Number, askedAt), nil
 	case errors.As(err, &conflict):
-		if conflict.Current.Version > 0 {
+		if conflict.Current.Number > 0 {
 			conflict.Current.Key = key
 			r.observe(conflict.Current)
 		}
@@ -226,7 +226,7 @@
 		r.observe(row)
 		var found group.Claim
 		if json.Unmarshal(row.Value, &found) == nil && found.Holder == c.Holder && found.Nonce == c.Nonce {
-			return group.NewLease(row.Version, askedAt), nil
+			return group.NewLease(row.Number, askedAt), nil
 		}
 	}
 	return group.Lease{}, cause
--- a/internal/front/tiers_test.go
+++ b/internal/front/tiers_test.go
@@ -61,7 +61,7 @@
 }
 
 // pass polls the sources of r once and keeps what they answer.
-func pass(t *testing.T, r *relays, known bool, version uint64) store.Changes {
+func pass(t *testing.T, r *relays, known bool, version store.Version) store.Changes {
 	changes, _, err := r.poll("t", known, version)
 	require.NoError(t, err)
 	r.update("t", changes)
@@ -76,24 +76,24 @@
 	connectTiers(root, relay, follower)
 	value := largeValue(400)
 	root.markStoreAnswered(c.Now())
-	root.update("t", store.Changes{Rows: []store.Row{{Key: "config", Value: value, Version: 3}}, Whole: true, Version: 3})
-	require.Equal(t, value, pass(t, relay, false, 0).Rows[0].Value)
-	require.Equal(t, value, pass(t, follower, false, 0).Rows[0].Value)
+	root.update("t", store.Changes{Rows: []store.Row{{Key: "config", Value: value, Version: at(3)}}, Whole: true, Version: at(3)})
+	require.Equal(t, value, pass(t, relay, false, at(0)).Rows[0].Value)
+	require.Equal(t, value, pass(t, follower, false, at(0)).Rows[0].Value)
 
 	changed := append([]byte(nil), value...)
 	copy(changed[len(changed)/2:], "changed")
-	root.update("t", store.Changes{Rows: []store.Row{{Key: "config", Value: changed, Version: 9}}, Version: 9})
+	root.update("t", store.Changes{Rows: []store.Row{{Key: "config", Value: changed, Version: at(9)}}, Version: at(9)})
 	for _, r := range []*relays{relay, follower} {
 		source := root
 		if r == follower {
 			source = relay
 		}
-		sent := source.copies["t"].Since(true, 3)
+		sent := source.copies["t"].Since(true, at(3))
 		source.copies["t"].Compact(&sent, r.copies["t"].Bases())
 		require.NotNil(t, sent.Rows[0].Patch, "the whole value was sent")
 		require.Less(t, sent.Rows[0].Patch.Size(), len(value)/20)
-		got := pass(t, r, true, 3)
-		require.Equal(t, store.Row{Key: "config", Value: changed, Version: 9}, got.Rows[0])
+		got := pass(t, r, true, at(3))
+		require.Equal(t, store.Row{Key: "config", Value: changed, Version: at(9)}, got.Rows[0])
 	}
 }
 
@@ -104,14 +104,14 @@
 	root, relay, follower := startTier(t, "root", c), startTier(t, "relay", c), startTier(t, "follower", c)
 	connectTiers(root, relay, follower)
 	root.markStoreAnswered(c.Now())
-	root.update("t", store.Changes{Whole: true, Version: 3})
-	pass(t, relay, false, 0)
-	pass(t, follower, false, 0)
+	root.update("t", store.Changes{Whole: true, Version: at(3)})
+	pass(t, relay, false, at(0))
+	pass(t, follower, false, at(0))
 	root.markStoreLost()
-	_, _, err := relay.poll("t", true, 3)
+	_, _, err := relay.poll("t", true, at(3))
 	require.ErrorIs(t, err, errStoreLost)
 	c.Advance(heartbeatWait + heartbeatGrace)
-	_, _, err = follower.poll("t", true, 3)
+	_, _, err = follower.poll("t", true, at(3))
 	require.ErrorIs(t, err, errStoreLost)
 }
 
@@ -124,7 +124,7 @@
 	for i, r := range []*relays{a, b} {
 		r.peers.SetPeers(both)
 		r.selfIsRelay, r.sources = true, both[1-i:2-i]
-		r.update("t", store.Changes{Whole: true, Version: 3})
+		r.update("t", store.Changes{Whole: true, Version: at(3)})
 	}
 	a.markStoreAnswered(c.Now())
 	lost := false
@@ -133,7 +133,7 @@
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				changes, _, err := r.poll("t", true, 3)
+				changes, _, err := r.poll("t", true, at(3))
 				lost = lost || err != nil
 				if err == nil {
 					r.update("t", changes)
@@ -161,9 +161,9 @@
 	r := newRelays(proxy.Peer{Name: "relay"}, []string{"t"}, c, zap.NewNop())
 	r.selfIsRelay = true
 	r.markStoreAnswered(c.Now())
-	r.update("t", store.Changes{Rows: []store.Row{{Key: "left", Version: 4}}, Whole: true, Version: 4})
-	require.True(t, r.awaitChanges(r.copies["t"], followParams{Version: 7}).Lost)
-	require.Len(t, r.awaitChanges(r.copies["t"], followParams{Version: 4}).Rows, 1)
+	r.update("t", store.Changes{Rows: []store.Row{{Key: "left", Version: at(4)}}, Whole: true, Version: at(4)})
+	require.True(t, r.awaitChanges(r.copies["t"], followParams{Version: at(7)}).Lost)
+	require.Len(t, r.awaitChanges(r.copies["t"], followParams{Version: at(4)}).Rows, 1)
 }
 
 // largeValue returns a value of n segments that is sent as a patch once it
@@ -183,8 +183,8 @@
 	r.selfIsRelay = true
 	r.copies["t"].KeepHistory(true)
 	r.markStoreAnswered(r.clock.Now())
-	rows := []store.Row{{Key: "config", Value: largeValue(400), Version: 4}}
-	r.update("t", store.Changes{Rows: rows, Whole: true, Version: 4})
+	rows := []store.Row{{Key: "config", Value: largeValue(400), Version: at(4)}}
+	r.update("t", store.Changes{Rows: rows, Whole: true, Version: at(4)})
 	for _, params := range []string{`{"table":"t"}`, `{"table":"t","known":true,"version":3}`} {
 		answer, err := r.handleFollow([]byte(params))
 		require.NoError(t, err)
--- a/internal/front/timers_test.go
+++ b/internal/front/timers_test.go
@@ -4,9 +4,13 @@
 	"context"
 	"sync"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
+// at returns a version of the store's first era.
+func at(number uint64) store.Version { return store.Version{Era: store.FirstEra, Number: number} }
+
 // manualClock is a clock that only Advance moves, so that no load on the machine
 // can make a wait end early or late.
 type manualClock struct {
--- a/internal/process/platform/store/cache.go
+++ b/internal/process/platform/store/cache.go
@@ -28,7 +28,9 @@
 	packed  map[string][]byte
 	// version is the version of the table. Deletions up to prunedVersion may
 	// have been pruned.
-	version, prunedVersion uint64
+	version, prunedVersion Version
+	// dropped counts the rows that Apply has ignored because a newer one is known.
+	dropped uint64
 	// known is set once a whole table was applied.
 	known bool
 	// unavailable is set by MarkUnavailable and cleared by the next Apply.
@@ -59,8 +61,8 @@
 type Changes struct {
 	Rows []Row `json:"rows,omitempty"`
 	// Whole is set if Rows is the whole table.
-	Whole   bool   `json:"whole,omitempty"`
-	Version uint64 `json:"version"`
+	Whole bool `json:"whole,omitempty"`
+	Version
 }
 
 // Apply merges changes that the store, or another process that follows it, has
@@ -78,15 +80,18 @@
 	for _, r := range changes.Rows {
 		// If the table's version were lower than that of a row, followers would be
 		// sent this row again and again.
-		changes.Version = max(changes.Version, r.Version)
-		if old, ok := c.rows[r.Key]; !ok || old.Version < r.Version {
+		changes.Version = latest(changes.Version, r.Version)
+		switch old, ok := c.rows[r.Key]; {
+		case !ok || old.Number < r.Number:
 			c.keepPreviousLocked(old)
 			c.rows[r.Key] = r
 			updated = true
+		case old.Number > r.Number:
+			c.dropped++
 		}
 	}
 	c.known, c.unavailable = true, false
-	c.version = max(c.version, changes.Version)
+	c.version = latest(c.version, changes.Version)
 	if updated {
 		c.pruneTombstonesLocked()
 		c.notifyLocked()
@@ -132,7 +137,7 @@
 			if bases == nil {
 				bases = make(map[string]uint64)
 			}
-			bases[key] = r.Version
+			bases[key] = r.Number
 		}
 	}
 	return bases
@@ -176,7 +181,7 @@
 	if p, made := c.patches[k]; made {
 		return p
 	}
-	i := slices.IndexFunc(c.previous[r.Key], func(old Row) bool { return old.Version == base })
+	i := slices.IndexFunc(c.previous[r.Key], func(old Row) bool { return old.Number == base })
 	if i < 0 {
 		return nil
 	}
@@ -233,8 +238,8 @@
 			continue
 		}
 		known := c.rows[r.Key]
-		if known.Version != r.Base {
-			return &BaseError{Key: r.Key, Base: r.Base, Known: known.Version}
+		if known.Number != r.Base {
+			return &BaseError{Key: r.Key, Base: r.Base, Known: known.Number}
 		}
 		value, err := r.Patch.Apply(known.Value)
 		if err != nil {
@@ -245,8 +250,15 @@
 	return nil
 }
 
+// Dropped returns how many rows were ignored because a newer one was known.
+func (c *Cache) Dropped() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dropped
+}
+
 // Version returns the version of the table.
-func (c *Cache) Version() uint64 {
+func (c *Cache) Version() Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.version
@@ -262,7 +274,7 @@
 	}
 	updated := false
 	for key, r := range c.rows {
-		if _, ok := present[key]; !ok && !r.Deleted && r.Version <= changes.Version {
+		if _, ok := present[key]; !ok && !r.Deleted && r.Number <= changes.Number {
 			c.rows[key] = Row{Key: key, Version: changes.Version, Deleted: true}
 			updated = true
 		}
@@ -284,12 +296,19 @@
 	}
 	slices.SortFunc(deleted, byVersion)
 	for _, r := range deleted[:len(deleted)-maxTombstones/2] {
-		c.prunedVersion = max(c.prunedVersion, r.Version)
+		c.prunedVersion = latest(c.prunedVersion, r.Version)
 		delete(c.rows, r.Key)
 	}
 }
 
-func byVersion(a, b Row) int { return cmp.Compare(a.Version, b.Version) }
+func byVersion(a, b Row) int { return cmp.Compare(a.Number, b.Number) }
+
+func latest(a, b Version) Version {
+	if a.Number < b.Number {
+		return b
+	}
+	return a
+}
 
 func (c *Cache) notifyLocked() {
 	close(c.changed)
@@ -326,15 +345,15 @@
 // has the table at this version. If known is false or the version is too old, it
 // returns the whole table. If the cache itself has no table yet, it returns no
 // rows.
-func (c *Cache) Since(known bool, version uint64) Changes {
+func (c *Cache) Since(known bool, version Version) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
 		return Changes{Version: version}
 	}
-	changes := Changes{Whole: !known || version < c.prunedVersion, Version: max(c.version, version)}
+	changes := Changes{Whole: !known || version.Number < c.prunedVersion.Number, Version: latest(c.version, version)}
 	for _, r := range c.rows {
-		if changes.Whole && !r.Deleted || !changes.Whole && r.Version > version {
+		if changes.Whole && !r.Deleted || !changes.Whole && r.Number > version.Number {
 			changes.Rows = append(changes.Rows, r)
 		}
 	}
--- a/internal/process/platform/store/cache_test.go
+++ b/internal/process/platform/store/cache_test.go
@@ -8,46 +8,49 @@
 	"github.com/stretchr/testify/require"
 )
 
+// at returns a version of the first era.
+func at(number uint64) Version { return Version{Era: FirstEra, Number: number} }
+
 func TestCacheReturnsChangesSinceVersion(t *testing.T) {
 	c := NewCache()
 	require.False(t, c.Usable())
-	require.Equal(t, Changes{Version: 7}, c.Since(true, 7))
-	a, b := Row{Key: "a", Value: []byte("1"), Version: 3}, Row{Key: "b", Value: []byte("1"), Version: 2}
-	c.Apply(Changes{Rows: []Row{a, b}, Whole: true, Version: 5})
+	require.Equal(t, Changes{Version: at(7)}, c.Since(true, at(7)))
+	a, b := Row{Key: "a", Value: []byte("1"), Version: at(3)}, Row{Key: "b", Value: []byte("1"), Version: at(2)}
+	c.Apply(Changes{Rows: []Row{a, b}, Whole: true, Version: at(5)})
 	require.True(t, c.Usable())
-	require.Equal(t, Changes{Rows: []Row{b, a}, Whole: true, Version: 5}, c.Since(false, 0))
-	require.Equal(t, Changes{Version: 5}, c.Since(true, 5))
+	require.Equal(t, Changes{Rows: []Row{b, a}, Whole: true, Version: at(5)}, c.Since(false, at(0)))
+	require.Equal(t, Changes{Version: at(5)}, c.Since(true, at(5)))
 
 	changed := c.Changed()
-	c.Apply(Changes{Version: 5})
+	c.Apply(Changes{Version: at(5)})
 	requireOpen(t, changed)
-	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 9, Deleted: true}}, Version: 9})
+	c.Apply(Changes{Rows: []Row{{Key: "a", Version: at(9), Deleted: true}}, Version: at(9)})
 	requireClosed(t, changed)
-	require.Equal(t, Changes{Rows: []Row{{Key: "a", Version: 9, Deleted: true}}, Version: 9}, c.Since(true, 5))
-	require.Equal(t, Changes{Rows: []Row{b}, Whole: true, Version: 9}, c.Since(false, 0))
+	require.Equal(t, Changes{Rows: []Row{{Key: "a", Version: at(9), Deleted: true}}, Version: at(9)}, c.Since(true, at(5)))
+	require.Equal(t, Changes{Rows: []Row{b}, Whole: true, Version: at(9)}, c.Since(false, at(0)))
 }
 
 // If the whole table is read again because the store has dropped its history,
 // followers must be sent the rows that are missing in it as deleted.
 func TestFullTableReportsMissingRowsAsDeleted(t *testing.T) {
 	c := NewCache()
-	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 3}, {Key: "b", Version: 2}}, Whole: true, Version: 5})
-	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 3}}, Whole: true, Version: 20})
-	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: 20, Deleted: true}}, Version: 20}, c.Since(true, 5))
+	c.Apply(Changes{Rows: []Row{{Key: "a", Version: at(3)}, {Key: "b", Version: at(2)}}, Whole: true, Version: at(5)})
+	c.Apply(Changes{Rows: []Row{{Key: "a", Version: at(3)}}, Whole: true, Version: at(20)})
+	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: at(20), Deleted: true}}, Version: at(20)}, c.Since(true, at(5)))
 	changed := c.Changed()
-	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 3}}, Whole: true, Version: 30})
+	c.Apply(Changes{Rows: []Row{{Key: "a", Version: at(3)}}, Whole: true, Version: at(30)})
 	requireOpen(t, changed)
 }
 
 func TestCacheIsUnusableWhileStoreIsUnavailable(t *testing.T) {
 	c := NewCache()
-	c.Apply(Changes{Whole: true, Version: 5})
+	c.Apply(Changes{Whole: true, Version: at(5)})
 	changed := c.Changed()
 	c.MarkUnavailable()
 	requireClosed(t, changed)
 	require.False(t, c.Usable())
 	changed = c.Changed()
-	c.Apply(Changes{Version: 5})
+	c.Apply(Changes{Version: at(5)})
 	requireClosed(t, changed)
 	require.True(t, c.Usable())
 }
@@ -60,12 +63,12 @@
 		c := NewCache()
 		table := map[string]Row{}
 		follower := map[string]Row{}
-		known, seen := false, uint64(0)
+		known, seen := false, Version{}
 		version := uint64(0)
 		for range 900 {
 			version++
 			key := fmt.Sprint("k", rng.IntN(600))
-			r := Row{Key: key, Version: version, Deleted: rng.IntN(2) == 0}
+			r := Row{Key: key, Version: at(version), Deleted: rng.IntN(2) == 0}
 			if r.Deleted {
 				delete(table, key)
 			} else {
@@ -77,9 +80,9 @@
 				for _, r := range table {
 					rows = append(rows, r)
 				}
-				c.Apply(Changes{Rows: rows, Whole: true, Version: version})
+				c.Apply(Changes{Rows: rows, Whole: true, Version: at(version)})
 			default:
-				c.Apply(Changes{Rows: []Row{r}, Version: version})
+				c.Apply(Changes{Rows: []Row{r}, Version: at(version)})
 			}
 			if rng.IntN(40) == 0 {
 				known, seen = applyChanges(follower, c.Since(known, seen))
@@ -90,7 +93,7 @@
 	}
 }
 
-func applyChanges(rows map[string]Row, changes Changes) (bool, uint64) {
+func applyChanges(rows map[string]Row, changes Changes) (bool, Version) {
 	if changes.Whole {
 		clear(rows)
 	}
@@ -126,9 +129,9 @@
 // that it was sent. A row newer than the table would be sent again and again.
 func TestCacheVersionCoversItsRows(t *testing.T) {
 	c := NewCache()
-	c.Apply(Changes{Rows: []Row{{Key: "a", Version: 9}}, Whole: true, Version: 4})
-	first := c.Since(false, 0)
-	require.Equal(t, uint64(9), first.Version)
+	c.Apply(Changes{Rows: []Row{{Key: "a", Version: at(9)}}, Whole: true, Version: at(4)})
+	first := c.Since(false, at(0))
+	require.Equal(t, at(9), first.Version)
 	require.Empty(t, c.Since(true, first.Version).Rows)
 }
 
@@ -136,11 +139,11 @@
 // The row is not missing then, and a later table that lacks it deletes it.
 func TestOlderWholeTableKeepsNewerRows(t *testing.T) {
 	c := NewCache()
-	a, b := Row{Key: "a", Version: 3}, Row{Key: "b", Version: 9}
-	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 5})
-	c.Apply(Changes{Rows: []Row{b}, Version: 9})
-	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 7})
-	require.Equal(t, Changes{Rows: []Row{a, b}, Whole: true, Version: 9}, c.Since(false, 0))
-	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: 10})
-	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: 10, Deleted: true}}, Version: 10}, c.Since(true, 9))
+	a, b := Row{Key: "a", Version: at(3)}, Row{Key: "b", Version: at(9)}
+	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: at(5)})
+	c.Apply(Changes{Rows: []Row{b}, Version: at(9)})
+	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: at(7)})
+	require.Equal(t, Changes{Rows: []Row{a, b}, Whole: true, Version: at(9)}, c.Since(false, at(0)))
+	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: at(10)})
+	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: at(10), Deleted: true}}, Version: at(10)}, c.Since(true, at(9)))
 }
--- a/internal/process/platform/store/patch_test.go
+++ b/internal/process/platform/store/patch_test.go
@@ -27,12 +27,12 @@
 	relay, follower := NewCache(), NewCache()
 	relay.KeepHistory(true)
 	timeout := func(int) int { return 800 }
-	relay.Apply(Changes{Rows: []Row{{Key: "config", Value: configurationOf(300, timeout), Version: 1}}, Whole: true, Version: 1})
+	relay.Apply(Changes{Rows: []Row{{Key: "config", Value: configurationOf(300, timeout), Version: at(1)}}, Whole: true, Version: at(1)})
 	take := func(changes Changes) {
 		require.NoError(t, follower.Expand(&changes))
 		follower.Apply(changes)
 	}
-	first := relay.Since(false, 0)
+	first := relay.Since(false, at(0))
 	relay.Compact(&first, nil)
 	take(first)
 	version := uint64(1)
@@ -40,7 +40,7 @@
 		known := follower.Version()
 		for range behind {
 			version++
-			relay.Apply(Changes{Rows: []Row{{Key: "config", Value: configurationOf(300, func(route int) int { return 800 + route*int(version) }), Version: version}}, Version: version})
+			relay.Apply(Changes{Rows: []Row{{Key: "config", Value: configurationOf(300, func(route int) int { return 800 + route*int(version) }), Version: at(version)}}, Version: at(version)})
 			value := configurationOf(300, func(route int) int {
 				if route == 7 {
 					return int(version)
@@ -48,7 +48,7 @@
 				return 800
 			})
 			version++
-			relay.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: version}}, Version: version})
+			relay.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: at(version)}}, Version: at(version)})
 		}
 		changes := relay.Since(true, known)
 		relay.Compact(&changes, follower.Bases())
@@ -56,15 +56,15 @@
 			require.Equal(t, patched, changes.Rows[0].Patch != nil, "%d changes behind", behind)
 		}
 		take(changes)
-		require.Equal(t, relay.Since(false, 0), follower.Since(false, 0))
+		require.Equal(t, relay.Since(false, at(0)), follower.Since(false, at(0)))
 	}
 }
 
 // A patch for a value that the follower does not have is refused.
 func TestPatchOfAnUnknownBaseIsRefused(t *testing.T) {
 	c := NewCache()
-	c.Apply(Changes{Rows: []Row{{Key: "config", Value: []byte("old"), Version: 3}}, Whole: true, Version: 3})
-	changes := Changes{Rows: []Row{{Key: "config", Patch: &patch.Patch{}, Base: 2, Version: 4}}, Version: 4}
+	c.Apply(Changes{Rows: []Row{{Key: "config", Value: []byte("old"), Version: at(3)}}, Whole: true, Version: at(3)})
+	changes := Changes{Rows: []Row{{Key: "config", Patch: &patch.Patch{}, Base: 2, Version: at(4)}}, Version: at(4)}
 	var base *BaseError
 	require.ErrorAs(t, c.Expand(&changes), &base)
 	require.Equal(t, BaseError{Key: "config", Base: 2, Known: 3}, *base)
@@ -78,8 +78,8 @@
 	c := NewCache()
 	c.KeepHistory(true)
 	value := configurationOf(2400, func(route int) int { return 800 + route%7 })
-	c.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: 1}, {Key: "small", Value: []byte("short"), Version: 1}}, Whole: true, Version: 1})
-	changes := c.Since(false, 0)
+	c.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: at(1)}, {Key: "small", Value: []byte("short"), Version: at(1)}}, Whole: true, Version: at(1)})
+	changes := c.Since(false, at(0))
 	c.Compact(&changes, nil)
 	for _, r := range changes.Rows {
 		require.Less(t, len(r.Packed), len(value)/5)
@@ -103,6 +103,6 @@
 	_, err = unpack(packed)
 	var long *LengthError
 	require.ErrorAs(t, err, &long)
-	changes := Changes{Rows: []Row{{Key: "config", Packed: []byte("no flate"), Version: 1}}, Whole: true}
+	changes := Changes{Rows: []Row{{Key: "config", Packed: []byte("no flate"), Version: at(1)}}, Whole: true}
 	require.Error(t, NewCache().Expand(&changes))
 }
