--- a/internal/process/platform/store/cache_test.go
+++ b/internal/process/platform/store/cache_test.go
@@ -147,3 +147,17 @@
 	c.Apply(Changes{Rows: []Row{a}, Whole: true, Version: at(10)})
 	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: at(10), Deleted: true}}, Version: at(10)}, c.Since(true, at(9)))
 }
+
+// A relay kept the rows of a store that had gone back, and its followers were
+// never sent those of the new era.
+func TestFollowersOfACacheReachTheNewEra(t *testing.T) {
+	c := NewCache()
+	c.Apply(Changes{Rows: []Row{{Key: "config", Value: []byte("old"), Version: at(25)}, {Key: "lost", Version: at(26)}}, Whole: true, Version: at(30)})
+	restored := Version{Era: 2, Number: 12}
+	row := Row{Key: "config", Value: []byte("new"), Version: Version{Era: 2, Number: 11}}
+	c.Apply(Changes{Rows: []Row{row}, Whole: true, Version: restored})
+	require.Equal(t, restored, c.Version())
+	for _, known := range []Version{at(30), at(11), at(12), at(13)} {
+		require.Equal(t, Changes{Rows: []Row{row}, Whole: true, Version: restored}, c.Since(true, known), "follower at %s", known)
+	}
+}
