Order the store's versions by their era before their number

Cause: versions were compared by their number alone, but a restored store gives numbers out again. A feed may even be held open by the new era, so any answer of a newer era now ends the feeds of earlier ones (eraTracker). Ruled out: relays without contact (their contact age stayed under 2.5 s), rows that the operator had not written again (it writes before the store answers).

store.Version orders by era first, and Cache drops its rows when an era begins and sends followers of another era the whole table. A relay that has not heard of its follower's era says that it has lost the store. Bases of patches are named by the checksum of their content. Whole tables are read again with a random delay, and an older table from the store itself is not asked for again at once.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -64,6 +64,9 @@
 	directRegistryWait  = 8 * clock.Second
 )
 
+// errEraBegun reports a feed that was given up because the store has begun a new era.
+var errEraBegun = errors.New("the store has begun a new era")
+
 // outage limits the calls to a store that does not respond. It is shared by all
 // tables: one call tests the store for all of them. No other lock is taken
 // while its lock is held.
@@ -169,6 +172,8 @@
 func (f *Front) follow(table string, maxInterval clock.Duration, apply func(store.Changes)) {
 	log := f.log.With(zap.String("table", table))
 	known, lost := false, false
+	// rereads counts the reads of the whole table since the last changes.
+	rereads := 0
 	var reported uint64
 	var version store.Version
 	interval := minPollInterval
@@ -179,6 +184,8 @@
 		case errors.Is(err, store.ErrHistoryGone):
 			log.Info("history no longer available, reading the whole table", zap.Stringer("version", version), zap.Uint64("storeEra", changes.Era))
 			known = false
+			backend.Sleep(rereadDelay(rereads))
+			rereads++
 			continue
 		case err != nil:
 			if !lost {
@@ -191,12 +198,24 @@
 			log.Info("store responding again", zap.Stringer("version", changes.Version), zap.String("from", from))
 			lost = false
 		}
-		if changes.Whole && changes.Number < version.Number {
+		if changes.Whole && changes.Before(version) {
 			// The source has an older table than this proxy had.
 			log.Info("older table ignored", zap.String("from", from), zap.Stringer("version", changes.Version), zap.Stringer("known", version))
-			f.relays.avoid(from, minRetryDelay)
+			if from == "" {
+				backend.Sleep(minRetryDelay + clock.Duration(rand.Int64N(int64(minRetryDelay))))
+			} else {
+				f.relays.avoid(from, minRetryDelay)
+			}
 			continue
 		}
+		if version.Era != 0 && changes.Era > version.Era {
+			log.Warn("store has gone back to an older copy, its table replaces the one known", zap.String("from", from),
+				zap.Stringer("version", changes.Version), zap.Stringer("known", version))
+			f.metrics.CountRestore(table)
+		}
+		if !changes.Whole {
+			rereads = 0
+		}
 		if len(changes.Rows) > 0 || !known {
 			log.Debug("changes", zap.String("from", from), zap.Int("rows", len(changes.Rows)),
 				zap.Bool("whole", changes.Whole), zap.Stringer("version", changes.Version))
@@ -206,10 +225,7 @@
 			log.Info("rows older than known ones dropped", zap.String("from", from), zap.Uint64("rows", dropped-reported), zap.Stringer("version", changes.Version))
 			reported = dropped
 		}
-		known = true
-		if version.Number < changes.Number {
-			version = changes.Version
-		}
+		known, version = true, store.Latest(version, changes.Version)
 		if from != "" {
 			continue
 		}
@@ -224,6 +240,17 @@
 	}
 }
 
+// rereadDelay returns how long to wait before a table is read as a whole, after the
+// given number of such reads in a row. The delay is random, since all processes that
+// follow the store need the table at the same moment.
+func rereadDelay(rereads int) clock.Duration {
+	limit := minPollInterval
+	if rereads > 0 {
+		limit = maxRetryDelay
+	}
+	return clock.Duration(rand.Int64N(int64(limit)))
+}
+
 // fetchChanges returns the whole table, or its changes since a version, and the
 // name of the relay that sent them, which is empty if they come from the store.
 func (f *Front) fetchChanges(table string, known bool, version store.Version) (store.Changes, string, error) {
@@ -231,6 +258,7 @@
 	for {
 		changes, from, err := f.relays.poll(table, known, version)
 		if err == nil {
+			f.eras.observe(changes.Version)
 			f.relays.update(table, changes)
 			return changes, from, nil
 		}
@@ -261,6 +289,9 @@
 	case errors.Is(err, store.ErrHistoryGone):
 		f.outage.recordSuccess()
 		f.relays.markStoreAnswered(now)
+	case errors.Is(err, errEraBegun):
+		// The feed was given up, which says nothing about the store.
+		err = store.ErrHistoryGone
 	case errors.Is(err, context.Canceled):
 		err = errors.Wrap(err, "cancelled because a call for another table failed")
 	default:
@@ -295,7 +326,12 @@
 		defer cancel()
 		ctx = limited
 	}
+	ctx, release := f.eras.within(ctx, version)
+	defer release()
 	changes.Rows, changes.Version, err = f.platform.Store.Feed(ctx, table, version, wait)
+	if era := f.eras.newest(); errors.Is(err, context.Canceled) && era > version.Era {
+		changes.Era, err = era, errEraBegun
+	}
 	return changes, err
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -85,6 +85,7 @@
 	host            *session.Host
 	relays          *relays
 	outage          outage
+	eras            *eraTracker
 	overload        overloadDetector
 	gaugesUpdatedAt clock.Time
 	versions        routes.Current
@@ -108,7 +109,7 @@
 	// registering is set while this instance writes its member row.
 	// registeredVersion is the version of the last row that it wrote.
 	registering       atomic.Bool
-	registeredVersion atomic.Uint64
+	registeredVersion atomic.Pointer[store.Version]
 	stopping          atomic.Bool
 	lastSessionID     atomic.Uint64
 	// refusals counts the callers that are being refused.
@@ -141,10 +142,10 @@
 		settings: s, platform: p, clock: c, log: log, metrics: m,
 		groups: make(map[string]*groupState), groupOf: make(map[string]string),
 		members: make(map[string]proxy.Peer), sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
-		membersRead: make(chan struct{}), membersKnown: make(chan struct{}),
+		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(),
 	}
 	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Self: s.Name}
-	f.platform.Store = countedStore{Store: p.Store, metrics: m}
+	f.platform.Store = trackedStore{Store: p.Store, metrics: m, eras: f.eras}
 	f.platform.DecodeVersion = func(row store.Row) (v *routes.Version, err error) {
 		err = contain.Call(log, "configuration row", func() error {
 			v, err = p.DecodeVersion(row)
@@ -160,6 +161,7 @@
 		return e, err
 	}
 	f.grace.Store(int64(s.ShutdownGrace))
+	f.registeredVersion.Store(&store.Version{})
 	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress}
 	return f
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -59,7 +59,7 @@
 	f.log.Info("proxies known", zap.Int("count", len(list)))
 	// A row that was written with this version or a later one is not in the
 	// table yet.
-	pending := changes.Number < f.registeredVersion.Load()
+	pending := changes.Before(*f.registeredVersion.Load())
 	if !registered && !pending && !f.stopping.Load() {
 		f.startRegister()
 	}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -83,6 +83,11 @@
 	counter.Inc(1)
 }
 
+// CountRestore counts one return of a table to an older copy of the store.
+func (m *Metrics) CountRestore(table string) {
+	m.scope.Tagged(map[string]string{"table": table}).Counter("store_restores").Inc(1)
+}
+
 // Answered counts an answered request and records its latency by route kind and
 // outcome. It implements session.Recorder.
 func (m *Metrics) Answered(r *routes.Route, a *statement.Answer, took clock.Duration) {
--- a/internal/front/register.go
+++ b/internal/front/register.go
@@ -163,7 +163,7 @@
 			version, err = f.putMembers(map[string][]byte{f.self.Name: value})
 		}
 		if err == nil {
-			f.registeredVersion.Store(version.Number)
+			f.registeredVersion.Store(&version)
 			return
 		}
 		f.log.Info("write own member row failed", logs.Error(err))
@@ -194,5 +194,7 @@
 	if err != nil {
 		f.log.Info("registrar has not written own member row", zap.String("registrar", registrars[0].Name), logs.Error(err))
 	}
+	// Earlier builds know no eras.
+	answer.Era = max(answer.Era, store.FirstEra)
 	return answer.Version, err
 }
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -67,10 +67,10 @@
 	Known bool   `json:"known"`
 	store.Version
 	// Compact is set if the polling proxy can expand patches and compressed
-	// values, which earlier builds cannot. Bases has the versions of the large
-	// rows that it has.
+	// values, which earlier builds cannot. Sums has the checksums of the large
+	// values that it has.
 	Compact bool              `json:"compact,omitempty"`
-	Bases   map[string]uint64 `json:"bases,omitempty"`
+	Sums    map[string]uint64 `json:"sums,omitempty"`
 	// WaitMillis is how long the relay may wait for a change, in milliseconds.
 	WaitMillis int64 `json:"waitMillis"`
 }
@@ -88,6 +88,17 @@
 	Lost bool `json:"lost,omitempty"`
 }
 
+// setMissingEra sets the era of what an earlier build has sent, which knows only one.
+func (r *followResult) setMissingEra() {
+	if r.Era != 0 {
+		return
+	}
+	r.Era = store.FirstEra
+	for i := range r.Rows {
+		r.Rows[i].Era = store.FirstEra
+	}
+}
+
 // relays follows the store through other proxies, and passes its changes on if
 // this proxy is a relay itself. With many proxies, one call from each of them per
 // change would be most of the store's load, so only a few roots follow it. No
@@ -214,17 +225,20 @@
 		}
 		p := followParams{Table: table, Known: known, Version: version, Compact: true, WaitMillis: int64(wait)}
 		if known {
-			p.Bases = r.copies[table].Bases()
+			p.Sums = r.copies[table].Sums()
 		}
 		result, err := r.call(name, p, wait+grace)
 		if err == nil && !result.Lost {
+			result.setMissingEra()
 			err = r.copies[table].Expand(&result.Changes)
 		}
 		switch {
 		case err != nil:
 			r.log.Info("relay not responding", zap.String("relay", name), zap.String("table", table), logs.Error(err))
 			r.avoid(name, cooldown)
-		case result.Lost:
+		case result.Lost || known && result.Era < version.Era:
+			// A relay that answers from an earlier era has not heard from the store
+			// since that was restored.
 			r.log.Debug("relay cannot reach the store", zap.String("relay", name), zap.String("table", table))
 			r.avoid(name, minRetryDelay)
 			failure = errStoreLost
@@ -307,6 +321,10 @@
 	if c == nil {
 		return nil, errors.Errorf("unknown table %q", p.Table)
 	}
+	if p.Era == 0 {
+		// An earlier build compares versions by their number.
+		p.Era = c.Version().Era
+	}
 	return r.awaitChanges(c, p), nil
 }
 
@@ -318,13 +336,15 @@
 	for {
 		changed := c.Changed()
 		now := r.clock.Now()
-		// A whole table must not be older than what the polling proxy had.
+		// A whole table must not be older than what the polling proxy had, and no
+		// changes of an earlier era.
 		age, contact := r.contactAge(now)
-		fresh := c.Usable() && contact && (p.Known || c.Version().Number >= p.Number)
+		version := c.Version()
+		fresh := c.Usable() && contact && (p.Known && version.Era >= p.Era || !version.Before(p.Version))
 		if fresh {
 			if changes := c.Since(p.Known, p.Version); len(changes.Rows) > 0 || changes.Whole || now >= until {
 				if p.Compact {
-					c.Compact(&changes, p.Bases)
+					c.Compact(&changes, p.Sums)
 				}
 				return followResult{Changes: changes, ContactAge: age}
 			}
--- a/internal/front/tiers_test.go
+++ b/internal/front/tiers_test.go
@@ -89,7 +89,7 @@
 			source = relay
 		}
 		sent := source.copies["t"].Since(true, at(3))
-		source.copies["t"].Compact(&sent, r.copies["t"].Bases())
+		source.copies["t"].Compact(&sent, r.copies["t"].Sums())
 		require.NotNil(t, sent.Rows[0].Patch, "the whole value was sent")
 		require.Less(t, sent.Rows[0].Patch.Size(), len(value)/20)
 		got := pass(t, r, true, at(3))
--- a/internal/process/platform/store/cache.go
+++ b/internal/process/platform/store/cache.go
@@ -1,11 +1,12 @@
 package store
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oleanderflow/oleanderflow/internal/process/patch"
 )
 
@@ -19,9 +20,9 @@
 type Cache struct {
 	mu   sync.Mutex
 	rows map[string]Row
-	// previous has earlier rows of large values, by key and in the order of their
-	// versions, from which patches are made. It is nil unless KeepHistory is set.
-	previous map[string][]Row
+	// previous has the earlier large values by key, the oldest first, from which
+	// patches are made. It is nil unless KeepHistory is set.
+	previous map[string][]previousValue
 	// patches has the patches made since the last change of a row, and packed the
 	// compressed values, by key.
 	patches map[patchKey]*patch.Patch
@@ -42,15 +43,21 @@
 	// minPatchedLength is the length in bytes from which a value is sent as a
 	// patch, or compressed, by a process that keeps the history.
 	minPatchedLength = 4096
-	// maxPrevious is the maximum number of earlier rows that are kept for each
+	// maxPrevious is the maximum number of earlier values that are kept for each
 	// large row. A follower that is further behind is sent the whole value.
 	maxPrevious = 4
 )
 
-// patchKey identifies the patch from an earlier version of a row to the newest.
+// previousValue is an earlier value of a row and its checksum.
+type previousValue struct {
+	sum   uint64
+	value []byte
+}
+
+// patchKey identifies the patch from an earlier value of a row to the newest.
 type patchKey struct {
-	key  string
-	base uint64
+	key     string
+	baseSum uint64
 }
 
 // NewCache returns an empty cache, which is unusable until its first Apply of a
@@ -66,38 +73,53 @@
 }
 
 // Apply merges changes that the store, or another process that follows it, has
-// returned. It ignores changes until it has been given a whole table.
+// returned. It ignores changes until it has been given a whole table of their era,
+// and changes of an earlier era.
 func (c *Cache) Apply(changes Changes) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.known && !changes.Whole {
+	begins := !c.known || changes.Era > c.version.Era
+	if begins && !changes.Whole || changes.Era < c.version.Era {
 		return
 	}
-	updated := !c.known || c.unavailable
-	if changes.Whole {
+	updated := begins || c.unavailable
+	switch {
+	case begins:
+		c.beginEraLocked()
+	case changes.Whole:
 		updated = c.markMissingDeletedLocked(changes) || updated
 	}
 	for _, r := range changes.Rows {
 		// If the table's version were lower than that of a row, followers would be
 		// sent this row again and again.
-		changes.Version = latest(changes.Version, r.Version)
+		changes.Version = Latest(changes.Version, r.Version)
 		switch old, ok := c.rows[r.Key]; {
-		case !ok || old.Number < r.Number:
+		case !ok || old.Before(r.Version):
 			c.keepPreviousLocked(old)
 			c.rows[r.Key] = r
 			updated = true
-		case old.Number > r.Number:
+		case r.Before(old.Version):
 			c.dropped++
 		}
 	}
 	c.known, c.unavailable = true, false
-	c.version = latest(c.version, changes.Version)
+	c.version = Latest(c.version, changes.Version)
 	if updated {
 		c.pruneTombstonesLocked()
 		c.notifyLocked()
 	}
 }
 
+// beginEraLocked forgets all rows, whose versions say nothing about those of the
+// new era. Their large values stay as the bases of patches.
+func (c *Cache) beginEraLocked() {
+	for _, r := range c.rows {
+		c.keepPreviousLocked(r)
+	}
+	clear(c.rows)
+	c.version, c.prunedVersion = Version{}, Version{}
+}
+
 // KeepHistory sets whether earlier values of large rows are kept, which a process
 // needs that passes changes on.
 func (c *Cache) KeepHistory(keep bool) {
@@ -107,7 +129,7 @@
 	case !keep:
 		c.previous, c.patches, c.packed = nil, nil, nil
 	case c.previous == nil:
-		c.previous, c.patches, c.packed = make(map[string][]Row), make(map[patchKey]*patch.Patch), make(map[string][]byte)
+		c.previous, c.patches, c.packed = make(map[string][]previousValue), make(map[patchKey]*patch.Patch), make(map[string][]byte)
 	}
 }
 
@@ -116,7 +138,7 @@
 	if c.previous == nil || len(old.Value) < minPatchedLength {
 		return
 	}
-	list := append(c.previous[old.Key], old)
+	list := append(c.previous[old.Key], previousValue{sum: xxhash.Sum64(old.Value), value: old.Value})
 	c.previous[old.Key] = slices.Clone(list[max(len(list)-maxPrevious, 0):])
 	delete(c.packed, old.Key)
 	for k := range c.patches {
@@ -126,47 +148,47 @@
 	}
 }
 
-// Bases returns the versions of the rows with large values, by key, which a
-// follower sends to be sent their changes as patches.
-func (c *Cache) Bases() map[string]uint64 {
+// Sums returns the checksums of the large values, by key, which a follower sends
+// to be sent their changes as patches.
+func (c *Cache) Sums() map[string]uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var bases map[string]uint64
+	var sums map[string]uint64
 	for key, r := range c.rows {
 		if len(r.Value) >= minPatchedLength {
-			if bases == nil {
-				bases = make(map[string]uint64)
+			if sums == nil {
+				sums = make(map[string]uint64)
 			}
-			bases[key] = r.Number
+			sums[key] = xxhash.Sum64(r.Value)
 		}
 	}
-	return bases
+	return sums
 }
 
 // Compact replaces the values of large rows in the result of Since by patches, where
-// bases, the result of the follower's Bases, allows it, or by compressed values.
+// sums, the result of the follower's Sums, allows it, or by compressed values.
 // The follower must expand them.
-func (c *Cache) Compact(changes *Changes, bases map[string]uint64) {
+func (c *Cache) Compact(changes *Changes, sums map[string]uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, r := range changes.Rows {
 		// A row that has changed since is sent as it is.
 		if c.rows[r.Key].Version == r.Version {
-			changes.Rows[i] = c.encodeLocked(r, bases[r.Key])
+			changes.Rows[i] = c.encodeLocked(r, sums[r.Key])
 		}
 	}
 }
 
-// encodeLocked returns a row in the form that is sent to a follower that has it at
-// version base, or 0 for none: as it is if it is short, or with a patch or the
-// compressed value in place of its value, whichever is shorter.
-func (c *Cache) encodeLocked(r Row, base uint64) Row {
+// encodeLocked returns a row in the form that is sent to a follower that has a
+// value with the given checksum, or 0 for none: as it is if it is short, or with a
+// patch or the compressed value in place of its value, whichever is shorter.
+func (c *Cache) encodeLocked(r Row, baseSum uint64) Row {
 	if c.previous == nil || len(r.Value) < minPatchedLength {
 		return r
 	}
 	packed := c.packedLocked(r)
-	if p := c.patchLocked(r, base); p != nil && (packed == nil || p.Size() < len(packed)) {
-		return Row{Key: r.Key, Version: r.Version, Patch: p, Base: base}
+	if p := c.patchLocked(r, baseSum); p != nil && (packed == nil || p.Size() < len(packed)) {
+		return Row{Key: r.Key, Version: r.Version, Patch: p, BaseSum: baseSum}
 	}
 	if packed != nil {
 		return Row{Key: r.Key, Version: r.Version, Packed: packed}
@@ -174,18 +196,18 @@
 	return r
 }
 
-// patchLocked returns the patch from an earlier version of a row, or nil if that
-// version is not known.
-func (c *Cache) patchLocked(r Row, base uint64) *patch.Patch {
-	k := patchKey{r.Key, base}
+// patchLocked returns the patch from an earlier value of a row, or nil if that
+// value is not known.
+func (c *Cache) patchLocked(r Row, baseSum uint64) *patch.Patch {
+	k := patchKey{r.Key, baseSum}
 	if p, made := c.patches[k]; made {
 		return p
 	}
-	i := slices.IndexFunc(c.previous[r.Key], func(old Row) bool { return old.Number == base })
+	i := slices.IndexFunc(c.previous[r.Key], func(old previousValue) bool { return old.sum == baseSum })
 	if i < 0 {
 		return nil
 	}
-	p := patch.Make(c.previous[r.Key][i].Value, r.Value)
+	p := patch.Make(c.previous[r.Key][i].value, r.Value)
 	c.patches[k] = &p
 	return &p
 }
@@ -205,16 +227,16 @@
 	return packed
 }
 
-// BaseError reports a patch for a version of a row that the cache does not have.
+// BaseError reports a patch for a value that the cache does not have.
 type BaseError struct {
 	Key string
-	// Base is the version that the patch applies to, and Known the version in
-	// the cache.
-	Base, Known uint64
+	// BaseSum is the checksum of the value that the patch applies to, and KnownSum
+	// that of the value in the cache.
+	BaseSum, KnownSum uint64
 }
 
 func (e *BaseError) Error() string {
-	return fmt.Sprintf("patch of row %q applies to version %d, but version %d is known", e.Key, e.Base, e.Known)
+	return fmt.Sprintf("patch of row %q applies to the value with checksum %x, but the one with %x is known", e.Key, e.BaseSum, e.KnownSum)
 }
 
 // Expand replaces patches and compressed values in changes by the values that they
@@ -237,15 +259,15 @@
 		if r.Patch == nil {
 			continue
 		}
-		known := c.rows[r.Key]
-		if known.Number != r.Base {
-			return &BaseError{Key: r.Key, Base: r.Base, Known: known.Number}
+		known := c.rows[r.Key].Value
+		if sum := xxhash.Sum64(known); sum != r.BaseSum {
+			return &BaseError{Key: r.Key, BaseSum: r.BaseSum, KnownSum: sum}
 		}
-		value, err := r.Patch.Apply(known.Value)
+		value, err := r.Patch.Apply(known)
 		if err != nil {
 			return err
 		}
-		r.Value, r.Patch, r.Base = value, nil, 0
+		r.Value, r.Patch, r.BaseSum = value, nil, 0
 	}
 	return nil
 }
@@ -274,7 +296,7 @@
 	}
 	updated := false
 	for key, r := range c.rows {
-		if _, ok := present[key]; !ok && !r.Deleted && r.Number <= changes.Number {
+		if _, ok := present[key]; !ok && !r.Deleted && !changes.Before(r.Version) {
 			c.rows[key] = Row{Key: key, Version: changes.Version, Deleted: true}
 			updated = true
 		}
@@ -296,19 +318,12 @@
 	}
 	slices.SortFunc(deleted, byVersion)
 	for _, r := range deleted[:len(deleted)-maxTombstones/2] {
-		c.prunedVersion = latest(c.prunedVersion, r.Version)
+		c.prunedVersion = Latest(c.prunedVersion, r.Version)
 		delete(c.rows, r.Key)
 	}
 }
 
-func byVersion(a, b Row) int { return cmp.Compare(a.Number, b.Number) }
-
-func latest(a, b Version) Version {
-	if a.Number < b.Number {
-		return b
-	}
-	return a
-}
+func byVersion(a, b Row) int { return a.Compare(b.Version) }
 
 func (c *Cache) notifyLocked() {
 	close(c.changed)
@@ -342,18 +357,21 @@
 }
 
 // Since returns the changes after version, sorted by version, for a follower that
-// has the table at this version. If known is false or the version is too old, it
-// returns the whole table. If the cache itself has no table yet, it returns no
-// rows.
+// has the table at this version. If known is false, or the version is too old or of
+// another era, it returns the whole table. If the cache itself has no table yet, it
+// returns no rows.
 func (c *Cache) Since(known bool, version Version) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
 		return Changes{Version: version}
 	}
-	changes := Changes{Whole: !known || version.Number < c.prunedVersion.Number, Version: latest(c.version, version)}
+	changes := Changes{Whole: !known || version.Era != c.version.Era || version.Before(c.prunedVersion), Version: c.version}
+	if !changes.Whole {
+		changes.Version = Latest(c.version, version)
+	}
 	for _, r := range c.rows {
-		if changes.Whole && !r.Deleted || !changes.Whole && r.Number > version.Number {
+		if changes.Whole && !r.Deleted || !changes.Whole && version.Before(r.Version) {
 			changes.Rows = append(changes.Rows, r)
 		}
 	}
--- a/internal/process/platform/store/patch_test.go
+++ b/internal/process/platform/store/patch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/patch"
@@ -51,7 +52,7 @@
 			relay.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: at(version)}}, Version: at(version)})
 		}
 		changes := relay.Since(true, known)
-		relay.Compact(&changes, follower.Bases())
+		relay.Compact(&changes, follower.Sums())
 		if behind == 1 {
 			require.Equal(t, patched, changes.Rows[0].Patch != nil, "%d changes behind", behind)
 		}
@@ -60,15 +61,17 @@
 	}
 }
 
-// A patch for a value that the follower does not have is refused.
+// A patch for a value that the follower does not have is refused, also if it is for
+// the version that the follower has, which may have had another value in another era.
 func TestPatchOfAnUnknownBaseIsRefused(t *testing.T) {
 	c := NewCache()
 	c.Apply(Changes{Rows: []Row{{Key: "config", Value: []byte("old"), Version: at(3)}}, Whole: true, Version: at(3)})
-	changes := Changes{Rows: []Row{{Key: "config", Patch: &patch.Patch{}, Base: 2, Version: at(4)}}, Version: at(4)}
+	changes := Changes{Rows: []Row{{Key: "config", Patch: &patch.Patch{}, BaseSum: 2, Version: at(4)}}, Version: at(4)}
 	var base *BaseError
 	require.ErrorAs(t, c.Expand(&changes), &base)
-	require.Equal(t, BaseError{Key: "config", Base: 2, Known: 3}, *base)
-	changes.Rows[0].Base, changes.Rows[0].Patch = 3, &patch.Patch{Parts: []patch.Part{{Length: 9}}}
+	sum := xxhash.Sum64String("old")
+	require.Equal(t, BaseError{Key: "config", BaseSum: 2, KnownSum: sum}, *base)
+	changes.Rows[0].BaseSum, changes.Rows[0].Patch = sum, &patch.Patch{Parts: []patch.Part{{Length: 9}}}
 	var outside *patch.Error
 	require.ErrorAs(t, c.Expand(&changes), &outside)
 }
