Scope claims, votes and fencing tokens to an era of the store

Cause: the class of the versions compared by number alone, here in Agreement. A claim of the new era has a lower version than the one that a proxy had seen, so that it was ignored, and each compare-and-swap expected a version that the row did not have. From reading: the token is the row's version, so that one could be given to two holders; a write of the old era could meet its condition on a row of the new one; a vote of any age counted as a fresh second opinion when a table was read as a whole; a claim could be lost while its holder acts on it.

An Agreement is of one era. Claims have a key for each era, so that no late write meets its condition again, and a claim whose answer is of another era is not held. In a new era nobody claims until claims of earlier ones have ended. Votes of a whole table do not count, and the stored databases are what the table has.

--- a/cmd/oleanderflow-front/restore_test.go
+++ b/cmd/oleanderflow-front/restore_test.go
@@ -62,3 +62,38 @@
 	s.platform.SetDown(false)
 	require.Eventually(t, func() bool { return serves(s.fronts[0], "fills") }, configurationLimit, 10*time.Millisecond)
 }
+
+// After a restore had taken the claim of a promotion back, the next promotion was sent
+// with a token that was lower than the first one.
+func TestTokensOfPromotionsRiseAcrossARestore(t *testing.T) {
+	s := startSystem(t, 3, 64, 0)
+	c := openSession(t, s.fronts[0], "fills")
+	queryUntilSuccess(t, c, "WRITE first v")
+	backup := s.platform.Copy()
+	s.raiseVersion(50)
+	s.group.Databases()[0].SetDown(true)
+	queryUntilSuccess(t, c, "WRITE second v")
+	s.platform.Restore(backup, true)
+	s.group.Databases()[0].SetDown(false)
+	queryUntilSuccess(t, c, "WRITE third v")
+	for _, d := range s.group.Databases() {
+		if d.IsPrimary() {
+			d.SetDown(true)
+			break
+		}
+	}
+	queryUntilSuccess(t, c, "WRITE fourth v")
+	holders := make(map[uint64]string)
+	last := uint64(0)
+	for _, p := range s.platform.Promotions() {
+		require.GreaterOrEqual(t, p.Token, last, "promotions %v", s.platform.Promotions())
+		if holder, known := holders[p.Token]; known {
+			require.Equal(t, holder, p.Holder)
+		}
+		holders[p.Token], last = p.Holder, p.Token
+	}
+	require.GreaterOrEqual(t, len(holders), 2)
+	for _, key := range []string{"first", "second", "third", "fourth"} {
+		require.Equal(t, []string{"v"}, queryUntilSuccess(t, c, "READ "+key).Rows)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -100,12 +100,14 @@
 	groupOf  map[string]string
 	members  map[string]proxy.Peer
 	sessions map[uint64]*session.Session
+	// agreementEra is the era of the agreement table, zero until it has been read,
+	// and agreementEraAt is when this process first read it in that era.
+	agreementEra   uint64
+	agreementEraAt clock.Time
 
 	// grace is Settings.ShutdownGrace, which Reload may change.
 	grace          atomic.Int64
 	registryLoaded atomic.Bool
-	// agreementLoaded is set once the agreement table has been read.
-	agreementLoaded atomic.Bool
 	// registering is set while this instance writes its member row.
 	// registeredVersion is the version of the last row that it wrote.
 	registering       atomic.Bool
@@ -249,6 +251,7 @@
 		client := backend.NewGroupClient(name, f.settings.Zone, backend.DefaultSettings(), f.platform.Dialer, f.clock, f.log, f.metrics.CountStatusQuery)
 		client.DrainLimit = max(f.settings.DrainLimit-drainMargin, 0)
 		g = &groupState{GroupClient: client, replacement: newReplacement(f, client)}
+		g.replacement.beginEra(f.agreementEra, f.agreementEraAt)
 		f.groups[name] = g
 	}
 	return g
@@ -352,22 +355,25 @@
 
 // applyAgreement applies changed claims, votes and stored databases.
 func (f *Front) applyAgreement(changes store.Changes) {
-	starting := !f.agreementLoaded.Swap(true)
+	starting := f.beginAgreementEra(changes)
 	for _, row := range changes.Rows {
 		if row.Deleted {
 			continue
 		}
-		if strings.HasPrefix(row.Key, databasesPrefix) {
+		kind, rest, _ := strings.Cut(row.Key, "/")
+		name, _, _ := strings.Cut(rest, "/")
+		switch {
+		case kind+"/" == databasesPrefix:
 			f.applyDatabases(row, starting)
 			continue
-		}
-		name, isClaim := strings.CutPrefix(row.Key, claimPrefix)
-		if !isClaim {
-			var isVote bool
-			if name, isVote = strings.CutPrefix(row.Key, votePrefix); !isVote {
-				continue
-			}
-			name, _, _ = strings.Cut(name, "/")
+		case kind+"/" == votePrefix && changes.Whole:
+			// The vote may be of any age.
+			continue
+		case kind+"/" == claimPrefix && row.Key != claimKey(name, changes.Era):
+			// A claim of an earlier era.
+			continue
+		case kind+"/" != votePrefix && kind+"/" != claimPrefix:
+			continue
 		}
 		f.mu.Lock()
 		g := f.groupLocked(name)
@@ -376,6 +382,25 @@
 	}
 }
 
+// beginAgreementEra begins the era of the changes in all groups if it is a new one.
+// It reports whether the table was read for the first time.
+func (f *Front) beginAgreementEra(changes store.Changes) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	starting := f.agreementEra == 0
+	if changes.Era > f.agreementEra {
+		f.agreementEra, f.agreementEraAt = changes.Era, f.clock.Now()
+	}
+	for _, g := range f.groups {
+		g.replacement.beginEra(f.agreementEra, f.agreementEraAt)
+		if changes.Whole {
+			// The rows of the table follow, if it has them.
+			g.databases.stored = ""
+		}
+	}
+	return starting
+}
+
 // runTicks does the periodic work of the instance every tickInterval: it
 // detects overload, rolls back abandoned transactions, updates the gauges and
 // checks the groups.
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -76,6 +77,24 @@
 	}
 }
 
+// claimKey returns the key of a group's claim. Each era has a key of its own: a
+// claim written in an earlier era, or a write that is done late, would otherwise meet
+// its condition again once the store has given the version to another claim.
+func claimKey(group string, era uint64) string {
+	if era <= store.FirstEra {
+		return claimPrefix + group
+	}
+	return claimPrefix + group + "/" + strconv.FormatUint(era, 10)
+}
+
+// beginEra forgets what rows of earlier eras said. learnedAt is when this process
+// first heard of the era.
+func (r *replacement) beginEra(era uint64, learnedAt clock.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.agreement.BeginEra(era, learnedAt)
+}
+
 // observe records a row of the agreement table that concerns the group.
 func (r *replacement) observe(row store.Row) {
 	now := r.clock.Now()
@@ -83,14 +102,14 @@
 	defer r.mu.Unlock()
 	var err error
 	if strings.HasPrefix(row.Key, claimPrefix) {
-		err = r.agreement.ObserveClaim(now, row.Value, row.Number)
+		err = r.agreement.ObserveClaim(now, row.Value, row.Version)
 		if _, free := r.agreement.Claimable(now, r.self); !free {
 			// From now on, a commit on the old primary might not be confirmed.
 			r.client.MarkPrimaryInDoubt(now)
 		}
 	} else {
 		_, from, _ := strings.Cut(strings.TrimPrefix(row.Key, votePrefix), "/")
-		err = r.agreement.ObserveVote(now, from, row.Value, row.Number)
+		err = r.agreement.ObserveVote(now, from, row.Value, row.Version)
 	}
 	if err != nil {
 		r.log.Warn("invalid claim or vote row", zap.String("key", row.Key), logs.Error(err))
@@ -174,31 +193,34 @@
 	r.closeClaim(lease, result)
 }
 
-// claim acquires the group's claim. The version of its row is the fencing
-// token. It returns a *claimedError if another proxy may still act on its claim, and
-// a *store.ConflictError if the row has been written by another proxy since.
+// claim acquires the group's claim. It returns a *claimedError if another proxy may
+// still act on its claim, a *store.ConflictError if the row has been written by
+// another proxy since, and an *eraError if the store has begun a new era, in which
+// the row has no meaning.
 func (r *replacement) claim() (group.Lease, error) {
 	c := group.Claim{Holder: r.self, Nonce: rand.Uint64() >> 1, Open: true}
 	value, err := json.Marshal(c)
 	if err != nil {
 		return group.Lease{}, err
 	}
-	key := claimPrefix + r.client.Name
 	askedAt := r.clock.Now()
 	r.mu.Lock()
 	expected, free := r.agreement.Claimable(askedAt, r.self)
 	r.mu.Unlock()
 	if !free {
-		return group.Lease{}, &claimedError{Group: r.client.Name, Token: expected}
+		return group.Lease{}, &claimedError{Group: r.client.Name, Token: group.FencingToken(expected)}
 	}
+	key := claimKey(r.client.Name, expected.Era)
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
 	defer cancel()
-	token, err := r.store.CompareAndSwap(ctx, agreementTable, key, value, expected)
+	version, err := r.store.CompareAndSwap(ctx, agreementTable, key, value, expected.Number)
 	var conflict *store.ConflictError
 	switch {
+	case err == nil && version.Era != expected.Era:
+		return group.Lease{}, &eraError{Key: key, Era: version.Era, Expected: expected.Era}
 	case err == nil:
-		r.observe(store.Row{Key: key, Value: value, Version: token})
-		return group.NewLease(token.Number, askedAt), nil
+		r.observe(store.Row{Key: key, Value: value, Version: version})
+		return group.NewLease(version, askedAt), nil
 	case errors.As(err, &conflict):
 		if conflict.Current.Number > 0 {
 			conflict.Current.Key = key
@@ -206,19 +228,22 @@
 		}
 		return group.Lease{}, err
 	default:
-		return r.resolveClaim(key, c, askedAt, err)
+		return r.resolveClaim(key, expected.Era, c, askedAt, err)
 	}
 }
 
 // resolveClaim reads the claim after the answer to its write was lost, to find
 // out whether the write succeeded. It returns cause if it did not.
-func (r *replacement) resolveClaim(key string, c group.Claim, askedAt clock.Time, cause error) (group.Lease, error) {
+func (r *replacement) resolveClaim(key string, era uint64, c group.Claim, askedAt clock.Time, cause error) (group.Lease, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
 	defer cancel()
-	rows, _, err := r.store.Table(ctx, agreementTable)
+	rows, version, err := r.store.Table(ctx, agreementTable)
 	if err != nil {
 		return group.Lease{}, errors.Wrap(cause, "outcome of the claim write is unknown")
 	}
+	if version.Era != era {
+		return group.Lease{}, &eraError{Key: key, Era: version.Era, Expected: era}
+	}
 	for _, row := range rows {
 		if row.Key != key {
 			continue
@@ -226,7 +251,7 @@
 		r.observe(row)
 		var found group.Claim
 		if json.Unmarshal(row.Value, &found) == nil && found.Holder == c.Holder && found.Nonce == c.Nonce {
-			return group.NewLease(row.Number, askedAt), nil
+			return group.NewLease(row.Version, askedAt), nil
 		}
 	}
 	return group.Lease{}, cause
@@ -243,8 +268,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
 	defer cancel()
-	key := claimPrefix + r.client.Name
-	version, err := r.store.CompareAndSwap(ctx, agreementTable, key, value, l.Token)
+	key := claimKey(r.client.Name, l.Version.Era)
+	version, err := r.store.CompareAndSwap(ctx, agreementTable, key, value, l.Version.Number)
+	if err == nil && version.Era != l.Version.Era {
+		err = &eraError{Key: key, Era: version.Era, Expected: l.Version.Era}
+	}
 	if err != nil {
 		r.log.Info("close claim failed", zap.Uint64("token", l.Token), logs.Error(err))
 		return
--- a/internal/front/replacement_errors.go
+++ b/internal/front/replacement_errors.go
@@ -18,6 +18,17 @@
 	return fmt.Sprintf("the replacement in group %s is claimed with token %d", e.Group, e.Token)
 }
 
+// eraError reports a row that was written or read in another era than the one that
+// the caller has read the table in.
+type eraError struct {
+	Key           string
+	Era, Expected uint64
+}
+
+func (e *eraError) Error() string {
+	return fmt.Sprintf("row %q is of era %d of the store, expected era %d", e.Key, e.Era, e.Expected)
+}
+
 // leaseExpiredError reports that too little time is left of the claim's lease.
 type leaseExpiredError struct {
 	Token uint64
--- a/internal/process/group/claim.go
+++ b/internal/process/group/claim.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -27,8 +28,8 @@
 )
 
 // Claim is the stored row that names the proxy that may replace a group's
-// primary. The row's version is the fencing token of the commands that the
-// holder sends.
+// primary. The fencing token of the holder's commands follows from the row's
+// version.
 type Claim struct {
 	Holder string `json:"holder"`
 	// Nonce distinguishes the holder's claims from each other.
@@ -48,27 +49,48 @@
 }
 
 // Agreement tracks the claim and the votes that the proxies have stored for one
-// group.
+// group in one era of the store.
 type Agreement struct {
-	claim   Claim
-	version uint64
-	seenAt  clock.Time
-	votes   map[string]observedVote
+	// era is zero until the rows of an era have been read.
+	era uint64
+	// earlierClaimsUntil is how long claims of earlier eras may be in effect. The
+	// store may have lost their rows.
+	earlierClaimsUntil clock.Time
+	claim              Claim
+	version            store.Version
+	seenAt             clock.Time
+	votes              map[string]observedVote
 }
 
 type observedVote struct {
 	Vote
-	version uint64
+	version store.Version
 	seenAt  clock.Time
 }
 
-// NewAgreement returns an Agreement without a claim or votes.
+// NewAgreement returns an Agreement without a claim or votes, in which nothing can
+// be claimed before BeginEra.
 func NewAgreement() *Agreement { return &Agreement{votes: make(map[string]observedVote)} }
 
-// ObserveClaim records the claim's row unless a version at least as new is
-// known. It returns an error if the row cannot be decoded.
-func (a *Agreement) ObserveClaim(now clock.Time, value []byte, version uint64) error {
-	if version <= a.version {
+// BeginEra forgets the claim and the votes of earlier eras. learnedAt is when this
+// process first heard of the era: claims of earlier ones were made before that.
+func (a *Agreement) BeginEra(era uint64, learnedAt clock.Time) {
+	if era <= a.era {
+		return
+	}
+	*a = Agreement{era: era, votes: make(map[string]observedVote)}
+	if era > store.FirstEra {
+		a.earlierClaimsUntil = learnedAt.Add(claimTTL + takeoverDelay)
+	}
+}
+
+// Era returns the era whose rows are tracked, zero if none have been read.
+func (a *Agreement) Era() uint64 { return a.era }
+
+// ObserveClaim records the claim's row unless it is of another era or a version at
+// least as new is known. It returns an error if the row cannot be decoded.
+func (a *Agreement) ObserveClaim(now clock.Time, value []byte, version store.Version) error {
+	if version.Era != a.era || !a.version.Before(version) {
 		return nil
 	}
 	var c Claim
@@ -79,10 +101,10 @@
 	return nil
 }
 
-// ObserveVote records a proxy's vote unless a version at least as new is known.
-// It returns an error if the row cannot be decoded.
-func (a *Agreement) ObserveVote(now clock.Time, from string, value []byte, version uint64) error {
-	if version <= a.votes[from].version {
+// ObserveVote records a proxy's vote unless it is of another era or a version at
+// least as new is known. It returns an error if the row cannot be decoded.
+func (a *Agreement) ObserveVote(now clock.Time, from string, value []byte, version store.Version) error {
+	if version.Era != a.era || !a.votes[from].version.Before(version) {
 		return nil
 	}
 	var v Vote
@@ -94,10 +116,13 @@
 }
 
 // Claimable returns the version that the claim's row must have for a new claim
-// to succeed, zero for no row, and whether self may attempt a claim now. It may
-// not as long as a holder can still act on its claim, or some proxies may not
-// know the primary that the last holder promoted.
-func (a *Agreement) Claimable(now clock.Time, self string) (uint64, bool) {
+// to succeed, with the number zero for no row, and whether self may attempt a claim
+// now. It may not as long as a holder can still act on its claim, or some proxies
+// may not know the primary that the last holder promoted.
+func (a *Agreement) Claimable(now clock.Time, self string) (store.Version, bool) {
+	if a.version.Number == 0 {
+		return store.Version{Era: a.era}, a.era != 0 && now >= a.earlierClaimsUntil
+	}
 	delay := clock.Duration(0)
 	switch {
 	case a.claim.Open:
@@ -107,7 +132,7 @@
 	case a.claim.Promoted != "":
 		delay = otherReclaimDelay
 	}
-	return a.version, a.version == 0 || now.Sub(a.seenAt) >= delay
+	return a.version, now.Sub(a.seenAt) >= delay
 }
 
 // Agrees reports whether a vote equal to v was received from a proxy other than
@@ -121,14 +146,27 @@
 	return false
 }
 
+// tokensPerEra is more than the transactions that a store makes in one era: at
+// 4,900 proxies, 3,000 a second for ten years are fewer.
+const tokensPerEra = 1 << 40
+
+// FencingToken returns the token of a claim whose row has the given version. It
+// rises with the version, also across eras.
+func FencingToken(v store.Version) uint64 {
+	return (max(v.Era, store.FirstEra)-store.FirstEra)*tokensPerEra + v.Number
+}
+
 // Lease is a claim that this process holds.
 type Lease struct {
-	Token uint64
+	// Version is that of the claim's row.
+	Version store.Version
+	Token   uint64
 	// Until is when the holder must stop acting on the claim.
 	Until clock.Time
 }
 
-// NewLease returns the lease of a claim that was requested at askedAt.
-func NewLease(token uint64, askedAt clock.Time) Lease {
-	return Lease{Token: token, Until: askedAt.Add(claimTTL)}
+// NewLease returns the lease of a claim whose row has the given version and was
+// requested at askedAt.
+func NewLease(v store.Version, askedAt clock.Time) Lease {
+	return Lease{Version: v, Token: FencingToken(v), Until: askedAt.Add(claimTTL)}
 }
