Accept a configuration whose number a later era gives to another one

The store can lose an accepted configuration and get another one under the same number. It was taken for the known one and ignored, though it had been confirmed. A row of a later era now goes before an equal number of an earlier one; a lower number never replaces what callers have seen. TestNumberGivenOutAgainIsAccepted failed before.

--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -66,6 +66,8 @@
 // accepted.
 type Version struct {
 	Number uint64
+	// Era is the era of the store in which the version was read.
+	Era uint64
 	// Routes maps database names to routes.
 	Routes map[string]*Route
 	Groups map[string]Group
@@ -87,11 +89,12 @@
 func (c *Current) Load() *Version { return c.version.Load() }
 
 // Accept makes v the active version and returns true, unless the active version
-// is the same or newer.
+// is the same or newer. A number that is given to another version after the store
+// has lost the first one stands for the version of the later era.
 func (c *Current) Accept(v *Version) bool {
 	for {
 		old := c.version.Load()
-		if old != nil && old.Number >= v.Number {
+		if old != nil && (old.Number > v.Number || old.Number == v.Number && old.Era >= v.Era) {
 			return false
 		}
 		if c.version.CompareAndSwap(old, v) {
