Keep the list of live proxies across a restore of the store

A restore takes back rows of proxies that started in the lost seconds, and brings back those of proxies that left: relays and homes of a whole fleet would change at once, and requests go to proxies that are gone.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -98,7 +98,7 @@
 	groups map[string]*groupState
 	// groupOf maps the ID of a database to the name of its group.
 	groupOf  map[string]string
-	members  map[string]proxy.Peer
+	roster   *roster
 	sessions map[uint64]*session.Session
 	// agreementEra is the era of the agreement table, zero until it has been read,
 	// and agreementEraAt is when this process first read it in that era.
@@ -143,7 +143,7 @@
 	f := &Front{
 		settings: s, platform: p, clock: c, log: log, metrics: m,
 		groups: make(map[string]*groupState), groupOf: make(map[string]string),
-		members: make(map[string]proxy.Peer), sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
+		roster: newRoster(), sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
 		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(),
 	}
 	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Self: s.Name}
@@ -414,6 +414,7 @@
 			f.host.SetOverloaded(overloaded)
 		}
 		f.host.Sweep(now)
+		f.expireMembers(now)
 		if now.Sub(f.gaugesUpdatedAt) >= gaugeInterval {
 			f.gaugesUpdatedAt = now
 			f.updateGauges(now)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
-	"strings"
 
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -27,36 +25,20 @@
 // proxy if it has no row or an outdated one.
 func (f *Front) applyMembers(changes store.Changes) {
 	f.mu.Lock()
-	if changes.Whole {
-		clear(f.members)
-	}
-	for _, row := range changes.Rows {
-		var p proxy.Peer
-		if row.Deleted {
-			delete(f.members, row.Key)
-			continue
-		}
-		if err := json.Unmarshal(row.Value, &p); err != nil || p.Name != row.Key {
-			f.log.Warn("invalid member row", zap.String("key", row.Key), logs.Error(err))
-			continue
-		}
-		f.members[row.Key] = p
-	}
-	list := make([]proxy.Peer, 0, len(f.members))
-	for _, p := range f.members {
-		list = append(list, p)
-	}
+	found := f.roster.apply(f.clock.Now(), changes)
+	list := f.roster.live()
 	// A row that this instance wrote before a restart is still valid.
-	registered := f.members[f.settings.Name] == f.self
+	registered := f.roster.listed[f.settings.Name] == f.self
 	f.mu.Unlock()
-	slices.SortFunc(list, func(a, b proxy.Peer) int { return strings.Compare(a.Name, b.Name) })
-	f.homes.SetMembers(list)
-	f.relays.setMembers(list)
+	for _, key := range found.invalid {
+		f.log.Warn("invalid member row", zap.String("key", key))
+	}
+	f.setMembers(list)
 	f.membersReadOnce.Do(func() { close(f.membersRead) })
 	if registered || f.relays.exist() {
 		f.membersKnownOnce.Do(func() { close(f.membersKnown) })
 	}
-	f.log.Info("proxies known", zap.Int("count", len(list)))
+	f.removeReturned(found.returned, list)
 	// A row that was written with this version or a later one is not in the
 	// table yet.
 	pending := changes.Before(*f.registeredVersion.Load())
@@ -65,12 +47,54 @@
 	}
 }
 
+// setMembers passes the list of live proxies on.
+func (f *Front) setMembers(list []proxy.Peer) {
+	f.homes.SetMembers(list)
+	f.relays.setMembers(list)
+	f.log.Info("proxies known", zap.Int("count", len(list)))
+}
+
+// expireMembers drops proxies that have not written their rows again after a restore
+// of the store.
+func (f *Front) expireMembers(now clock.Time) {
+	f.mu.Lock()
+	expired := f.roster.expire(now)
+	var list []proxy.Peer
+	if expired {
+		list = f.roster.live()
+	}
+	f.mu.Unlock()
+	if expired {
+		f.setMembers(list)
+	}
+}
+
+// removeReturned removes rows again that a restore of the store has brought back, if
+// this proxy is one of the registrars. A proxy that runs again writes its row once it
+// misses it.
+func (f *Front) removeReturned(names []string, live []proxy.Peer) {
+	if len(names) == 0 || !proxy.ContainsPeer(proxy.ChoosePeers("registrars", live, registrarCount), f.self.Name) {
+		return
+	}
+	go contain.Run(f.log, "removal of member rows", func() {
+		for _, name := range names {
+			err := f.removeMember(name)
+			f.log.Info("member row that was back after a restore removed", zap.String("name", name), logs.Error(err))
+		}
+	})
+}
+
+// removeMember removes the row of a proxy.
+func (f *Front) removeMember(name string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
+	defer cancel()
+	return f.platform.Store.Remove(ctx, membersTable, name)
+}
+
 // unregister removes the row of this proxy, so that other proxies forward no
 // requests to it.
 func (f *Front) unregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
-	defer cancel()
-	if err := f.platform.Store.Remove(ctx, membersTable, f.settings.Name); err != nil {
+	if err := f.removeMember(f.settings.Name); err != nil {
 		f.log.Info("remove own member row failed", logs.Error(err))
 	}
 }
--- a/internal/front/register.go
+++ b/internal/front/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -176,12 +177,7 @@
 // registerThroughPeer asks a registrar to write the row of this proxy.
 func (f *Front) registerThroughPeer() (store.Version, error) {
 	f.mu.Lock()
-	others := make([]proxy.Peer, 0, len(f.members))
-	for _, p := range f.members {
-		if p.Name != f.self.Name {
-			others = append(others, p)
-		}
-	}
+	others := slices.DeleteFunc(f.roster.live(), func(p proxy.Peer) bool { return p.Name == f.self.Name })
 	f.mu.Unlock()
 	registrars := sortByPreference(f.self, proxy.ChoosePeers("registrars", others, registrarCount))
 	if len(registrars) == 0 {
--- a/internal/front/register_test.go
+++ b/internal/front/register_test.go
@@ -115,3 +115,16 @@
 	}
 	require.InDelta(t, 300, delayed, 15)
 }
+
+// The version of the written row was higher than any of the restored store, so that the
+// row counted as on its way.
+func TestRowLostWithARestoreIsWrittenAgain(t *testing.T) {
+	s := &rowStore{}
+	f := New(Settings{Name: "self", Zone: "a"}, Platform{Store: s}, clock.NewBoot(), zap.NewNop(), NewMetrics())
+	require.NoError(t, f.startPeers("127.0.0.1:0"))
+	t.Cleanup(f.peerConns.Close)
+	f.applyMembers(store.Changes{Version: at(1), Whole: true})
+	require.Eventually(t, func() bool { return s.count() == 1 && !f.registering.Load() }, clock.Minute.Std(), clock.Millisecond.Std())
+	f.applyMembers(store.Changes{Version: store.Version{Era: 2, Number: 7}, Whole: true})
+	require.Eventually(t, func() bool { return s.count() == 2 }, clock.Minute.Std(), clock.Millisecond.Std())
+}
