Ignore registry entries that their database has replaced

A registry restored from an older copy lists databases that are leaving as ready, and some that are gone. The proxies took these entries for news: a drained database would get requests again, and count towards the quorums of its group.

An entry with a lower one than the last known is ignored, also for databases that were removed. TestEntryThatIsOlderThanAKnownOneIsOutdated has the cases.

--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -72,8 +72,14 @@
 }
 
 // Update applies a registry entry. It creates a new pool for a database that is
-// new or has a new incarnation or address.
+// new or has a new incarnation or address. It ignores an entry that the database has
+// replaced since.
 func (g *GroupClient) Update(e group.Entry) {
+	if g.Outdated(e) {
+		g.log.Info("older database entry ignored", zap.String("database", e.ID), zap.Int64("incarnation", e.Incarnation),
+			zap.Uint64("sequence", e.Sequence), zap.Bool("leaving", e.Leaving))
+		return
+	}
 	now := g.clock.Now()
 	added := g.ObserveEntry(now, e)
 	g.mu.Lock()
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -20,6 +20,8 @@
 
 	mu      sync.Mutex
 	members map[string]*Member
+	// removed has the last entries of databases that have been removed, by ID.
+	removed map[string]Entry
 	// term is the highest term seen.
 	term uint64
 	// size is how many databases the group had when it was last complete, and
@@ -49,7 +51,7 @@
 // New returns a group about which nothing is known yet.
 func New(name string) *Group {
 	return &Group{
-		Name: name, members: make(map[string]*Member), samples: database.NewSamples(),
+		Name: name, members: make(map[string]*Member), removed: make(map[string]Entry), samples: database.NewSamples(),
 		changed: make(chan struct{}),
 	}
 }
@@ -67,6 +69,31 @@
 	g.changed = make(chan struct{})
 }
 
+// maxRemoved is the maximum number of removed databases whose entries are kept.
+const maxRemoved = 64
+
+// Outdated reports whether the database has reported a later entry. A registry that was
+// restored from an older copy has entries of databases that are leaving or gone by now.
+func (g *Group) Outdated(e Entry) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m, ok := g.members[e.ID]; ok {
+		return e.olderThan(m.Entry)
+	}
+	return e.olderThan(g.removed[e.ID])
+}
+
+// rememberLocked keeps the last entry of a database that is being removed.
+func (g *Group) rememberLocked(e Entry) {
+	for id := range g.removed {
+		if len(g.removed) < maxRemoved {
+			break
+		}
+		delete(g.removed, id)
+	}
+	g.removed[e.ID] = e
+}
+
 // ObserveEntry records a registry entry. It reports whether the entry describes
 // a new database, or a known one with a new incarnation or address.
 func (g *Group) ObserveEntry(now clock.Time, e Entry) bool {
@@ -116,6 +143,7 @@
 	for id, m := range g.members {
 		if m.LapsedAt != 0 && now.Sub(m.LapsedAt) >= lapsedTTL {
 			removed = append(removed, id)
+			g.rememberLocked(m.Entry)
 			delete(g.members, id)
 		}
 	}
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -275,3 +275,38 @@
 		require.Fail(t, "the expired drain was not notified")
 	}
 }
+
+// The registry was restored from an older copy, and a database that was leaving, or
+// gone, was used again.
+func TestEntryThatIsOlderThanAKnownOneIsOutdated(t *testing.T) {
+	now := clock.Time(10_000)
+	g := New("shop")
+	ready := Entry{ID: "a", Group: "shop", Incarnation: 700, Sequence: 3}
+	leaving := ready
+	leaving.Sequence, leaving.Leaving = 15, true
+	require.False(t, g.Outdated(ready), "nothing is known of the database")
+	g.ObserveEntry(now, leaving)
+	require.True(t, g.Outdated(ready))
+	require.False(t, g.Outdated(leaving), "read again")
+	g.MarkLapsed(now, "a")
+	require.Equal(t, []string{"a"}, g.Expire(now.Add(lapsedTTL)))
+	require.True(t, g.Outdated(ready), "the database is gone")
+	require.False(t, g.Outdated(leaving), "it may have been silent only")
+
+	restarted := ready
+	restarted.Incarnation, restarted.Sequence = 800, 1
+	require.False(t, g.Outdated(restarted))
+	g.ObserveEntry(now, restarted)
+	require.True(t, g.Outdated(leaving), "an entry of the earlier incarnation")
+	for _, unknown := range []Entry{{ID: "a"}, {ID: "a", Incarnation: 800}} {
+		require.False(t, g.Outdated(unknown), "nothing tells the age of %v", unknown)
+	}
+}
+
+func TestRemovedDatabasesAreBounded(t *testing.T) {
+	g := New("shop")
+	for i := range 999 {
+		g.rememberLocked(Entry{ID: string(rune(i + 1))})
+	}
+	require.Len(t, g.removed, maxRemoved)
+}
--- a/internal/process/group/member.go
+++ b/internal/process/group/member.go
@@ -20,8 +20,10 @@
 	Address string
 	Zone    string
 	// Incarnation distinguishes databases that use the same ID one after
-	// another.
+	// another. It rises; zero if unknown.
 	Incarnation int64
+	// Sequence counts the reports of the incarnation, zero if unknown.
+	Sequence uint64
 	// Slots is how many statements the database runs concurrently.
 	Slots   int
 	Leaving bool
@@ -31,6 +33,15 @@
 	WarmupRemaining clock.Duration
 }
 
+// olderThan reports whether the database reported the entry before it reported other.
+func (e Entry) olderThan(other Entry) bool {
+	if e.Incarnation == 0 || other.Incarnation == 0 {
+		return false
+	}
+	return e.Incarnation < other.Incarnation ||
+		e.Incarnation == other.Incarnation && e.Sequence != 0 && e.Sequence < other.Sequence
+}
+
 // lapsedTTL is how long a database whose entry is missing is still counted and
 // used. Entries that lapsed during an outage of the registry are back within
 // two seconds of its return.
