Ask for claims of earlier eras instead of waiting them out

Since a claim may be lost with the store's last seconds, no primary was replaced for 4.5 s after a restore, a second restore included: callers of a primary that is lost then missed their deadlines. A proxy that suspects a primary now asks the others, in a large fleet the homes of the group, whether they act on an earlier claim. One that says no cannot be granted one later, since the store answers with the era in which it writes. If one acts, does not answer or is of an earlier build, or a database is fenced, the claim is waited out as before.

--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -205,6 +205,13 @@
 	return true, max(a.plan.Connections, 1)
 }
 
+// Homes returns the homes of a group, none if all proxies serve it.
+func (h *Homes) Homes(group string) []proxy.Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.assignmentLocked(group).homes)
+}
+
 // Choose returns the home of a group that is expected to answer first, among
 // those that are not excluded. It returns false if there is none.
 func (h *Homes) Choose(group string, exclude []string) (string, bool) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -192,6 +192,7 @@
 	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log)
 	handler := &peerHandler{
 		relays: f.relays, host: f.host, registrar: &registrar{clock: systemTimers{f.clock}, put: f.putMembers},
+		earlierClaims: f.handleEarlierClaims,
 	}
 	peers, err := proxy.NewPeers(address, handler, f.log)
 	if err != nil {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -358,12 +358,13 @@
 	}
 }
 
-// peerHandler dispatches calls of other proxies to the relay, the registrar or
-// the session host.
+// peerHandler dispatches calls of other proxies to the relay, the registrar, the
+// replacements or the session host.
 type peerHandler struct {
-	relays    *relays
-	registrar *registrar
-	host      proxy.Receiver
+	relays        *relays
+	registrar     *registrar
+	earlierClaims func(params json.RawMessage) (any, error)
+	host          proxy.Receiver
 }
 
 // Receive implements proxy.Receiver.
@@ -373,6 +374,8 @@
 		return r.relays.handleFollow(params)
 	case methodRegister:
 		return r.registrar.handleRegister(params)
+	case methodEarlierClaims:
+		return r.earlierClaims(params)
 	default:
 		return r.host.Receive(ctx, method, params)
 	}
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -62,18 +62,24 @@
 	promotions promotion.Service
 	clock      clock.Clock
 	log        *zap.Logger
+	earlierClaims
 
 	mu        sync.Mutex
 	agreement *group.Agreement
-	running   bool
-	notBefore clock.Time
-	votedAt   clock.Time
+	// running is set while a claim is made and acted on, in the era runningEra.
+	running    bool
+	runningEra uint64
+	notBefore  clock.Time
+	votedAt    clock.Time
+	// askedAt is when the other proxies were last asked for earlier claims.
+	askedAt clock.Time
 }
 
 func newReplacement(f *Front, g *backend.GroupClient) *replacement {
 	return &replacement{
 		self: f.settings.Name, client: g, store: f.platform.Store, promotions: f.platform.Promotions, clock: f.clock,
 		log: f.log.With(zap.String("group", g.Name)), agreement: group.NewAgreement(),
+		earlierClaims: newEarlierClaims(f, g.Name),
 	}
 }
 
@@ -127,14 +133,20 @@
 	if r.running || now < r.notBefore {
 		return
 	}
-	if _, free := r.agreement.Claimable(now, r.self); !free {
+	_, free := r.agreement.Claimable(now, r.self)
+	awaits := r.agreement.AwaitsEarlierClaims(now)
+	if !free && !awaits {
 		return
 	}
+	if awaits {
+		r.askEarlierClaimsLocked(now)
+	}
 	vote := group.Vote{Primary: s.Primary, Term: r.client.Term()}
 	agreed := !s.Reason.NeedsAgreement() || !s.Listed || r.agreement.Agrees(now, r.self, vote)
 	switch {
+	case agreed && !free:
 	case agreed:
-		r.running = true
+		r.running, r.runningEra = true, r.agreement.Era()
 		go contain.Run(r.log, "replacement", func() { r.run(s) })
 	case now.Sub(r.votedAt) >= voteInterval || r.votedAt == 0:
 		r.votedAt = now
--- a/internal/process/group/claim.go
+++ b/internal/process/group/claim.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// AwaitsEarlierClaims reports whether nothing but claims of earlier eras, which may be
+// in effect, keeps the group from being claimed.
+func (a *Agreement) AwaitsEarlierClaims(now clock.Time) bool {
+	return a.era != 0 && a.version.Number == 0 && now < a.earlierClaimsUntil
+}
+
+// EndEarlierClaims records that no claim from before an era is in effect.
+func (a *Agreement) EndEarlierClaims(era uint64) {
+	if era == a.era {
+		a.earlierClaimsUntil = 0
+	}
+}
+
 // Era returns the era whose rows are tracked, zero if none have been read.
 func (a *Agreement) Era() uint64 { return a.era }
 
