Ask the other proxies for the configuration in force after a restore

A process that starts while the store lacks an accepted configuration, since it went back to a copy and the operator has not written it again, served an older one than the others: callers were refused on routes that had been confirmed.

Once the store has been restored, a process that starts asks the other proxies, in a large fleet its relays, for a configuration with a higher number than the store's before it serves callers. Nothing is asked in the first era. If no process is left that knows it, it is gone until the operator writes it.

--- a/cmd/oleanderflow-front/restore_test.go
+++ b/cmd/oleanderflow-front/restore_test.go
@@ -97,3 +97,21 @@
 		require.Equal(t, []string{"v"}, queryUntilSuccess(t, c, "READ "+key).Rows)
 	}
 }
+
+// A process that started after a restore served an older configuration than the others,
+// until the operator had written the lost one again.
+func TestProcessThatStartsAfterARestoreServesWhatOthersHaveInForce(t *testing.T) {
+	s := startSystem(t, 2, 64, 0)
+	time.Sleep(time.Second) // wait until the members are stored
+	backup := s.platform.Copy()
+	configure(s.platform, 2, 64, standardRoutes[1:]...)
+	for _, f := range s.fronts {
+		require.Eventually(t, func() bool { return !serves(f, "fills") }, configurationLimit, 10*time.Millisecond)
+	}
+	s.platform.Restore(backup, false)
+	late := s.startFront(t, "late")
+	require.Eventually(t, late.Ready, configurationLimit, 5*time.Millisecond)
+	for _, f := range s.fronts {
+		require.False(t, serves(f, "fills"), "proxy %s", f.Address())
+	}
+}
--- a/internal/front/earlier_claims.go
+++ b/internal/front/earlier_claims.go
@@ -93,17 +93,22 @@
 }
 
 // claimants returns the other proxies that may hold a claim on a group.
-func (f *Front) claimants(group string) []string {
+func (f *Front) claimants(group string) []string { return f.askable(f.homes.Homes(group)) }
+
+// askable returns the other live proxies, or those in few if there are more than
+// maxAskedProxies.
+func (f *Front) askable(few []proxy.Peer) []string {
 	f.mu.Lock()
-	live := f.roster.live()
+	asked := f.roster.live()
 	f.mu.Unlock()
-	if homes := f.homes.Homes(group); len(live) > maxAskedProxies && len(homes) > 0 {
-		live = homes
+	if len(asked) > maxAskedProxies && len(few) > 0 {
+		asked = few
 	}
-	live = slices.DeleteFunc(live, func(p proxy.Peer) bool { return p.Name == f.self.Name })
-	names := make([]string, 0, len(live))
-	for _, p := range live {
-		names = append(names, p.Name)
+	names := make([]string, 0, len(asked))
+	for _, p := range asked {
+		if p.Name != f.self.Name {
+			names = append(names, p.Name)
+		}
 	}
 	return names
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,6 +89,10 @@
 	overload        overloadDetector
 	gaugesUpdatedAt clock.Time
 	versions        routes.Current
+	// versionsMu is held while a version is put in force, and guards inForce, the row
+	// of that version. It is taken before the lock of homes.
+	versionsMu sync.Mutex
+	inForce    *store.Row
 
 	// entriesMu is held while the registry or the stored databases are applied,
 	// so that neither overtakes the other. It is taken before mu.
@@ -192,7 +196,7 @@
 	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log)
 	handler := &peerHandler{
 		relays: f.relays, host: f.host, registrar: &registrar{clock: systemTimers{f.clock}, put: f.putMembers},
-		earlierClaims: f.handleEarlierClaims,
+		earlierClaims: f.handleEarlierClaims, inForce: f.handleInForce,
 	}
 	peers, err := proxy.NewPeers(address, handler, f.log)
 	if err != nil {
@@ -268,22 +272,38 @@
 	return list
 }
 
-// applyVersions applies changed rows of the configuration table.
+// applyVersions applies changed rows of the configuration table. A process that
+// starts asks the others first if the store may lack what they have in force.
 func (f *Front) applyVersions(changes store.Changes) {
+	if f.versions.Load() == nil && changes.Era > store.FirstEra {
+		f.acceptFromPeers(changes.Rows)
+	}
 	for _, row := range changes.Rows {
-		v, err := f.platform.DecodeVersion(row)
-		switch {
-		case err != nil:
-			f.log.Error("invalid configuration row", zap.Stringer("row", row.Version), logs.Error(err))
-		case v == nil:
-		case f.versions.Accept(v):
-			f.setConnectionLimits(v)
-			f.log.Info("configuration in force", zap.Uint64("version", v.Number), zap.Int("routes", len(v.Routes)))
-		default:
-			f.log.Info("older configuration ignored", zap.Uint64("version", v.Number), zap.Uint64("inForce", f.versions.Load().Number),
-				zap.Stringer("row", row.Version))
-		}
+		f.applyVersion(row, "")
+	}
+}
+
+// applyVersion puts a configuration in force unless it is older than the one that is.
+// from is the proxy that has sent it, empty if it is from the followed table.
+func (f *Front) applyVersion(row store.Row, from string) {
+	v, err := f.platform.DecodeVersion(row)
+	if err != nil {
+		f.log.Error("invalid configuration row", zap.Stringer("row", row.Version), zap.String("from", from), logs.Error(err))
+		return
+	}
+	if v == nil {
+		return
+	}
+	f.versionsMu.Lock()
+	defer f.versionsMu.Unlock()
+	if !f.versions.Accept(v) {
+		f.log.Info("older configuration ignored", zap.Uint64("version", v.Number), zap.Uint64("inForce", f.versions.Load().Number),
+			zap.Stringer("row", row.Version), zap.String("from", from))
+		return
 	}
+	f.inForce = &row
+	f.setConnectionLimits(v)
+	f.log.Info("configuration in force", zap.Uint64("version", v.Number), zap.Int("routes", len(v.Routes)), zap.String("from", from))
 }
 
 // setConnectionLimits passes the connection limits of the groups to f.homes,
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -184,6 +185,13 @@
 	return len(r.sources) > 0
 }
 
+// allSources returns the proxies that this one follows.
+func (r *relays) allSources() []proxy.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.sources)
+}
+
 // candidates returns the sources that may be polled now. A root has none.
 func (r *relays) candidates() []string {
 	now := r.clock.Now()
@@ -359,11 +367,12 @@
 }
 
 // peerHandler dispatches calls of other proxies to the relay, the registrar, the
-// replacements or the session host.
+// replacements, the configuration in force or the session host.
 type peerHandler struct {
 	relays        *relays
 	registrar     *registrar
 	earlierClaims func(params json.RawMessage) (any, error)
+	inForce       func(params json.RawMessage) (any, error)
 	host          proxy.Receiver
 }
 
@@ -376,6 +385,8 @@
 		return r.registrar.handleRegister(params)
 	case methodEarlierClaims:
 		return r.earlierClaims(params)
+	case methodInForce:
+		return r.inForce(params)
 	default:
 		return r.host.Receive(ctx, method, params)
 	}
