Let proxies that read a table again wait for their relays

After a restore, proxies gave relays that were asked by all of their followers at once 100 ms, as at a start, and then read the tables from the store.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -52,6 +52,10 @@
 	// startPatience is how long a process that has no table yet asks only the
 	// relays for it. When all start at once, the relays are ready within it.
 	startPatience = 400 * clock.Millisecond
+	// rereadPatience replaces it for a process that has to read a table again, from
+	// which it goes on serving. After an outage the relays reach the store within
+	// twice maxRetryDelay.
+	rereadPatience = 1200 * clock.Millisecond
 	// maxFeedWait is the wait that a proxy requests when it follows the store
 	// directly. It is so long that the store decides when the feed ends.
 	maxFeedWait = clock.Minute
@@ -263,9 +267,13 @@
 			return changes, from, nil
 		}
 		now := f.clock.Now()
-		if !known && f.relays.hasSources() && now.Sub(began) < startPatience {
-			// Relays that have started at the same time will soon have the table. All
-			// of them may have refused just now.
+		patience := startPatience
+		if version.Era != 0 {
+			patience = rereadPatience
+		}
+		if !known && f.relays.hasSources() && now.Sub(began) < patience {
+			// Relays that have started at the same time, or read the table again, will
+			// soon have it. All of them may have refused just now.
 			backend.Sleep(initialPollWait)
 			continue
 		}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -224,6 +224,10 @@
 	if !known {
 		names = names[:min(len(names), 1)]
 		wait, grace, cooldown = initialPollWait, initialPollGrace, minRetryDelay
+		if version.Era != 0 {
+			// Callers are served from the table that is to be replaced.
+			grace = relayPollGrace
+		}
 	}
 	failure := errNoRelay
 	began := r.clock.Now()
