--- a/internal/core/options.go
+++ b/internal/core/options.go
@@ -86,6 +86,7 @@
 	BundleOptions
 	PlatformOptions
 	Onto     *uint64 `arg:"--onto,required" placeholder:"VERSION" help:"version that the change was planned on, as plan printed it"`
+	Above    uint64  `arg:"--above" placeholder:"VERSION" help:"highest version in force, as status shows it, after the table was restored from an older copy"`
 	ChangeID string  `arg:"--change-id" placeholder:"ID" help:"id of the change; repeat it to ask again after a lost answer"`
 	By       string  `arg:"--by,env:USER" help:"who makes the change"`
 	Note     string  `arg:"--note" help:"why"`
@@ -104,6 +105,7 @@
 	PlatformOptions
 	To       uint64  `arg:"positional,required" placeholder:"VERSION" help:"version whose content comes back, as a new version"`
 	Onto     *uint64 `arg:"--onto" placeholder:"VERSION" help:"the accepted version, as the preview without --onto printed it"`
+	Above    uint64  `arg:"--above" placeholder:"VERSION" help:"highest version in force, as status shows it, after the table was restored from an older copy"`
 	ChangeID string  `arg:"--change-id" placeholder:"ID" help:"id of the change; repeat it to ask again after a lost answer"`
 	By       string  `arg:"--by,env:USER" help:"who makes the change"`
 	JSON     bool    `arg:"--json" help:"print the result as JSON"`
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -22,6 +22,7 @@
 	if p.versions != nil {
 		active, refused := p.versions.current()
 		answer.Version, answer.Hash, answer.Refused = active.Version, active.Hash, refused.Version
+		answer.TableVersion = p.versions.behind().Version
 	}
 	for _, g := range p.groups.all() {
 		answer.Groups = append(answer.Groups, p.groupStatus(g))
--- a/internal/core/status_command.go
+++ b/internal/core/status_command.go
@@ -107,6 +107,8 @@
 		return "leaving"
 	case s.Refused > s.Version:
 		return fmt.Sprintf("cannot apply version %d", s.Refused)
+	case s.TableVersion != 0:
+		return fmt.Sprintf("the table has version %d: apply with --above", s.TableVersion)
 	}
 	return ""
 }
--- a/internal/core/version_commands.go
+++ b/internal/core/version_commands.go
@@ -124,7 +124,7 @@
 		return fail(err)
 	}
 	return applyChange(ctx, o.history(), versionplatform.Change{
-		ID: changeID(o.ChangeID), Bundle: bundle, Onto: *o.Onto, By: o.By, Note: o.Note,
+		ID: changeID(o.ChangeID), Bundle: bundle, Onto: *o.Onto, Above: o.Above, By: o.By, Note: o.Note,
 	}, o.JSON)
 }
 
@@ -212,7 +212,7 @@
 		return previewRollback(ctx, h, target, o)
 	}
 	return applyChange(ctx, h, versionplatform.Change{
-		ID: changeID(o.ChangeID), Bundle: target, Onto: *o.Onto, By: o.By, Note: fmt.Sprintf("rollback to version %d", o.To),
+		ID: changeID(o.ChangeID), Bundle: target, Onto: *o.Onto, Above: o.Above, By: o.By, Note: fmt.Sprintf("rollback to version %d", o.To),
 	}, o.JSON)
 }
 
--- a/internal/core/version_driver.go
+++ b/internal/core/version_driver.go
@@ -157,9 +157,22 @@
 		d.proxy.log.Debug("cannot read the head version", zap.Error(err))
 		return
 	}
+	before := d.behind()
 	d.advance(func(dst []versionproxy.Action) []versionproxy.Action {
 		return d.spread.HandlePolled(d.proxy.clock.Now(), versionproxy.Head(head), dst)
 	})
+	if now := d.behind(); now != before && now != (versionproxy.Head{}) {
+		active, _ := d.current()
+		d.proxy.log.Warn("table has an older version than the one in force", zap.Uint64("version", now.Version),
+			zap.String("change", now.ChangeID), zap.Uint64("inForce", active.Version))
+	}
+}
+
+// behind returns the head of the table if that is not as new as the active version.
+func (d *versionDriver) behind() versionproxy.Head {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.spread.Behind()
 }
 
 // sendHead sends the active version to a peer and records the version that the
--- a/internal/process/platform/promotions_test.go
+++ b/internal/process/platform/promotions_test.go
@@ -49,3 +49,19 @@
 	require.NoError(t, err)
 	require.Equal(t, uint64(5), got.Term)
 }
+
+// A record that was lost with the table's last changes does not keep later ones out.
+func TestPromotionIsRecordedAfterALostOne(t *testing.T) {
+	ctx := context.Background()
+	m := standin.NewMemory()
+	p := newPromotions(m)
+	require.NoError(t, p.Record(ctx, "shop1", platform.Promotion{Term: 3, Primary: "a"}))
+	items, _ := m.Copy()
+	require.NoError(t, p.Record(ctx, "shop1", platform.Promotion{Term: 4, Primary: "b"}))
+	require.NoError(t, p.Record(ctx, "shop1", platform.Promotion{Term: 5, Primary: "c"}))
+	m.Restore(items, nil)
+	require.NoError(t, p.Record(ctx, "shop1", platform.Promotion{Term: 5, Primary: "c"}))
+	got, err := p.Get(ctx, "shop1")
+	require.NoError(t, err)
+	require.Equal(t, platform.Promotion{Term: 5, Primary: "c"}, got)
+}
--- a/internal/process/proxy/messages.go
+++ b/internal/process/proxy/messages.go
@@ -125,7 +125,11 @@
 	Hash    string `json:"hash"`
 	// Refused is the last version of the declarations that the proxy could not
 	// use, 0 if there is none.
-	Refused  uint64        `json:"refusedVersion,omitempty"`
+	Refused uint64 `json:"refusedVersion,omitempty"`
+	// TableVersion is the version in the table if that was restored from an older
+	// copy and is not as new as the active one, 0 otherwise.
+	TableVersion uint64 `json:"tableVersion,omitempty"`
+
 	Leaving  bool          `json:"leaving,omitempty"`
 	Sessions int           `json:"sessions"`
 	Groups   []GroupStatus `json:"groups"`
--- a/internal/standin/platform/memory.go
+++ b/internal/standin/platform/memory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -57,6 +58,23 @@
 	m.calls = 0
 }
 
+// Copy returns a copy of the items, and of the objects.
+func (m *Memory) Copy() (map[string]platform.Item, map[string][]byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.items), maps.Clone(m.objects)
+}
+
+// Restore replaces the items, and the objects unless they are nil, by an earlier copy.
+func (m *Memory) Restore(items map[string]platform.Item, objects map[string][]byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.items = maps.Clone(items)
+	if objects != nil {
+		m.objects = maps.Clone(objects)
+	}
+}
+
 // Usage returns the number of reads without a fault and the number of writes
 // whose request was not lost.
 func (m *Memory) Usage() (reads, writes int) {
--- a/internal/version/platform/history_test.go
+++ b/internal/version/platform/history_test.go
@@ -194,3 +194,80 @@
 	require.ErrorAs(t, last, &order)
 	require.Equal(t, version.RecordOrderError{ChangeID: "first", Version: 3, Successor: 2}, *order)
 }
+
+// After the table had gone back, a change was accepted under a version that proxies had
+// in force with another content, and ignored by them.
+func TestChangeAfterARestoreIsAboveTheVersionsInForce(t *testing.T) {
+	for name, restoreObjects := range map[string]bool{"table only": false, "table and objects": true} {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			m := standin.NewMemory()
+			h := newHistory(m)
+			first, err := h.Apply(ctx, change("first", 0, 50))
+			require.NoError(t, err)
+			items, objects := m.Copy()
+			for i, id := range []string{"second", "third"} {
+				_, err := h.Apply(ctx, change(id, uint64(i+1), 60+i))
+				require.NoError(t, err)
+			}
+			if !restoreObjects {
+				objects = nil
+			}
+			m.Restore(items, objects)
+			head, err := h.Head(ctx)
+			require.NoError(t, err)
+			require.Equal(t, first, head)
+
+			c := change("fourth", 1, 70)
+			c.Above = 3
+			fourth, err := h.Apply(ctx, c)
+			require.NoError(t, err)
+			require.Equal(t, uint64(4), fourth.Version)
+			again, err := h.Apply(ctx, c)
+			require.NoError(t, err)
+			require.Equal(t, fourth, again, "a repeat has no effect")
+
+			// A lost change may be repeated under its id.
+			third, err := h.Apply(ctx, change("third", 4, 61))
+			require.NoError(t, err)
+			require.Equal(t, uint64(5), third.Version)
+			var versions []uint64
+			for r, err := range h.Records(ctx, third) {
+				require.NoError(t, err)
+				versions = append(versions, r.Version)
+			}
+			require.Equal(t, []uint64{5, 4, 1}, versions)
+			_, err = h.Apply(ctx, change("late", 1, 80))
+			var stale *version.StalePlanError
+			require.ErrorAs(t, err, &stale)
+		})
+	}
+}
+
+// Each call fails in turn while a change is applied above the versions in force.
+func TestApplyAboveRetriesAfterFailureAtEachCall(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.FaultRequestLost, standin.FaultAnswerLost, standin.FaultTruncated} {
+		for step := 1; step <= 6; step++ {
+			ctx := context.Background()
+			m := standin.NewMemory()
+			h := newHistory(m)
+			_, err := h.Apply(ctx, change("first", 0, 50))
+			require.NoError(t, err)
+			m.SetFault(func(call int) standin.Fault {
+				if call == step {
+					return fault
+				}
+				return standin.FaultNone
+			})
+			c := change("second", 1, 60)
+			c.Above = 9
+			head, err := h.Apply(ctx, c)
+			require.NoError(t, err, "fault %d at call %d", fault, step)
+			require.Equal(t, uint64(10), head.Version)
+			m.SetFault(func(int) standin.Fault { return standin.FaultNone })
+			stored, err := h.Head(ctx)
+			require.NoError(t, err)
+			require.Equal(t, head, stored)
+		}
+	}
+}
--- a/internal/version/proxy/spread.go
+++ b/internal/version/proxy/spread.go
@@ -80,6 +80,10 @@
 	latest Head
 	// refused is the last version whose content this proxy could not use.
 	refused Head
+	// behind is the head in the table if that is older than the active version, or
+	// another one of the same number, zero otherwise. The table was restored from an
+	// older copy then.
+	behind Head
 	// source is the peer that sent latest, "" if it was read from the table.
 	source    string
 	polledAt  clock.Time
@@ -116,6 +120,10 @@
 // Refused returns the last version whose content could not be used.
 func (s *Spread) Refused() Head { return s.refused }
 
+// Behind returns the head that the table was last seen with if it is not as new as the
+// active version, and the zero Head otherwise.
+func (s *Spread) Behind() Head { return s.behind }
+
 // Tick starts polls, exchanges and repeated fetches that are due.
 func (s *Spread) Tick(now clock.Time, dst []Action) []Action {
 	// A proxy without a version polls too, because its peers may not have one
@@ -146,6 +154,10 @@
 
 // HandlePolled processes the head read from the platform's table.
 func (s *Spread) HandlePolled(now clock.Time, h Head, dst []Action) []Action {
+	s.behind = Head{}
+	if h.Version < s.active.Version || h.Version == s.active.Version && h != s.active {
+		s.behind = h
+	}
 	return s.observe(now, h, "", dst)
 }
 
--- a/internal/version/proxy/spread_test.go
+++ b/internal/version/proxy/spread_test.go
@@ -260,3 +260,24 @@
 	require.Equal(t, uint64(1), s.Active().Version)
 	require.Equal(t, uint64(2), s.Refused().Version)
 }
+
+// A table that went back is reported, and does not take proxies back. A change above the
+// version in force is taken.
+func TestTableThatWentBackIsReported(t *testing.T) {
+	s := proxy.NewSpread(spreadSettings, rand.New(rand.NewPCG(1, 1)))
+	activate := func(h proxy.Head) {
+		s.HandlePolled(0, h, nil)
+		require.NotEmpty(t, s.HandleContent(h.Hash, nil, true, nil))
+	}
+	active := proxy.Head{Version: 5, Hash: "five", ChangeID: "e"}
+	activate(active)
+	require.Zero(t, s.Behind())
+	for _, h := range []proxy.Head{{Version: 3, Hash: "three", ChangeID: "c"}, {Version: 5, Hash: "other", ChangeID: "x"}} {
+		require.Empty(t, s.HandlePolled(10, h, nil))
+		require.Equal(t, h, s.Behind())
+		require.Equal(t, active, s.Active())
+	}
+	activate(proxy.Head{Version: 6, Hash: "six", ChangeID: "y"})
+	s.HandlePolled(20, s.Active(), nil)
+	require.Zero(t, s.Behind())
+}
