Send followers only what a restore of the store has changed

A cache compares the rows of the new era with those that it had, and sends followers of the era before, whose version it had reached, only the rows that differ. Others get the whole table.

--- a/internal/front/databases.go
+++ b/internal/front/databases.go
@@ -105,6 +105,16 @@
 	})
 }
 
+// forgetDatabases records that a row of the agreement table is gone. If it had the
+// databases of a group, they will be stored again.
+func (f *Front) forgetDatabases(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if g, ok := f.groups[strings.TrimPrefix(key, databasesPrefix)]; ok {
+		g.databases.stored = ""
+	}
+}
+
 // applyDatabases records a row with the databases of a group. If starting is set,
 // databases that the registry does not list are used for as long as those whose
 // entries have just expired.
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -263,7 +263,9 @@
 		changes, from, err := f.relays.poll(table, known, version)
 		if err == nil {
 			f.eras.observe(changes.Version)
-			f.relays.update(table, changes)
+			if !f.relays.update(table, changes) && changes.Base != nil {
+				return changes, from, store.ErrHistoryGone
+			}
 			return changes, from, nil
 		}
 		now := f.clock.Now()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -379,6 +379,7 @@
 	starting := f.beginAgreementEra(changes)
 	for _, row := range changes.Rows {
 		if row.Deleted {
+			f.forgetDatabases(row.Key)
 			continue
 		}
 		kind, rest, _ := strings.Cut(row.Key, "/")
@@ -387,7 +388,7 @@
 		case kind+"/" == databasesPrefix:
 			f.applyDatabases(row, starting)
 			continue
-		case kind+"/" == votePrefix && changes.Whole:
+		case kind+"/" == votePrefix && (changes.Whole || changes.Base != nil):
 			// The vote may be of any age.
 			continue
 		case kind+"/" == claimPrefix && row.Key != claimKey(name, changes.Era):
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -277,8 +277,11 @@
 }
 
 // update adds changes from the store or a relay to the local copy of a table,
-// so that this process can serve the table once it is a relay.
-func (r *relays) update(table string, changes store.Changes) { r.copies[table].Apply(changes) }
+// so that this process can serve the table once it is a relay. It reports whether
+// they could be added.
+func (r *relays) update(table string, changes store.Changes) bool {
+	return r.copies[table].Apply(changes)
+}
 
 // markStoreAnswered records that the store has responded.
 func (r *relays) markStoreAnswered(now clock.Time) {
@@ -354,7 +357,7 @@
 		version := c.Version()
 		fresh := c.Usable() && contact && (p.Known && version.Era >= p.Era || !version.Before(p.Version))
 		if fresh {
-			if changes := c.Since(p.Known, p.Version); len(changes.Rows) > 0 || changes.Whole || now >= until {
+			if changes := c.Since(p.Known, p.Version); len(changes.Rows) > 0 || changes.Whole || changes.Base != nil || now >= until {
 				if p.Compact {
 					c.Compact(&changes, p.Sums)
 				}
--- a/internal/front/roster.go
+++ b/internal/front/roster.go
@@ -63,11 +63,17 @@
 		var p proxy.Peer
 		switch err := json.Unmarshal(row.Value, &p); {
 		case row.Deleted:
-			if p, ok := r.listed[row.Key]; ok {
+			p, ok := r.listed[row.Key]
+			delete(r.listed, row.Key)
+			switch {
+			case ok && restored && row.Era == changes.Era:
+				// The restore has taken the row back.
+				r.lost[row.Key] = lostPeer{Peer: p, until: now.Add(lostRowTTL)}
+			case ok:
 				r.remember(p)
+			default:
+				delete(r.lost, row.Key)
 			}
-			delete(r.listed, row.Key)
-			delete(r.lost, row.Key)
 		case err != nil || p.Name != row.Key:
 			found.invalid = append(found.invalid, row.Key)
 		case restored && r.removed[row.Key] == p:
--- a/internal/front/roster_test.go
+++ b/internal/front/roster_test.go
@@ -91,3 +91,18 @@
 	}
 	require.Len(t, r.removed, maxRemovedRows)
 }
+
+// A follower is sent only the rows that a restore has changed. A row that it has taken
+// back is told from one that was removed before.
+func TestRosterReadsWhatARestoreHasChanged(t *testing.T) {
+	r := newRoster()
+	r.apply(1000, store.Changes{Rows: []store.Row{memberRow(t, stayed, at(1)), memberRow(t, left, at(2)), memberRow(t, started, at(3))}, Whole: true, Version: at(4)})
+	base, restored := at(4), store.Version{Era: 2, Number: 9}
+	r.apply(1000, store.Changes{
+		Rows: []store.Row{{Key: "left", Version: at(8), Deleted: true}, {Key: "started", Version: restored, Deleted: true}},
+		Base: &base, Version: restored,
+	})
+	require.Equal(t, []proxy.Peer{started, stayed}, r.live())
+	require.True(t, r.expire(clock.Time(1000).Add(lostRowTTL)))
+	require.Equal(t, []proxy.Peer{stayed}, r.live())
+}
--- a/internal/process/platform/store/cache.go
+++ b/internal/process/platform/store/cache.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"sync"
@@ -19,7 +20,7 @@
 // is held.
 type Cache struct {
 	mu   sync.Mutex
-	rows map[string]Row
+	rows map[string]cachedRow
 	// previous has the earlier large values by key, the oldest first, from which
 	// patches are made. It is nil unless KeepHistory is set.
 	previous map[string][]previousValue
@@ -27,9 +28,9 @@
 	// compressed values, by key.
 	patches map[patchKey]*patch.Patch
 	packed  map[string][]byte
-	// version is the version of the table. Deletions up to prunedVersion may
-	// have been pruned.
-	version, prunedVersion Version
+	// span is what is known of the present era, and prior what was known of the era
+	// before, which is zero if nothing was.
+	span, prior span
 	// dropped counts the rows that Apply has ignored because a newer one is known.
 	dropped uint64
 	// known is set once a whole table was applied.
@@ -39,6 +40,44 @@
 	changed     chan struct{}
 }
 
+// span is the part of an era's history of which a cache knows all changes.
+type span struct {
+	// version is the version of the table, and from the earliest one from which on all
+	// changes are known.
+	version, from Version
+	// A row that was written and deleted between gapFrom and gapTo is not known: the
+	// table was read as a whole at gapTo.
+	gapFrom, gapTo Version
+}
+
+// has reports whether all changes after v are known.
+func (s span) has(v Version) bool {
+	return v.Era == s.version.Era && !v.Before(s.from) && !(s.gapFrom.Before(v) && v.Before(s.gapTo))
+}
+
+// extend records that the table is at a version, which was read as a whole if whole is
+// set.
+func (s *span) extend(v Version, whole bool) {
+	if !s.version.Before(v) {
+		return
+	}
+	if whole {
+		if s.gapTo == (Version{}) {
+			s.gapFrom = s.version
+		}
+		s.gapTo = v
+	}
+	s.version = v
+}
+
+// cachedRow is a row and the version of the table from which on it has its content.
+// That is the version of the row, but for rows that the store has changed by going back
+// to an older copy.
+type cachedRow struct {
+	Row
+	since Version
+}
+
 const (
 	// minPatchedLength is the length in bytes from which a value is sent as a
 	// patch, or compressed, by a process that keeps the history.
@@ -62,62 +101,86 @@
 
 // NewCache returns an empty cache, which is unusable until its first Apply of a
 // whole table.
-func NewCache() *Cache { return &Cache{rows: make(map[string]Row), changed: make(chan struct{})} }
+func NewCache() *Cache { return &Cache{rows: make(map[string]cachedRow), changed: make(chan struct{})} }
 
 // Changes are the rows of a table that have changed since an earlier version.
 type Changes struct {
 	Rows []Row `json:"rows,omitempty"`
 	// Whole is set if Rows is the whole table.
 	Whole bool `json:"whole,omitempty"`
+	// Base is the earlier version if that is of the era before, otherwise nil.
+	Base *Version `json:"base,omitempty"`
 	Version
 }
 
 // Apply merges changes that the store, or another process that follows it, has
-// returned. It ignores changes until it has been given a whole table of their era,
-// and changes of an earlier era.
-func (c *Cache) Apply(changes Changes) {
+// returned. It reports whether it could: it ignores changes of an earlier era, and
+// changes of a later one unless they are the whole table or based on its version.
+func (c *Cache) Apply(changes Changes) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	begins := !c.known || changes.Era > c.version.Era
-	if begins && !changes.Whole || changes.Era < c.version.Era {
-		return
-	}
-	updated := begins || c.unavailable
-	switch {
-	case begins:
-		c.beginEraLocked()
-	case changes.Whole:
-		updated = c.markMissingDeletedLocked(changes) || updated
+	begins := !c.known || changes.Era > c.span.version.Era
+	based := c.known && changes.Base != nil && *changes.Base == c.span.version
+	if changes.Era < c.span.version.Era || begins && !changes.Whole && !based {
+		return false
 	}
 	for _, r := range changes.Rows {
 		// If the table's version were lower than that of a row, followers would be
 		// sent this row again and again.
 		changes.Version = Latest(changes.Version, r.Version)
+	}
+	restored := begins && c.known
+	updated := begins || c.unavailable
+	if restored && based {
+		c.carryRowsLocked(changes.Version)
+	}
+	if changes.Whole {
+		updated = c.markMissingDeletedLocked(changes, restored) || updated
+	}
+	for _, r := range changes.Rows {
 		switch old, ok := c.rows[r.Key]; {
+		case restored:
+			c.replaceRestoredLocked(old, r, changes.Version)
 		case !ok || old.Before(r.Version):
-			c.keepPreviousLocked(old)
-			c.rows[r.Key] = r
+			c.keepPreviousLocked(old.Row)
+			c.rows[r.Key] = cachedRow{Row: r, since: r.Version}
 			updated = true
 		case r.Before(old.Version):
 			c.dropped++
 		}
 	}
+	if begins {
+		c.prior, c.span = c.span, span{version: changes.Version, from: changes.Version}
+	}
+	c.span.extend(changes.Version, changes.Whole)
 	c.known, c.unavailable = true, false
-	c.version = Latest(c.version, changes.Version)
 	if updated {
 		c.pruneTombstonesLocked()
 		c.notifyLocked()
 	}
+	return true
 }
 
-// beginEraLocked forgets all rows, whose versions say nothing about those of the
-// new era. Their large values stay as the bases of patches.
-func (c *Cache) beginEraLocked() {
-	for _, r := range c.rows {
-		c.keepPreviousLocked(r)
+// carryRowsLocked takes the rows over to a new era, in which they are at most as new as
+// the given version.
+func (c *Cache) carryRowsLocked(version Version) {
+	for key, r := range c.rows {
+		r.Version = version
+		c.rows[key] = r
+	}
+}
+
+// replaceRestoredLocked replaces a row by that of a new era. version is that of the
+// table. The versions of the two rows cannot be compared, but their contents can:
+// followers that have the old row need not be sent an equal one.
+func (c *Cache) replaceRestoredLocked(old cachedRow, r Row, version Version) {
+	next := cachedRow{Row: r, since: version}
+	if old.Key != "" && old.Deleted == r.Deleted && bytes.Equal(old.Value, r.Value) {
+		next.since = old.since
+	} else {
+		c.keepPreviousLocked(old.Row)
 	}
-	clear(c.rows)
-	c.version, c.prunedVersion = Version{}, Version{}
+	c.rows[r.Key] = next
 }
 
 // KeepHistory sets whether earlier values of large rows are kept, which a process
@@ -203,11 +266,13 @@
 	if p, made := c.patches[k]; made {
 		return p
 	}
-	i := slices.IndexFunc(c.previous[r.Key], func(old previousValue) bool { return old.sum == baseSum })
+	// A follower of an earlier era may have the same value.
+	bases := append(slices.Clone(c.previous[r.Key]), previousValue{sum: xxhash.Sum64(r.Value), value: r.Value})
+	i := slices.IndexFunc(bases, func(old previousValue) bool { return old.sum == baseSum })
 	if i < 0 {
 		return nil
 	}
-	p := patch.Make(c.previous[r.Key][i].value, r.Value)
+	p := patch.Make(bases[i].value, r.Value)
 	c.patches[k] = &p
 	return &p
 }
@@ -283,21 +348,22 @@
 func (c *Cache) Version() Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.version
+	return c.span.version
 }
 
 // markMissingDeletedLocked marks the rows that are missing in a whole table as
-// deleted, unless they are newer than the table. It reports whether there were
-// any.
-func (c *Cache) markMissingDeletedLocked(changes Changes) bool {
+// deleted, unless they are newer than the table and that is not of a new era. It
+// reports whether there were any.
+func (c *Cache) markMissingDeletedLocked(changes Changes, restored bool) bool {
 	present := make(map[string]struct{}, len(changes.Rows))
 	for _, r := range changes.Rows {
 		present[r.Key] = struct{}{}
 	}
 	updated := false
 	for key, r := range c.rows {
-		if _, ok := present[key]; !ok && !r.Deleted && !changes.Before(r.Version) {
-			c.rows[key] = Row{Key: key, Version: changes.Version, Deleted: true}
+		if _, ok := present[key]; !ok && !r.Deleted && (restored || !changes.Before(r.Version)) {
+			c.keepPreviousLocked(r.Row)
+			c.rows[key] = cachedRow{Row: Row{Key: key, Version: changes.Version, Deleted: true}, since: changes.Version}
 			updated = true
 		}
 	}
@@ -307,7 +373,7 @@
 // pruneTombstonesLocked drops the oldest tombstones once there are more than
 // maxTombstones. It keeps half of that limit, so that not every deletion prunes.
 func (c *Cache) pruneTombstonesLocked() {
-	var deleted []Row
+	var deleted []cachedRow
 	for _, r := range c.rows {
 		if r.Deleted {
 			deleted = append(deleted, r)
@@ -316,15 +382,19 @@
 	if len(deleted) <= maxTombstones {
 		return
 	}
-	slices.SortFunc(deleted, byVersion)
+	slices.SortFunc(deleted, func(a, b cachedRow) int { return a.since.Compare(b.since) })
 	for _, r := range deleted[:len(deleted)-maxTombstones/2] {
-		c.prunedVersion = Latest(c.prunedVersion, r.Version)
+		switch r.since.Era {
+		case c.span.version.Era:
+			c.span.from = Latest(c.span.from, r.since)
+			c.prior = span{}
+		default:
+			c.prior.from = Latest(c.prior.from, r.since)
+		}
 		delete(c.rows, r.Key)
 	}
 }
 
-func byVersion(a, b Row) int { return a.Compare(b.Version) }
-
 func (c *Cache) notifyLocked() {
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -357,24 +427,29 @@
 }
 
 // Since returns the changes after version, sorted by version, for a follower that
-// has the table at this version. If known is false, or the version is too old or of
-// another era, it returns the whole table. If the cache itself has no table yet, it
-// returns no rows.
+// has the table at this version, which may be of the era before. If known is false or
+// the version is too old, or of an era that this cache does not know to its end, it
+// returns the whole table. If the cache itself has no table yet, it returns no rows.
 func (c *Cache) Since(known bool, version Version) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
 		return Changes{Version: version}
 	}
-	changes := Changes{Whole: !known || version.Era != c.version.Era || version.Before(c.prunedVersion), Version: c.version}
-	if !changes.Whole {
-		changes.Version = Latest(c.version, version)
+	changes := Changes{Version: c.span.version}
+	switch {
+	case known && c.span.has(version):
+		changes.Version = Latest(c.span.version, version)
+	case known && c.prior != (span{}) && c.prior.has(version) && !c.prior.version.Before(version):
+		changes.Base = &version
+	default:
+		changes.Whole = true
 	}
 	for _, r := range c.rows {
-		if changes.Whole && !r.Deleted || !changes.Whole && version.Before(r.Version) {
-			changes.Rows = append(changes.Rows, r)
+		if changes.Whole && !r.Deleted || !changes.Whole && version.Before(r.since) {
+			changes.Rows = append(changes.Rows, r.Row)
 		}
 	}
-	slices.SortFunc(changes.Rows, byVersion)
+	slices.SortFunc(changes.Rows, func(a, b Row) int { return a.Compare(b.Version) })
 	return changes
 }
