Soak: let the store go back to older copies of itself

Fresh seeds change the configuration and restore the store beside the other faults; the last configuration must be in force at every proxy. Regression seeds run as before.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,8 +40,10 @@
 	for i := range *seeds {
 		allSeeds = append(allSeeds, *firstSeed+uint64(i))
 	}
-	for _, seed := range allSeeds {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { runSeed(t, program, seed) })
+	for i, seed := range allSeeds {
+		// The regression seeds are older than restores, which would change their course.
+		restores := i >= len(regressionSeeds)
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { runSeed(t, program, seed, restores) })
 	}
 }
 
@@ -68,11 +70,14 @@
 	// refused holds the keys of writes that were reported as not executed.
 	refused    map[string]struct{}
 	violations []string
+	// version is that of the last configuration.
+	version int
 }
 
 // runSeed runs the callers while faults are injected, then waits for recovery
-// and checks the writes.
-func runSeed(t *testing.T, program string, seed uint64) {
+// and checks the writes. If restores is set, the store also goes back to older copies of
+// itself.
+func runSeed(t *testing.T, program string, seed uint64, restores bool) {
 	h := &harness{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), program: program, dir: t.TempDir(), network: reserveNetwork(t), stop: make(chan struct{}),
 		acknowledged: make(map[string]string), refused: make(map[string]struct{}),
@@ -93,9 +98,7 @@
 	h.platformLink, err = NewLink(h.platform.Address())
 	require.NoError(t, err)
 	defer h.platformLink.Close()
-	h.platform.Configure(1, 64, 1000,
-		standin.Route{Name: "r1", Database: "fills", Kind: standin.Primary, Timeout: 1500, Target: 300, Priority: 1, Group: "shop"},
-		standin.Route{Name: "r2", Database: "invoices", Kind: standin.ReadYourWrites, Timeout: 1500, Target: 300, Priority: 2, Group: "shop", MaxAge: 2500})
+	h.configure(1)
 	for i := range *proxyCount {
 		h.proxies = append(h.proxies, h.newProcess(i))
 	}
@@ -108,9 +111,14 @@
 			h.runCaller(i)
 		}()
 	}
+	if restores {
+		end := time.Now().Add(*duration)
+		go h.restoreStore(rand.New(rand.NewPCG(seed, 2)), end)
+	}
 	h.injectFaults()
 	h.heal()
 	h.awaitWrites()
+	h.checkConfiguration()
 	close(h.stop)
 	callers.Wait()
 	h.check()
@@ -244,6 +252,51 @@
 	time.Sleep(2600 * time.Millisecond)
 }
 
+// configure writes the next configuration, with a route that only it has.
+func (h *harness) configure(version int) {
+	h.mu.Lock()
+	h.version = version
+	h.mu.Unlock()
+	route := standin.Route{Name: "r1", Database: "fills", Kind: standin.Primary, Timeout: 1500, Target: 300, Priority: 1, Group: "shop"}
+	routes := []standin.Route{route, {Name: "r2", Database: "invoices", Kind: standin.ReadYourWrites, Timeout: 1500, Target: 300, Priority: 2, Group: "shop", MaxAge: 2500}}
+	route.Name, route.Database = fmt.Sprint("v", version), fmt.Sprint("only", version)
+	h.platform.Configure(version, 64, 1000, append(routes, route)...)
+}
+
+// restoreStore changes the configuration and lets the store go back to copies of itself
+// until end. The store's operator writes its newest configuration again.
+func (h *harness) restoreStore(random *rand.Rand, end time.Time) {
+	var copies []standin.Copy
+	for version := 2; time.Now().Before(end); version++ {
+		copies = append(copies, h.platform.Copy())
+		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
+		h.configure(version)
+		if random.IntN(3) > 0 {
+			continue
+		}
+		h.platform.SetDown(true)
+		time.Sleep(time.Duration(100+random.IntN(1200)) * time.Millisecond)
+		h.platform.Restore(copies[random.IntN(len(copies))], true)
+		h.platform.SetDown(false)
+	}
+}
+
+// checkConfiguration reports each proxy that does not have the last configuration in
+// force, whose route is the only one for its database.
+func (h *harness) checkConfiguration() {
+	h.mu.Lock()
+	database := fmt.Sprint("only", h.version)
+	h.mu.Unlock()
+	for _, p := range h.proxies {
+		c, err := standin.Open(p.callerAddress, database)
+		if err != nil {
+			h.addViolation("%s does not serve %s of the last configuration: %v; its log ends with %s", p.name, database, err, h.lastLogLine(p))
+			continue
+		}
+		c.Close()
+	}
+}
+
 // heal clears the faults of links and databases, resumes stopped processes and
 // starts those that have exited.
 func (h *harness) heal() {
