--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -31,6 +31,8 @@
 	f.Add([]byte(`{"name":"a","zone":"z","address":"10.0.0.1:1"}`))
 	f.Add([]byte(`{"table":"t","known":true,"version":3,"bases":{"a":1}}`))
 	f.Add([]byte(`{"holder":"a","nonce":1,"open":true,"primary":"b","term":2}`))
+	f.Add([]byte(`{"table":"t","known":true,"era":2,"version":3,"sums":{"a":1}}`))
+	f.Add([]byte(`{"group":"g","era":2,"number":7}`))
 	f.Add([]byte(`null`))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		r := newRelays(proxy.Peer{Name: "self"}, []string{"t"}, newManualClock(), zap.NewNop())
@@ -45,6 +47,9 @@
 		_ = a.ObserveVote(1, "p", data, at(1))
 		front := New(Settings{Name: "self"}, Platform{Store: &hangingStore{}}, clock.NewBoot(), zap.NewNop(), NewMetrics())
 		front.stopping.Store(true)
+		_, _ = front.handleEarlierClaims(data)
+		_, _ = front.handleInForce(data)
 		front.applyAgreement(store.Changes{Rows: []store.Row{{Key: "claim/g", Value: data, Version: at(1)}, {Key: "vote/g/p", Value: data, Version: at(2)}}})
+		front.roster.apply(1, store.Changes{Rows: []store.Row{{Key: "a", Value: data, Version: at(1)}}, Whole: true, Version: at(2)})
 	})
 }
