--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,6 @@
 
 import (
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -272,50 +271,6 @@
 	return list
 }
 
-// applyVersions applies changed rows of the configuration table. A process that
-// starts asks the others first if the store may lack what they have in force.
-func (f *Front) applyVersions(changes store.Changes) {
-	if f.versions.Load() == nil && changes.Era > store.FirstEra {
-		f.acceptFromPeers(changes.Rows)
-	}
-	for _, row := range changes.Rows {
-		f.applyVersion(row, "")
-	}
-}
-
-// applyVersion puts a configuration in force unless it is older than the one that is.
-// from is the proxy that has sent it, empty if it is from the followed table.
-func (f *Front) applyVersion(row store.Row, from string) {
-	v, err := f.platform.DecodeVersion(row)
-	if err != nil {
-		f.log.Error("invalid configuration row", zap.Stringer("row", row.Version), zap.String("from", from), logs.Error(err))
-		return
-	}
-	if v == nil {
-		return
-	}
-	f.versionsMu.Lock()
-	defer f.versionsMu.Unlock()
-	if !f.versions.Accept(v) {
-		f.log.Info("older configuration ignored", zap.Uint64("version", v.Number), zap.Uint64("inForce", f.versions.Load().Number),
-			zap.Stringer("row", row.Version), zap.String("from", from))
-		return
-	}
-	f.inForce = &row
-	f.setConnectionLimits(v)
-	f.log.Info("configuration in force", zap.Uint64("version", v.Number), zap.Int("routes", len(v.Routes)), zap.String("from", from))
-}
-
-// setConnectionLimits passes the connection limits of the groups to f.homes,
-// which divides them among the home proxies.
-func (f *Front) setConnectionLimits(v *routes.Version) {
-	limits := make(map[string]int, len(v.Groups))
-	for name, g := range v.Groups {
-		limits[name] = g.ConnectionLimit
-	}
-	f.homes.SetConnectionLimits(limits)
-}
-
 // applyEntries applies changed rows of the registry table. If they are the whole
 // table, databases without a row are marked as lapsed.
 func (f *Front) applyEntries(changes store.Changes) {
@@ -374,55 +329,6 @@
 	}
 }
 
-// applyAgreement applies changed claims, votes and stored databases.
-func (f *Front) applyAgreement(changes store.Changes) {
-	starting := f.beginAgreementEra(changes)
-	for _, row := range changes.Rows {
-		if row.Deleted {
-			f.forgetDatabases(row.Key)
-			continue
-		}
-		kind, rest, _ := strings.Cut(row.Key, "/")
-		name, _, _ := strings.Cut(rest, "/")
-		switch {
-		case kind+"/" == databasesPrefix:
-			f.applyDatabases(row, starting)
-			continue
-		case kind+"/" == votePrefix && (changes.Whole || changes.Base != nil):
-			// The vote may be of any age.
-			continue
-		case kind+"/" == claimPrefix && row.Key != claimKey(name, changes.Era):
-			// A claim of an earlier era.
-			continue
-		case kind+"/" != votePrefix && kind+"/" != claimPrefix:
-			continue
-		}
-		f.mu.Lock()
-		g := f.groupLocked(name)
-		f.mu.Unlock()
-		g.replacement.observe(row)
-	}
-}
-
-// beginAgreementEra begins the era of the changes in all groups if it is a new one.
-// It reports whether the table was read for the first time.
-func (f *Front) beginAgreementEra(changes store.Changes) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	starting := f.agreementEra == 0
-	if changes.Era > f.agreementEra {
-		f.agreementEra, f.agreementEraAt = changes.Era, f.clock.Now()
-	}
-	for _, g := range f.groups {
-		g.replacement.beginEra(f.agreementEra, f.agreementEraAt)
-		if changes.Whole {
-			// The rows of the table follow, if it has them.
-			g.databases.stored = ""
-		}
-	}
-	return starting
-}
-
 // runTicks does the periodic work of the instance every tickInterval: it
 // detects overload, rolls back abandoned transactions, updates the gauges and
 // checks the groups.
--- a/internal/front/in_force.go
+++ b/internal/front/in_force.go
@@ -10,6 +10,7 @@
 
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -76,3 +77,47 @@
 	}
 	wg.Wait()
 }
+
+// applyVersions applies changed rows of the configuration table. A process that
+// starts asks the others first if the store may lack what they have in force.
+func (f *Front) applyVersions(changes store.Changes) {
+	if f.versions.Load() == nil && changes.Era > store.FirstEra {
+		f.acceptFromPeers(changes.Rows)
+	}
+	for _, row := range changes.Rows {
+		f.applyVersion(row, "")
+	}
+}
+
+// applyVersion puts a configuration in force unless it is older than the one that is.
+// from is the proxy that has sent it, empty if it is from the followed table.
+func (f *Front) applyVersion(row store.Row, from string) {
+	v, err := f.platform.DecodeVersion(row)
+	if err != nil {
+		f.log.Error("invalid configuration row", zap.Stringer("row", row.Version), zap.String("from", from), logs.Error(err))
+		return
+	}
+	if v == nil {
+		return
+	}
+	f.versionsMu.Lock()
+	defer f.versionsMu.Unlock()
+	if !f.versions.Accept(v) {
+		f.log.Info("older configuration ignored", zap.Uint64("version", v.Number), zap.Uint64("inForce", f.versions.Load().Number),
+			zap.Stringer("row", row.Version), zap.String("from", from))
+		return
+	}
+	f.inForce = &row
+	f.setConnectionLimits(v)
+	f.log.Info("configuration in force", zap.Uint64("version", v.Number), zap.Int("routes", len(v.Routes)), zap.String("from", from))
+}
+
+// setConnectionLimits passes the connection limits of the groups to f.homes,
+// which divides them among the home proxies.
+func (f *Front) setConnectionLimits(v *routes.Version) {
+	limits := make(map[string]int, len(v.Groups))
+	for name, g := range v.Groups {
+		limits[name] = g.ConnectionLimit
+	}
+	f.homes.SetConnectionLimits(limits)
+}
