Bound the proxies that are asked after a restore

Above 64 proxies now eight relays are asked for the configuration, and a group without homes waits out earlier claims. TestFewProxiesAreAskedForClaims; the first check failed before (294 names).

--- a/internal/front/earlier_claims.go
+++ b/internal/front/earlier_claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 
@@ -46,8 +47,9 @@
 // earlierClaims asks other proxies whether they act on a claim of an earlier era, so
 // that a lost primary need not wait until such claims have ended.
 type earlierClaims struct {
-	// claimants returns the other proxies that may hold a claim on the group.
-	claimants func() []string
+	// claimants returns the other proxies that may hold a claim on the group, or an
+	// error if they are too many to be asked.
+	claimants func() ([]string, error)
 	// ask asks one of them. It returns an error if that proxy does not answer.
 	ask func(ctx context.Context, name string, era uint64) (earlierClaimsResult, error)
 }
@@ -62,7 +64,10 @@
 func (c *earlierClaims) check(era uint64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), earlierClaimsTimeout.Std())
 	defer cancel()
-	names := c.claimants()
+	names, err := c.claimants()
+	if err != nil {
+		return err
+	}
 	failures := make([]error, len(names))
 	var wg sync.WaitGroup
 	for i, name := range names {
@@ -83,7 +88,7 @@
 // newEarlierClaims returns the inquiry about claims on a group.
 func newEarlierClaims(f *Front, group string) earlierClaims {
 	return earlierClaims{
-		claimants: func() []string { return f.claimants(group) },
+		claimants: func() ([]string, error) { return f.claimants(group) },
 		ask: func(ctx context.Context, name string, era uint64) (earlierClaimsResult, error) {
 			var answer earlierClaimsResult
 			err := f.peerConns.Call(ctx, name, methodEarlierClaims, earlierClaimsParams{Group: group, Era: era}, &answer)
@@ -92,21 +97,39 @@
 	}
 }
 
-// claimants returns the other proxies that may hold a claim on a group.
-func (f *Front) claimants(group string) []string { return f.askable(f.homes.Homes(group)) }
+// tooManyError reports that there are too many proxies to ask all of them.
+type tooManyError struct{ Proxies, Limit int }
 
-// askable returns the other live proxies, or those in few if there are more than
-// maxAskedProxies.
-func (f *Front) askable(few []proxy.Peer) []string {
-	f.mu.Lock()
-	asked := f.roster.live()
-	f.mu.Unlock()
-	if len(asked) > maxAskedProxies && len(few) > 0 {
-		asked = few
+func (e *tooManyError) Error() string {
+	return fmt.Sprintf("%d proxies are too many to ask, expected at most %d", e.Proxies, e.Limit)
+}
+
+// claimants returns the other proxies that may hold a claim on a group. It returns a
+// *tooManyError if that may be any proxy of a large fleet.
+func (f *Front) claimants(group string) ([]string, error) {
+	asked := f.others()
+	if len(asked) > maxAskedProxies {
+		homes := namesOf(f.homes.Homes(group), f.self.Name)
+		if len(homes) == 0 || len(homes) > maxAskedProxies {
+			return nil, &tooManyError{Proxies: len(asked), Limit: maxAskedProxies}
+		}
+		asked = homes
 	}
-	names := make([]string, 0, len(asked))
-	for _, p := range asked {
-		if p.Name != f.self.Name {
+	return asked, nil
+}
+
+// others returns the names of all other live proxies.
+func (f *Front) others() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return namesOf(f.roster.live(), f.self.Name)
+}
+
+// namesOf returns the names of all proxies but one.
+func namesOf(list []proxy.Peer, except string) []string {
+	names := make([]string, 0, len(list))
+	for _, p := range list {
+		if p.Name != except {
 			names = append(names, p.Name)
 		}
 	}
--- a/internal/front/earlier_claims_test.go
+++ b/internal/front/earlier_claims_test.go
@@ -37,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f, r := claimsIn(&restoredStore{}, 2)
-			r.earlierClaims = earlierClaims{claimants: func() []string { return []string{"a", "b"} }, ask: c.ask}
+			r.earlierClaims = earlierClaims{claimants: func() ([]string, error) { return []string{"a", "b"}, nil }, ask: c.ask}
 			now := f.clock.Now()
 			require.True(t, r.agreement.AwaitsEarlierClaims(now))
 			r.mu.Lock()
@@ -94,8 +94,10 @@
 			f.roster.listed[p.Name] = p
 		}
 		f.homes.SetMembers(f.roster.live())
-		require.Len(t, f.claimants("shop"), asked)
-		require.NotContains(t, f.claimants("shop"), "p000")
+		names, err := f.claimants("shop")
+		require.NoError(t, err)
+		require.Len(t, names, asked)
+		require.NotContains(t, names, "p000")
 	}
 	f := New(Settings{Name: "p000", Zone: "a"}, Platform{Store: &hangingStore{}}, clock.NewBoot(), zap.NewNop(), NewMetrics())
 	require.NoError(t, f.startPeers("127.0.0.1:0"))
@@ -104,11 +106,18 @@
 		f.roster.listed[p.Name] = p
 	}
 	f.homes.SetMembers(f.roster.live())
+	f.relays.setMembers(f.roster.live())
+	_, err := f.claimants("shop")
+	var many *tooManyError
+	require.ErrorAs(t, err, &many, "any of them may claim")
 	f.homes.SetConnectionLimits(map[string]int{"shop": 162})
 	homes := f.homes.Homes("shop")
 	require.NotEmpty(t, homes)
 	require.Less(t, len(homes), 30)
-	for _, name := range f.claimants("shop") {
+	names, err := f.claimants("shop")
+	require.NoError(t, err)
+	for _, name := range names {
 		require.True(t, proxy.ContainsPeer(homes, name))
 	}
+	require.Len(t, f.relays.nearest(maxAskedRelays), maxAskedRelays)
 }
--- a/internal/front/in_force.go
+++ b/internal/front/in_force.go
@@ -21,6 +21,9 @@
 	// inForceTimeout is the timeout of that call. Callers wait until a process has a
 	// configuration.
 	inForceTimeout = 250 * clock.Millisecond
+	// maxAskedRelays is how many relays are asked in a fleet that is too large for all
+	// proxies to be asked. All relays have the configuration in force.
+	maxAskedRelays = 8
 )
 
 // inForceParams asks for a configuration with a higher number.
@@ -59,7 +62,10 @@
 			known.Number = max(known.Number, v.Number)
 		}
 	}
-	names := f.askable(f.relays.allSources())
+	names := f.others()
+	if len(names) > maxAskedProxies {
+		names = namesOf(f.relays.nearest(maxAskedRelays), f.self.Name)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), inForceTimeout.Std())
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -185,11 +184,12 @@
 	return len(r.sources) > 0
 }
 
-// allSources returns the proxies that this one follows.
-func (r *relays) allSources() []proxy.Peer {
+// nearest returns up to n relays, those of the own availability zone first.
+func (r *relays) nearest(n int) []proxy.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.sources)
+	list := sortByPreference(r.self, r.tiers.relays)
+	return list[:min(n, len(list))]
 }
 
 // candidates returns the sources that may be polled now. A root has none.
