--- a/cmd/oleanderflow-front/restore_test.go
+++ b/cmd/oleanderflow-front/restore_test.go
@@ -63,8 +63,7 @@
 	require.Eventually(t, func() bool { return serves(s.fronts[0], "fills") }, configurationLimit, 10*time.Millisecond)
 }
 
-// After a restore had taken the claim of a promotion back, the next promotion was sent
-// with a token that was lower than the first one.
+// After a restore, a promotion was sent with a lower token than the one before.
 func TestTokensOfPromotionsRiseAcrossARestore(t *testing.T) {
 	s := startSystem(t, 3, 64, 0)
 	c := openSession(t, s.fronts[0], "fills")
@@ -98,8 +97,7 @@
 	}
 }
 
-// A process that started after a restore served an older configuration than the others,
-// until the operator had written the lost one again.
+// A process that started after a restore served an older configuration.
 func TestProcessThatStartsAfterARestoreServesWhatOthersHaveInForce(t *testing.T) {
 	s := startSystem(t, 2, 64, 0)
 	time.Sleep(time.Second) // wait until the members are stored
--- a/internal/front/earlier_claims_test.go
+++ b/internal/front/earlier_claims_test.go
@@ -12,8 +12,7 @@
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
-// A lost primary was not replaced for seconds after a restore though no proxy acted on
-// an earlier claim. One that does, or does not answer, is waited for.
+// A lost primary was not replaced for seconds after a restore.
 func TestClaimsOfEarlierErasAreAskedFor(t *testing.T) {
 	none := func(context.Context, string, uint64) (earlierClaimsResult, error) { return earlierClaimsResult{}, nil }
 	for name, c := range map[string]struct {
--- a/internal/front/era_test.go
+++ b/internal/front/era_test.go
@@ -30,8 +30,7 @@
 	return c, root, relay, follower
 }
 
-// A relay that had the new era sent its followers nothing, since their version was
-// higher. They are sent what differs.
+// A relay that had the new era sent its followers nothing.
 func TestFollowerOfAnEarlierEraIsSentWhatDiffers(t *testing.T) {
 	for name, value := range map[string][]byte{"same content": largeValue(400), "other content": append(largeValue(400), "changed"...)} {
 		t.Run(name, func(t *testing.T) {
@@ -62,8 +61,7 @@
 	}
 }
 
-// A relay that has not heard of the new era must not take its follower back, neither
-// with changes nor with a whole table.
+// A relay that has not heard of the new era must not take its follower back.
 func TestRelayOfAnEarlierEraIsNotFollowed(t *testing.T) {
 	c, _, relay, follower := tiersWithTable(t)
 	for _, known := range []bool{true, false} {
@@ -101,8 +99,7 @@
 	require.Equal(t, at(30), root.copies["t"].Version())
 }
 
-// Earlier builds know no eras. They are served as before, also after a restore, and
-// what they send counts as of the first era.
+// Earlier builds know no eras. They are served as before, also after a restore.
 func TestEarlierBuildsAreServedWithoutEras(t *testing.T) {
 	_, root, relay, _ := tiersWithTable(t)
 	root.update("t", store.Changes{Rows: []store.Row{{Key: "config", Value: []byte("new"), Version: second(40)}}, Whole: true, Version: second(41)})
@@ -150,8 +147,7 @@
 	return s.version, nil
 }
 
-// A store that has given out a version again holds the feed after it open. An answer
-// to any other call tells that the era has ended.
+// A store that has given out a version again holds the feed after it open.
 func TestFeedsOfAnEarlierEraAreGivenUp(t *testing.T) {
 	s := &eraStore{version: at(5), reads: make(chan string, 9)}
 	f := New(Settings{}, Platform{Store: s, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
--- a/internal/front/register_test.go
+++ b/internal/front/register_test.go
@@ -116,8 +116,7 @@
 	require.InDelta(t, 300, delayed, 15)
 }
 
-// The version of the written row was higher than any of the restored store, so that the
-// row counted as on its way.
+// The row counted as on its way, since its version was higher than any other.
 func TestRowLostWithARestoreIsWrittenAgain(t *testing.T) {
 	s := &rowStore{}
 	f := New(Settings{Name: "self", Zone: "a"}, Platform{Store: s}, clock.NewBoot(), zap.NewNop(), NewMetrics())
--- a/internal/front/replacement_test.go
+++ b/internal/front/replacement_test.go
@@ -49,8 +49,7 @@
 	return f, f.groupLocked("shop").replacement
 }
 
-// A claim that was written to the restored store, at a version that the proxy knew of
-// another row, counted as acquired.
+// A claim that was written to the restored store counted as acquired.
 func TestClaimWrittenInALaterEraIsNotHeld(t *testing.T) {
 	for _, lose := range []bool{false, true} {
 		s := &restoredStore{version: store.Version{Era: 2, Number: 11}, loseAnswers: lose}
@@ -62,8 +61,7 @@
 	}
 }
 
-// A write of an earlier era that is done late must not meet its condition again: no
-// two eras use the same row.
+// A late write of an earlier era met its condition again.
 func TestClaimsOfTwoErasAreDifferentRows(t *testing.T) {
 	s := &restoredStore{version: at(11)}
 	_, r := claimsIn(s, store.FirstEra)
--- a/internal/front/roster_test.go
+++ b/internal/front/roster_test.go
@@ -92,8 +92,7 @@
 	require.Len(t, r.removed, maxRemovedRows)
 }
 
-// A follower is sent only the rows that a restore has changed. A row that it has taken
-// back is told from one that was removed before.
+// A row that a restore has taken back is told from one that was removed.
 func TestRosterReadsWhatARestoreHasChanged(t *testing.T) {
 	r := newRoster()
 	r.apply(1000, store.Changes{Rows: []store.Row{memberRow(t, stayed, at(1)), memberRow(t, left, at(2)), memberRow(t, started, at(3))}, Whole: true, Version: at(4)})
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -276,8 +276,7 @@
 	}
 }
 
-// The registry was restored from an older copy, and a database that was leaving, or
-// gone, was used again.
+// A database that was leaving, or gone, was used again after a restore.
 func TestEntryThatIsOlderThanAKnownOneIsOutdated(t *testing.T) {
 	now := clock.Time(10_000)
 	g := New("shop")
--- a/internal/process/platform/store/cache_test.go
+++ b/internal/process/platform/store/cache_test.go
@@ -151,8 +151,7 @@
 	require.Equal(t, Changes{Rows: []Row{{Key: "b", Version: at(10), Deleted: true}}, Version: at(10)}, c.Since(true, at(9)))
 }
 
-// A relay kept the rows of a store that had gone back, and its followers were
-// never sent those of the new era. They are sent what differs.
+// A relay kept the rows of a store that had gone back.
 func TestFollowersOfACacheReachTheNewEra(t *testing.T) {
 	c := NewCache()
 	same := Row{Key: "same", Value: []byte("same"), Version: at(3)}
@@ -239,8 +238,7 @@
 	require.True(t, dst.Apply(changes))
 }
 
-// Whatever the store's history and whenever they ask, all tiers have at each moment the
-// rows that the store had at their version.
+// All tiers have at each moment the rows that the store had at their version.
 func TestTiersConvergeAcrossRestores(t *testing.T) {
 	for seed := range uint64(60) {
 		rng := rand.New(rand.NewPCG(seed, 2))
@@ -314,8 +312,7 @@
 	return values
 }
 
-// A relay that has started later than its follower does not know what was deleted
-// before, and the follower kept the row.
+// A relay that started later than its follower hid earlier deletions from it.
 func TestStartedCacheHidesNoDeletions(t *testing.T) {
 	c := NewCache()
 	c.Apply(Changes{Rows: []Row{{Key: "a", Version: at(3)}}, Whole: true, Version: at(8)})
--- a/internal/version/platform/history_test.go
+++ b/internal/version/platform/history_test.go
@@ -195,8 +195,7 @@
 	require.Equal(t, version.RecordOrderError{ChangeID: "first", Version: 3, Successor: 2}, *order)
 }
 
-// After the table had gone back, a change was accepted under a version that proxies had
-// in force with another content, and ignored by them.
+// A change was accepted under a version that proxies had in force already.
 func TestChangeAfterARestoreIsAboveTheVersionsInForce(t *testing.T) {
 	for name, restoreObjects := range map[string]bool{"table only": false, "table and objects": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/version/proxy/spread_test.go
+++ b/internal/version/proxy/spread_test.go
@@ -261,8 +261,7 @@
 	require.Equal(t, uint64(2), s.Refused().Version)
 }
 
-// A table that went back is reported, and does not take proxies back. A change above the
-// version in force is taken.
+// A table that went back is reported, and does not take proxies back.
 func TestTableThatWentBackIsReported(t *testing.T) {
 	s := proxy.NewSpread(spreadSettings, rand.New(rand.NewPCG(1, 1)))
 	activate := func(h proxy.Head) {
