--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -117,8 +117,9 @@
 	}
 	h.injectFaults()
 	h.heal()
+	healed := time.Now()
 	h.awaitWrites()
-	h.checkConfiguration()
+	h.awaitConfiguration(healed.Add(stableWindow + configurationLimit))
 	close(h.stop)
 	callers.Wait()
 	h.check()
@@ -281,19 +282,33 @@
 	}
 }
 
-// checkConfiguration reports each proxy that does not have the last configuration in
-// force, whose route is the only one for its database.
-func (h *harness) checkConfiguration() {
+// By the platform's rules, a proxy has to know a configuration configurationLimit after
+// it was written, once neither its links nor the store were disturbed for stableWindow. A
+// connection that a fault has left silent is such a disturbance.
+const (
+	stableWindow       = 4 * time.Second
+	configurationLimit = 3 * time.Second
+)
+
+// awaitConfiguration waits until every proxy has the last configuration in force, whose
+// route is the only one for its database. Each proxy that has not at end is a violation.
+func (h *harness) awaitConfiguration(end time.Time) {
 	h.mu.Lock()
 	database := fmt.Sprint("only", h.version)
 	h.mu.Unlock()
 	for _, p := range h.proxies {
-		c, err := standin.Open(p.callerAddress, database)
-		if err != nil {
-			h.addViolation("%s does not serve %s of the last configuration: %v; its log ends with %s", p.name, database, err, h.lastLogLine(p))
-			continue
+		for {
+			c, err := standin.Open(p.callerAddress, database)
+			if err == nil {
+				c.Close()
+				break
+			}
+			if time.Now().After(end) {
+				h.addViolation("%s does not serve %s of the last configuration: %v; its log ends with %s", p.name, database, err, h.lastLogLine(p))
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
 		}
-		c.Close()
 	}
 }
 
