--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -134,6 +134,7 @@
 	agreed := !s.Reason.NeedsAgreement() || !s.Listed || r.agreement.Agrees(now, r.self, vote)
 	switch {
 	case agreed && !free:
+		// A claim of an earlier era may be in effect.
 	case agreed:
 		r.running, r.runningEra = true, r.agreement.Era()
 		go contain.Run(r.log, "replacement", func() { r.run(s) })
