Callers belong to workspaces, by their keys

Change: a configuration's workspaces, keys, rates and public routes are decoded; each statement, BEGIN and COMMIT is admitted by the key and the configuration in force; the workspace travels with forwarded requests; a pool keeps connections by workspace and closes the one idle for longest for another workspace. Unknown keys get NOAUTH.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -12,11 +12,15 @@
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
-// Target identifies a database and its address.
+// Target identifies a database, its address, and on whose behalf a connection is
+// opened.
 type Target struct {
 	Group   string
 	ID      string
 	Address string
+	// Workspace is empty for connections that serve the proxy itself or callers of
+	// public routes.
+	Workspace string
 }
 
 // Dialer opens connections to databases.
@@ -44,6 +48,9 @@
 // on it.
 type PooledConn struct {
 	Conn
+	// Workspace is the workspace that the connection was opened for. It serves no
+	// other.
+	Workspace string
 	// Values are the session values that are set on the connection, by name.
 	Values map[string]string
 	// Prepared holds the names of the statements that are prepared on the
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -333,7 +333,7 @@
 		if p == nil || m.Role == database.RolePrimary {
 			continue
 		}
-		cost := readCost(now, &m, p, g.Zone)
+		cost := readCost(now, &m, p, g.Zone, p.Stats().Open)
 		candidates = append(candidates, candidate{m.ID, cost})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
--- a/internal/connection/backend/group_client_test.go
+++ b/internal/connection/backend/group_client_test.go
@@ -132,21 +132,21 @@
 		latency.End(now, 200)
 	}
 	for range 50 {
-		m, _ := g.SelectForRead(nil)
+		m, _ := g.SelectForRead("", nil)
 		require.NotEqual(t, "a", m.ID)
 	}
 	g.Pool("b").Latency.MarkLagging(now.Add(clock.Minute))
 	for range 50 {
-		m, _ := g.SelectForRead(nil)
+		m, _ := g.SelectForRead("", nil)
 		require.Equal(t, "c", m.ID)
 	}
 	g.Pool("c").Latency.MarkLagging(now.Add(clock.Minute))
-	m, _ := g.SelectForRead(nil)
+	m, _ := g.SelectForRead("", nil)
 	require.Equal(t, "a", m.ID)
-	_, p := g.SelectForRead([]string{"a"})
+	_, p := g.SelectForRead("", []string{"a"})
 	require.Nil(t, p)
 	primary.Latency.MarkLagging(now.Add(clock.Minute))
-	_, p = g.SelectForRead(nil)
+	_, p = g.SelectForRead("", nil)
 	require.NotNil(t, p, "all databases lag")
 }
 
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -121,7 +121,12 @@
 	idle    []*PooledConn
 	open    int
 	dialing int
-	waiting []chan grant
+	// openFor and dialingFor count the connections that are open and being opened
+	// by workspace.
+	openFor    map[string]int
+	dialingFor map[string]int
+	// waiting is in the order of arrival.
+	waiting []connWaiter
 	closed  bool
 	// dialErr is why the last attempt to connect failed. No other attempt is
 	// made before retryAt.
@@ -146,22 +151,35 @@
 // NewPool returns an empty pool. onDial is called after each attempt to connect
 // with the greeting, the time at which the attempt began, and the error.
 func NewPool(to Target, s Settings, d Dialer, c clock.Clock, log *zap.Logger, onDial func(statement.Answer, clock.Time, error)) *Pool {
-	return &Pool{Target: to, settings: s, dialer: d, clock: c, log: log, onDial: onDial, idleTimeout: initialIdleTimeout}
+	return &Pool{
+		Target: to, settings: s, dialer: d, clock: c, log: log, onDial: onDial, idleTimeout: initialIdleTimeout,
+		openFor: make(map[string]int), dialingFor: make(map[string]int),
+	}
+}
+
+// Acquire returns any connection, for a request of the proxy itself. It waits and
+// fails as AcquireFor does.
+func (p *Pool) Acquire(deadline clock.Time, values map[string]string) (*PooledConn, error) {
+	return p.acquire(deadline, connWaiter{anyWorkspace: true}, values)
 }
 
-// Acquire returns a connection for a session with the given values, preferring
-// one that needs the least work to set them. If none is free, it opens another
-// one as far as the limits allow and waits until the deadline for whichever
+// AcquireFor returns a connection of a workspace for a session with the given
+// values, preferring one that needs the least work to set them. If none is free,
+// it opens another one as far as the limits allow, for which an idle one of
+// another workspace may be closed, and waits until the deadline for whichever
 // connection is free first. It returns one of the errors above, or that of the
 // last attempt to connect.
-func (p *Pool) Acquire(deadline clock.Time, values map[string]string) (*PooledConn, error) {
+func (p *Pool) AcquireFor(deadline clock.Time, workspace string, values map[string]string) (*PooledConn, error) {
+	return p.acquire(deadline, connWaiter{workspace: workspace}, values)
+}
+
+func (p *Pool) acquire(deadline clock.Time, w connWaiter, values map[string]string) (*PooledConn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, &ClosedError{Database: p.ID}
 	}
-	if len(p.idle) > 0 {
-		c := p.takeIdleLocked(values)
+	if c := p.takeIdleLocked(&w, values); c != nil {
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -169,16 +187,24 @@
 		p.mu.Unlock()
 		return nil, &QueueFullError{Database: p.ID, Waiting: waiting}
 	}
-	p.dialMoreLocked(1)
+	w.ch, w.since = make(chan grant, 1), p.clock.Now()
+	p.waiting = append(p.waiting, w)
+	p.dialMoreLocked()
 	if p.open+p.dialing == 0 {
+		p.waiting = p.waiting[:len(p.waiting)-1]
 		err := p.noConnectionErrorLocked()
 		p.mu.Unlock()
 		return nil, err
 	}
-	ch := make(chan grant, 1)
-	p.waiting = append(p.waiting, ch)
 	p.mu.Unlock()
-	return p.wait(ch, deadline)
+	return p.wait(w.ch, deadline)
+}
+
+// OpenFor returns how many connections of a workspace are open or being opened.
+func (p *Pool) OpenFor(workspace string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.openFor[workspace] + p.dialingFor[workspace]
 }
 
 // noConnectionErrorLocked returns why no connection is open or being opened.
@@ -214,8 +240,8 @@
 	if warm && !p.closed {
 		minOpen = min(p.settings.MinOpen, p.settings.MaxOpen)
 	}
-	if p.open+p.dialing < minOpen {
-		p.dialMoreLocked(1)
+	if p.open+p.dialing < minOpen && p.mayDialLocked() {
+		p.startDialLocked("")
 	}
 	var expired []*PooledConn
 	kept := p.idle[:0]
@@ -234,11 +260,15 @@
 	}
 }
 
-// takeIdleLocked removes and returns the idle connection that needs the least
-// work to set values, the most recently used one among equals.
-func (p *Pool) takeIdleLocked(values map[string]string) *PooledConn {
-	best, rank := len(p.idle)-1, -1
+// takeIdleLocked removes and returns the idle connection for w that needs the
+// least work to set values, the most recently used one among equals. It returns
+// nil if there is none.
+func (p *Pool) takeIdleLocked(w *connWaiter, values map[string]string) *PooledConn {
+	best, rank := -1, -1
 	for i := len(p.idle) - 1; i >= 0 && rank < 2; i-- {
+		if !w.accepts(p.idle[i]) {
+			continue
+		}
 		r := 0
 		if p.idle[i].CanAdopt(values) {
 			r = 1
@@ -250,19 +280,79 @@
 			best, rank = i, r
 		}
 	}
+	if best < 0 {
+		return nil
+	}
 	c := p.idle[best]
 	p.idleTimeout = min(p.idleTimeout+p.idleTimeout/idleGrowthDivisor, p.settings.MaxIdleTime)
 	p.idle = append(p.idle[:best], p.idle[best+1:]...)
 	return c
 }
 
-// dialMoreLocked starts opening connections, as many as there are waiting
-// requests plus extra, as far as the limits allow.
-func (p *Pool) dialMoreLocked(extra int) {
-	for p.dialing < len(p.waiting)+extra && p.dialing < p.settings.MaxDials &&
-		p.open+p.dialing < p.settings.MaxOpen && p.clock.Now() >= p.retryAt {
-		p.dialing++
-		go p.dial()
+// connWaiter is a request that waits for a connection.
+type connWaiter struct {
+	workspace string
+	// anyWorkspace is set if connections of all workspaces serve the request.
+	anyWorkspace bool
+	since        clock.Time
+	ch           chan grant
+}
+
+// accepts reports whether a connection serves the request.
+func (w *connWaiter) accepts(c *PooledConn) bool { return w.anyWorkspace || w.workspace == c.Workspace }
+
+// mayDialLocked reports whether another connection may be opened now.
+func (p *Pool) mayDialLocked() bool {
+	return p.dialing < p.settings.MaxDials && p.clock.Now() >= p.retryAt
+}
+
+// dialMoreLocked starts opening connections, one for each waiting request, as far
+// as the limits allow. If the pool may open no more, it closes idle connections
+// of other workspaces instead.
+func (p *Pool) dialMoreLocked() {
+	needed := make(map[string]int, len(p.dialingFor))
+	for i := range p.waiting {
+		w := &p.waiting[i]
+		if needed[w.workspace]++; needed[w.workspace] <= p.dialingFor[w.workspace] {
+			continue
+		}
+		if !p.mayDialLocked() || p.open+p.dialing >= p.settings.MaxOpen && !p.evictIdleLocked(w.workspace) {
+			return
+		}
+		p.startDialLocked(w.workspace)
+	}
+}
+
+func (p *Pool) startDialLocked(workspace string) {
+	p.dialing++
+	p.dialingFor[workspace]++
+	go p.dial(workspace)
+}
+
+// evictIdleLocked closes the idle connection that has been unused for longest
+// among those of other workspaces. It reports whether there was one.
+func (p *Pool) evictIdleLocked(workspace string) bool {
+	oldest := -1
+	for i, c := range p.idle {
+		if c.Workspace != workspace && (oldest < 0 || c.UsedAt < p.idle[oldest].UsedAt) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return false
+	}
+	c := p.idle[oldest]
+	p.idle = append(p.idle[:oldest], p.idle[oldest+1:]...)
+	p.forgetLocked(c)
+	go c.Close()
+	return true
+}
+
+// forgetLocked stops counting a connection that is being closed.
+func (p *Pool) forgetLocked(c *PooledConn) {
+	p.open--
+	if p.openFor[c.Workspace]--; p.openFor[c.Workspace] <= 0 {
+		delete(p.openFor, c.Workspace)
 	}
 }
 
@@ -288,8 +378,8 @@
 func (p *Pool) stopWaiting(ch chan grant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, w := range p.waiting {
-		if w == ch {
+	for i := range p.waiting {
+		if p.waiting[i].ch == ch {
 			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
 			return true
 		}
@@ -300,28 +390,34 @@
 // dial opens a connection. It continues even if the request that needed the
 // connection gives up, since the database has already spent a slot on it by
 // then.
-func (p *Pool) dial() {
+func (p *Pool) dial(workspace string) {
 	began := p.clock.Now()
+	target := p.Target
+	target.Workspace = workspace
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DialTimeout.Std())
 	var conn Conn
 	var greeting statement.Answer
 	err := contain.Call(p.log, "connection setup", func() (err error) {
-		conn, greeting, err = p.dialer.Dial(ctx, p.Target)
+		conn, greeting, err = p.dialer.Dial(ctx, target)
 		return err
 	})
 	cancel()
 	p.onDial(greeting, began, err)
 	p.mu.Lock()
 	p.dialing--
+	if p.dialingFor[workspace]--; p.dialingFor[workspace] <= 0 {
+		delete(p.dialingFor, workspace)
+	}
 	if err != nil {
 		p.dialFailedLocked(err)
 		p.mu.Unlock()
 		return
 	}
 	p.open++
+	p.openFor[workspace]++
 	p.backoff = 0
 	p.mu.Unlock()
-	c := &PooledConn{Conn: conn, pool: p, Values: make(map[string]string), Prepared: make(map[string]struct{})}
+	c := &PooledConn{Conn: conn, Workspace: workspace, pool: p, Values: make(map[string]string), Prepared: make(map[string]struct{})}
 	c.Release()
 }
 
@@ -340,9 +436,27 @@
 	if full {
 		p.idleTimeout = max(p.idleTimeout/2, p.settings.MinIdleTime)
 		p.backoff, wait = 0, 1+clock.Duration(rand.Int64N(int64(p.settings.MaxFullRetryDelay)))
+		if len(p.waiting) > 0 && p.evictIdleLocked(p.waiting[0].workspace) {
+			// The closed connection makes room at the database.
+			wait = evictedRetryDelay
+		}
 	}
 	p.retryAt = p.clock.Now().Add(wait)
 	p.refuseWaitingLocked()
+	if len(p.waiting) > 0 && p.waiting[0].workspace != "" {
+		// Connections of other workspaces are open, but none that is released
+		// serves this request.
+		time.AfterFunc(wait.Std(), p.dialAgain)
+	}
+}
+
+// dialAgain opens connections for waiting requests after a failed attempt.
+func (p *Pool) dialAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.dialMoreLocked()
+	}
 }
 
 // refuseWaitingLocked refuses the waiting requests if no connection that is open
@@ -352,8 +466,15 @@
 		return
 	}
 	err := p.noConnectionErrorLocked()
-	for p.wakeLocked(grant{err: err}) {
+	p.refuseAllLocked(err)
+}
+
+// refuseAllLocked passes an error to all waiting requests.
+func (p *Pool) refuseAllLocked(err error) {
+	for _, w := range p.waiting {
+		w.ch <- grant{err: err}
 	}
+	p.waiting = nil
 }
 
 // grant is the result that a waiting request receives.
@@ -362,16 +483,38 @@
 	err  error
 }
 
-// wakeLocked passes g to the request that has waited longest. It reports
-// whether there was one.
-func (p *Pool) wakeLocked(g grant) bool {
-	if len(p.waiting) == 0 {
+const (
+	// evictedRetryDelay is the wait before the next attempt to connect after an idle
+	// connection was closed because the database has too many: a round trip.
+	evictedRetryDelay = 5 * clock.Millisecond
+	// maxForeignWait is how long a request waits while connections keep serving other
+	// workspaces. Then the next one to be released is closed for it, which costs the
+	// database the setup of another.
+	maxForeignWait = 30 * clock.Millisecond
+)
+
+// grantLocked passes a connection to the request that has waited longest among
+// those that it serves. It reports whether there was one.
+func (p *Pool) grantLocked(c *PooledConn) bool {
+	for i := range p.waiting {
+		if w := &p.waiting[i]; w.accepts(c) {
+			ch := w.ch
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			ch <- grant{conn: c}
+			return true
+		}
+	}
+	return false
+}
+
+// starvingLocked reports whether the request that has waited longest needs a
+// connection of another workspace than c's, and gets none because all are in use.
+func (p *Pool) starvingLocked(c *PooledConn) bool {
+	if len(p.waiting) == 0 || p.open+p.dialing < p.settings.MaxOpen {
 		return false
 	}
-	ch := p.waiting[0]
-	p.waiting = p.waiting[1:]
-	ch <- g
-	return true
+	w := &p.waiting[0]
+	return !w.accepts(c) && p.dialingFor[w.workspace] == 0 && c.UsedAt.Sub(w.since) >= maxForeignWait
 }
 
 // Release returns the connection to the pool.
@@ -379,16 +522,24 @@
 	p := c.pool
 	c.UsedAt = p.clock.Now()
 	p.mu.Lock()
-	if !p.closed && p.wakeLocked(grant{conn: c}) {
+	if p.closed || p.starvingLocked(c) {
+		p.mu.Unlock()
+		c.Discard()
+		return
+	}
+	if p.grantLocked(c) {
 		p.mu.Unlock()
 		return
 	}
-	if p.closed || p.open > p.settings.MaxOpen {
+	if p.open > p.settings.MaxOpen {
 		p.mu.Unlock()
 		c.Discard()
 		return
 	}
 	p.idle = append(p.idle, c)
+	if len(p.waiting) > 0 {
+		p.dialMoreLocked()
+	}
 	p.mu.Unlock()
 }
 
@@ -399,9 +550,9 @@
 	c.Close()
 	p := c.pool
 	p.mu.Lock()
-	p.open--
+	p.forgetLocked(c)
 	if !p.closed {
-		p.dialMoreLocked(0)
+		p.dialMoreLocked()
 		p.refuseWaitingLocked()
 	}
 	p.mu.Unlock()
@@ -423,8 +574,7 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	for p.wakeLocked(grant{err: &ClosedError{Database: p.ID}}) {
-	}
+	p.refuseAllLocked(&ClosedError{Database: p.ID})
 	p.mu.Unlock()
 	p.DiscardIdle()
 }
--- a/internal/connection/backend/selection.go
+++ b/internal/connection/backend/selection.go
@@ -32,18 +32,18 @@
 )
 
 // SelectForRead returns the database with the lowest expected latency for a
-// read, and its pool, among those that are not excluded. Databases that lag too
+// read of a workspace, and its pool, among those that are not excluded. Databases that lag too
 // far behind are considered only if exclude is empty and no other database is
 // usable. The pool is nil if there is no such database.
-func (g *GroupClient) SelectForRead(exclude []string) (group.Member, *Pool) {
-	m, p := g.selectMember(exclude, false)
+func (g *GroupClient) SelectForRead(workspace string, exclude []string) (group.Member, *Pool) {
+	m, p := g.selectMember(workspace, exclude, false)
 	if p == nil && len(exclude) == 0 {
-		m, p = g.selectMember(nil, true)
+		m, p = g.selectMember(workspace, nil, true)
 	}
 	return m, p
 }
 
-func (g *GroupClient) selectMember(exclude []string, includeLagging bool) (group.Member, *Pool) {
+func (g *GroupClient) selectMember(workspace string, exclude []string, includeLagging bool) (group.Member, *Pool) {
 	now := g.clock.Now()
 	var best group.Member
 	var bestPool *Pool
@@ -53,7 +53,7 @@
 		if p == nil || !m.Usable() || slices.Contains(exclude, m.ID) || !includeLagging && p.Latency.IsLagging(now) {
 			continue
 		}
-		cost := readCost(now, &m, p, g.Zone)
+		cost := readCost(now, &m, p, g.Zone, p.OpenFor(workspace))
 		cost *= 1 + costJitter*rand.Float64()
 		if bestPool == nil || cost < lowest {
 			best, bestPool, lowest = m, p, cost
@@ -63,13 +63,14 @@
 }
 
 // readCost returns the expected latency of a read, in ms, plus penalties for
-// properties that make the database a worse choice.
-func readCost(now clock.Time, m *group.Member, p *Pool, zone string) float64 {
+// properties that make the database a worse choice. open is the number of
+// connections that may serve the read.
+func readCost(now clock.Time, m *group.Member, p *Pool, zone string, open int) float64 {
 	cost, avoid := p.Latency.ExpectedLatency(now, m.Slots)
 	if m.Zone != zone {
 		cost += crossZoneCost
 	}
-	if p.Stats().Open == 0 {
+	if open == 0 {
 		cost += dialCost
 	}
 	if m.Role == database.RolePrimary {
--- a/internal/connection/peer/messages.go
+++ b/internal/connection/peer/messages.go
@@ -26,6 +26,10 @@
 	// Begin is set on the first statement of a transaction.
 	Begin *Begin `json:"begin,omitempty"`
 
+	// Workspace is the workspace on whose behalf the request runs. The sender has
+	// checked the caller's key.
+	Workspace string `json:"workspace,omitempty"`
+
 	Route         string             `json:"route"`
 	Group         string             `json:"group"`
 	Consistency   routes.Consistency `json:"kind"`
--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -134,8 +134,8 @@
 		return nil, false
 	}
 	run := &peer.RunRequest{
-		Session: s.Self + "/" + strconv.FormatUint(s.id, 10),
-		Route:   route.Name, Group: route.Group, Consistency: route.Consistency, Timeout: route.Timeout,
+		Session:   s.Self + "/" + strconv.FormatUint(s.id, 10),
+		Workspace: s.workspace, Route: route.Name, Group: route.Group, Consistency: route.Consistency, Timeout: route.Timeout,
 		TargetLatency: route.TargetLatency, Priority: route.Priority, MaxAge: route.MaxAge,
 		Floor: s.floor, ID: r.ID, Operation: operation,
 	}
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -89,7 +89,7 @@
 	// Should the request panic, Sweep still ends the transaction.
 	t.usedAt = s.arrived
 	if run.Begin != nil && s.tx == nil {
-		s.tx = &transaction{route: s.hostedRoute, id: run.Begin.ID, readOnly: run.Begin.ReadOnly, arrived: s.arrived, begun: true}
+		s.tx = &transaction{route: s.hostedRoute, id: run.Begin.ID, workspace: run.Workspace, readOnly: run.Begin.ReadOnly, arrived: s.arrived, begun: true}
 	}
 	if p := run.Prepared; p != nil {
 		s.prepared[p.Name] = statement.Prepare{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
@@ -143,7 +143,7 @@
 // the request.
 func (h *Host) newSession(run *peer.RunRequest) *Session {
 	s := New(h.deps, 0, nil)
-	s.floor = run.Floor
+	s.floor, s.workspace = run.Floor, run.Workspace
 	for _, v := range run.Values {
 		s.setValue(v)
 	}
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -98,7 +98,7 @@
 		if now >= deadline || tries > 0 && now >= until {
 			break
 		}
-		m, p := g.SelectForRead(exclude)
+		m, p := g.SelectForRead(s.workspace, exclude)
 		if p == nil {
 			if len(exclude) == 0 {
 				break
@@ -116,7 +116,7 @@
 			exclude = append(exclude, m.ID)
 			continue
 		}
-		c, err := p.Acquire(s.Clock.Now().Add(timeout), s.valueTexts)
+		c, err := p.AcquireFor(s.Clock.Now().Add(timeout), s.workspace, s.valueTexts)
 		if err != nil {
 			s.releaseSlot(p)
 			p.Latency.Avoid(now.Add(busyPause))
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -23,12 +23,19 @@
 	ErrIdle  = errors.New("no request from the caller within the idle timeout")
 )
 
+// Startup is the content of a caller's startup message.
+type Startup struct {
+	// Database is the name of the database that the caller asks for.
+	Database string
+	// Key identifies the caller's workspace. It must not be logged.
+	Key string
+}
+
 // Caller is the connection to a caller.
 type Caller interface {
-	// ReadStartup reads the startup message and returns the name of the database
-	// that the caller asks for. It returns an error if the message does not arrive
-	// within limit.
-	ReadStartup(limit clock.Duration) (string, error)
+	// ReadStartup reads the startup message. It returns an error if the message
+	// does not arrive within limit.
+	ReadStartup(limit clock.Duration) (Startup, error)
 	// Accept accepts the session.
 	Accept() error
 	// Refuse rejects the session with a failure.
@@ -74,6 +81,8 @@
 	id       uint64
 	caller   Caller
 	database string
+	// key is the caller's key. It must not be logged, nor sent to other processes.
+	key string
 
 	// values holds the session variables and prepared the prepared statements by
 	// name; both together are the session's state. valueTexts maps the names in
@@ -101,6 +110,9 @@
 	answer    statement.Answer
 	arrived   clock.Time
 	route     *routes.Route
+	// workspace is the name of the workspace on whose behalf the request runs. It
+	// is empty on public routes and where no workspaces are declared.
+	workspace string
 
 	mu       sync.Mutex
 	waiting  bool
@@ -167,12 +179,13 @@
 	if v != nil && v.StartupTimeout > 0 {
 		limit = v.StartupTimeout
 	}
-	name, err := s.caller.ReadStartup(limit)
+	startup, err := s.caller.ReadStartup(limit)
 	if err != nil {
 		s.Log.Debug("session not opened", zap.Uint64("session", s.id), logs.Error(err))
 		return false
 	}
-	s.database = name
+	name := startup.Database
+	s.database, s.key = name, startup.Key
 	if v = s.awaitConfiguration(); v == nil {
 		s.Log.Info("session refused: no configuration yet", zap.String("database", name))
 		_ = s.caller.Refuse(&statement.Failure{Code: statement.CodeBusy, Text: "no configuration is known yet"})
@@ -183,6 +196,11 @@
 		_ = s.caller.Refuse(&statement.Failure{Code: statement.CodeNoDatabase, Text: name})
 		return false
 	}
+	s.arrived = s.Clock.Now()
+	if _, f := s.authorize(v.Routes[name]); f != nil {
+		_ = s.caller.Refuse(f)
+		return false
+	}
 	return s.caller.Accept() == nil
 }
 
@@ -353,6 +371,9 @@
 		s.fail(statement.CodeNoDatabase, s.database)
 		return
 	}
+	if !s.admit(s.route) {
+		return
+	}
 	if s.shouldForward(s.route.Group) && s.forward(r) {
 		return
 	}
--- a/internal/connection/session/session_test.go
+++ b/internal/connection/session/session_test.go
@@ -19,10 +19,12 @@
 	answers chan statement.State
 }
 
-func (c *endlessCaller) ReadStartup(clock.Duration) (string, error) { return "fills", nil }
-func (c *endlessCaller) Accept() error                              { return nil }
-func (c *endlessCaller) Interrupt()                                 {}
-func (c *endlessCaller) Close()                                     {}
+func (c *endlessCaller) ReadStartup(clock.Duration) (Startup, error) {
+	return Startup{Database: "fills"}, nil
+}
+func (c *endlessCaller) Accept() error { return nil }
+func (c *endlessCaller) Interrupt()    {}
+func (c *endlessCaller) Close()        {}
 
 func (c *endlessCaller) Next(clock.Duration) (statement.Request, error) {
 	if c.sent++; c.sent == 1 {
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -11,8 +11,10 @@
 // transaction is the open transaction of a session. It begins at a database
 // with its first statement and stays on one connection.
 type transaction struct {
-	route    *routes.Route
-	readOnly bool
+	route *routes.Route
+	// workspace is the name of the workspace that began the transaction.
+	workspace string
+	readOnly  bool
 	// arrived is when the caller's BEGIN arrived.
 	arrived clock.Time
 	// id is the request ID of the caller's BEGIN. number is its number within the
@@ -74,8 +76,11 @@
 		s.fail(statement.CodeNoDatabase, s.database)
 		return
 	}
+	if !s.admit(route) {
+		return
+	}
 	s.transactionCount++
-	s.tx = &transaction{number: s.transactionCount, route: route, id: id, readOnly: o.ReadOnly, arrived: s.arrived}
+	s.tx = &transaction{number: s.transactionCount, route: route, workspace: s.workspace, id: id, readOnly: o.ReadOnly, arrived: s.arrived}
 }
 
 // runInTransaction runs a statement on the transaction's connection.
@@ -244,10 +249,14 @@
 		return
 	}
 	s.route = t.route
+	_, commit := r.Operation.(statement.Commit)
+	if commit && t.failure == nil && !s.admit(t.route) {
+		s.tx = nil
+		return
+	}
 	if s.shouldForward(t.route.Group) && s.endAtHome(r) {
 		return
 	}
-	_, commit := r.Operation.(statement.Commit)
 	g := s.Group(t.route.Group)
 	deadline := s.arrived.Add(t.route.Timeout)
 	switch {
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -118,7 +118,7 @@
 			cause = err
 			break
 		}
-		c, err := p.Acquire(min(until, deadline), s.valueTexts)
+		c, err := p.AcquireFor(min(until, deadline), s.workspace, s.valueTexts)
 		if err == nil && s.prepareConn(g, c, p, r) {
 			return m, p, c
 		}
--- a/internal/front/contain_test.go
+++ b/internal/front/contain_test.go
@@ -25,7 +25,9 @@
 	conn net.Conn
 }
 
-func (c panickingCaller) ReadStartup(clock.Duration) (string, error) { panic("unexpected message") }
+func (c panickingCaller) ReadStartup(clock.Duration) (session.Startup, error) {
+	panic("unexpected message")
+}
 
 func (c panickingCaller) Close() { _ = c.conn.Close() }
 
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -146,11 +146,13 @@
 	CodeInDoubt
 	// CodeNoDatabase means that no route exists for the requested database name.
 	CodeNoDatabase
+	// CodeUnauthorized means that no workspace holds the caller's key. Nothing ran.
+	CodeUnauthorized
 )
 
 var codeNames = [...]string{
 	"other", "busy", "unprepared", "lagging", "readOnly", "failed", "timeout", "misrouted",
-	"tooMany", "malformed", "aborted", "inDoubt", "noDatabase",
+	"tooMany", "malformed", "aborted", "inDoubt", "noDatabase", "unauthorized",
 }
 
 // String returns the name of the code as it appears in logs and metrics.
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -52,6 +52,8 @@
 	Priority int
 	// MaxAge is the maximum staleness of a read. Primary routes ignore it.
 	MaxAge clock.Duration
+	// Public routes serve callers without a key, on behalf of no workspace.
+	Public bool
 }
 
 // Group is the configuration of a database group.
@@ -71,6 +73,9 @@
 	// Routes maps database names to routes.
 	Routes map[string]*Route
 	Groups map[string]Group
+	// Workspaces is nil if the configuration declares none, in which case callers
+	// need no keys.
+	Workspaces *Workspaces
 	// TransactionIdleTimeout is how long a transaction may be idle between two
 	// statements.
 	TransactionIdleTimeout clock.Duration
--- /dev/null
+++ b/internal/version/routes/workspaces_test.go
@@ -0,0 +1,34 @@
+package routes
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A key that two workspaces hold would let one of them act as the other.
+func TestKeysBelongToOneWorkspace(t *testing.T) {
+	w := NewWorkspaces()
+	require.NoError(t, w.Add(Workspace{Name: "b", Rate: 5}, []string{"k1", "k2"}))
+	var duplicate *DuplicateKeyError
+	require.ErrorAs(t, w.Add(Workspace{Name: "a"}, []string{"k2"}), &duplicate)
+	require.NotContains(t, duplicate.Error(), "k2", "the error text holds the key")
+	require.Nil(t, w.Find("a"))
+	var twice *DuplicateWorkspaceError
+	require.ErrorAs(t, w.Add(Workspace{Name: "b"}, nil), &twice)
+	var negative *NegativeLimitError
+	require.ErrorAs(t, w.Add(Workspace{Name: "c", Rate: -1}, nil), &negative)
+	require.NoError(t, w.Add(Workspace{Name: "a"}, []string{"k3"}))
+	require.Equal(t, "b", w.OfKey("k1").Name)
+	require.Equal(t, "a", w.OfKey("k3").Name)
+	require.Nil(t, w.OfKey("k4"))
+	require.Equal(t, []string{"a", "b"}, []string{w.All()[0].Name, w.All()[1].Name})
+}
+
+// Versions without workspaces have none to look up.
+func TestNoWorkspaces(t *testing.T) {
+	var w *Workspaces
+	require.Nil(t, w.OfKey("k"))
+	require.Nil(t, w.Find("a"))
+	require.Empty(t, w.All())
+}
