Workspaces have homes of their own, on strong instances and near the primary

Cause: homes were chosen by group alone and as if all instances were equal, so that a small workspace had connections at seven proxies, and weak instances (0.134 of a core) delayed each statement.

Change: proxies tell their capacity in their member rows; where workspaces are declared, homes are chosen by rendezvous hashing weighted by the cube of the capacity, and each workspace prefers one of them, in the zone of the group's primary, or several by its part of the declared rates. Without workspaces nothing changes.

--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -10,6 +10,7 @@
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -113,6 +114,11 @@
 	// usesHomes tells which groups have homes according to the current plan.
 	usesHomes map[string]bool
 	states    map[string]*homeState
+	// workspaces is nil if the configuration declares none.
+	workspaces *routes.Workspaces
+	// primaryZone returns the availability zone of a group's primary, empty if it is
+	// not known.
+	primaryZone func(group string) string
 }
 
 // homeState holds the latency and the failures of one proxy as a home.
@@ -135,16 +141,32 @@
 	homes []proxy.Peer
 	// local is set if this proxy serves the group itself.
 	local bool
+	// placements has the orders of homes that were asked for.
+	placements map[placementKey]placement
 }
 
 // NewHomes returns a Homes without members and connection limits. No group
 // is served, here or at a home, before its connection limit is set. As long as
 // there are no members, this proxy serves all groups with a limit itself.
-func NewHomes(self, zone string, peers *proxy.Peers, c clock.Clock) *Homes {
-	return &Homes{
+func NewHomes(self, zone string, peers *proxy.Peers, c clock.Clock, options ...Option) *Homes {
+	h := &Homes{
 		self: self, zone: zone, peers: peers, clock: c, connectionLimits: make(map[string]int),
 		assignments: make(map[string]assignment), usesHomes: make(map[string]bool), states: make(map[string]*homeState),
+		primaryZone: func(string) string { return "" },
 	}
+	for _, o := range options {
+		o(h)
+	}
+	return h
+}
+
+// Option configures a Homes.
+type Option func(*Homes)
+
+// WithPrimaryZone sets the function that returns the availability zone of a
+// group's primary, or an empty string. It is called without a lock.
+func WithPrimaryZone(f func(group string) string) Option {
+	return func(h *Homes) { h.primaryZone = f }
 }
 
 // SetMembers replaces the set of live proxies.
@@ -181,10 +203,15 @@
 	if !declared {
 		return assignment{}
 	}
-	a = assignment{plan: NewPlan(limit, len(h.members), h.usesHomes[group]), local: true}
+	a = assignment{plan: NewPlan(limit, len(h.members), h.usesHomes[group]), local: true, placements: make(map[placementKey]placement)}
 	h.usesHomes[group] = a.plan.Homes > 0
 	if limit > 0 && len(h.members) > 0 && a.plan.Homes > 0 {
-		a.homes = proxy.ChoosePeers("home/"+group, h.members, a.plan.Homes)
+		if h.workspaces != nil {
+			a.homes = proxy.ChooseByCapacity("home/"+group, h.members, a.plan.Homes)
+			a.plan.Connections = workspaceConnections(limit, len(a.homes))
+		} else {
+			a.homes = proxy.ChoosePeers("home/"+group, h.members, a.plan.Homes)
+		}
 		a.local = proxy.ContainsPeer(a.homes, h.self)
 	}
 	h.assignments[group] = a
@@ -212,15 +239,21 @@
 	return slices.Clone(h.assignmentLocked(group).homes)
 }
 
-// Choose returns the home of a group that is expected to answer first, among
-// those that are not excluded. It returns false if there is none.
-func (h *Homes) Choose(group string, exclude []string) (string, bool) {
+// Choose returns the home of a group that is expected to answer first for a
+// workspace, or for requests of no workspace if that is empty, among those that
+// are not excluded. It returns false if there is none.
+func (h *Homes) Choose(group, workspace string, exclude []string) (string, bool) {
 	now := h.clock.Now()
+	var primaryZone string
+	if workspace != "" {
+		primaryZone = h.primaryZone(group)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	best, lowest := "", 0.0
-	for _, p := range h.assignmentLocked(group).homes {
-		if slices.Contains(exclude, p.Name) {
+	placed := h.placementLocked(group, workspace, primaryZone)
+	for i, p := range placed.homes {
+		if slices.Contains(exclude, p.Name) || p.Name == h.self {
 			continue
 		}
 		state := h.stateLocked(p.Name)
@@ -231,7 +264,10 @@
 		if isRecent(state.reportedAt, now) {
 			cost += unreachableCost
 		}
-		if p.Zone != h.zone {
+		switch {
+		case i >= placed.preferred:
+			cost += otherHomeCost
+		case p.Zone != h.zone && placed.preferred > 1:
 			cost += crossZoneCost
 		}
 		cost *= 1 + 0.3*rand.Float64()
--- a/internal/connection/peer/homes_test.go
+++ b/internal/connection/peer/homes_test.go
@@ -52,7 +52,7 @@
 	h.SetConnectionLimits(map[string]int{"shop": 40})
 	local, _ := h.ServesLocally("shop")
 	require.False(t, local)
-	first, ok := h.Choose("shop", nil)
+	first, ok := h.Choose("shop", "", nil)
 	require.True(t, ok)
 	var others []string
 	for _, p := range h.assignmentLocked("shop").homes {
@@ -63,16 +63,16 @@
 	require.NotEmpty(t, others)
 	h.recordAnswer(first, c.Now(), others)
 	for range 100 {
-		name, _ := h.Choose("shop", nil)
+		name, _ := h.Choose("shop", "", nil)
 		require.Equal(t, first, name)
 	}
 	// A home reported as unreachable is still tried if no other is left.
-	name, ok := h.Choose("shop", []string{first})
+	name, ok := h.Choose("shop", "", []string{first})
 	require.True(t, ok)
 	h.recordAnswer(name, c.Now(), nil)
 	seen := make(map[string]bool)
 	for range 100 {
-		name, _ := h.Choose("shop", nil)
+		name, _ := h.Choose("shop", "", nil)
 		seen[name] = true
 	}
 	require.True(t, seen[name])
@@ -130,9 +130,9 @@
 		}
 	}
 	for range 100 {
-		first, ok := h.Choose("shop", nil)
+		first, ok := h.Choose("shop", "", nil)
 		require.True(t, ok)
-		second, ok := h.Choose("shop", []string{first})
+		second, ok := h.Choose("shop", "", []string{first})
 		require.True(t, ok)
 		require.ElementsMatch(t, local, []string{first, second})
 	}
--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -37,8 +37,7 @@
 	if s.tx != nil && s.tx.begun {
 		return s.tx.home != ""
 	}
-	local, _ := s.Homes.ServesLocally(group)
-	return !local
+	return !s.Homes.ServesWorkspace(group, s.workspace)
 }
 
 // forward sends a request to a home and stores the answer in s.answer. It
@@ -96,7 +95,7 @@
 	if s.tx != nil && s.tx.home != "" {
 		return s.tx.home, len(exclude) == 0
 	}
-	return s.Homes.Choose(s.route.Group, exclude)
+	return s.Homes.Choose(s.route.Group, s.workspace, exclude)
 }
 
 // safeToRepeat reports whether a request can be sent to another home after one
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
 	"github.com/oleanderflow/oleanderflow/internal/connection/session"
 	"github.com/oleanderflow/oleanderflow/internal/process/contain"
+	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/promotion"
@@ -167,7 +168,7 @@
 	}
 	f.grace.Store(int64(s.ShutdownGrace))
 	f.registeredVersion.Store(&store.Version{})
-	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress}
+	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Capacity: s.ProcessorShare * s.ProcessorSpeed}
 	return f
 }
 
@@ -204,7 +205,7 @@
 	f.peerConns = peers
 	f.self.Address = f.peerConns.Address()
 	f.relays.peers = f.peerConns
-	f.homes = peer.NewHomes(f.settings.Name, f.settings.Zone, f.peerConns, f.clock)
+	f.homes = peer.NewHomes(f.settings.Name, f.settings.Zone, f.peerConns, f.clock, peer.WithPrimaryZone(f.primaryZone))
 	f.sessionDeps.Homes = f.homes
 	return nil
 }
@@ -261,6 +262,25 @@
 	return g
 }
 
+// primaryZone returns the availability zone of a group's primary, empty if no
+// primary is known. A proxy that does not serve the group knows it by the
+// registry only.
+func (f *Front) primaryZone(name string) string {
+	g := f.Group(name)
+	if g == nil {
+		return ""
+	}
+	if m, ok := g.Primary(); ok {
+		return m.Zone
+	}
+	for _, m := range g.Members() {
+		if m.Role == database.RolePrimary {
+			return m.Zone
+		}
+	}
+	return ""
+}
+
 func (f *Front) allGroups() []*groupState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/front/in_force.go
+++ b/internal/front/in_force.go
@@ -126,4 +126,5 @@
 		limits[name] = g.ConnectionLimit
 	}
 	f.homes.SetConnectionLimits(limits)
+	f.homes.SetWorkspaces(v.Workspaces)
 }
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -31,6 +31,9 @@
 	// FileDescriptors is the maximum number of open connections and files, zero
 	// if unknown. It bounds the sessions of callers, see maxSessions.
 	FileDescriptors int
+	// ProcessorShare is the part of a core that the instance has, and ProcessorSpeed
+	// how fast that core is compared with others. ProcessorShare is zero if unknown.
+	ProcessorShare, ProcessorSpeed float64
 	// ShutdownGrace is the time from the stop signal until the process is
 	// killed.
 	ShutdownGrace clock.Duration
@@ -70,6 +73,8 @@
 	s.FirstStart = r.boolean("instance", "firstStart")
 	s.MemoryMB = r.number("instance", "memoryMB", 0)
 	s.FileDescriptors = r.number("instance", "fileDescriptors", 1024)
+	s.ProcessorShare = r.fraction("instance", "processorShare", 0)
+	s.ProcessorSpeed = r.fraction("instance", "processorSpeed", 1)
 	s.CallerAddress = r.address("listen", "callers")
 	s.ReadyAddress = r.address("listen", "ready")
 	s.MetricsAddress = r.address("listen", "metrics")
@@ -122,6 +127,18 @@
 	return v
 }
 
+func (r *settingsReader) fraction(section, key string, defaultValue float64) float64 {
+	k := r.file.Section(section).Key(key)
+	if k.String() == "" {
+		return defaultValue
+	}
+	n, err := k.Float64()
+	if err != nil || !(n >= 0) {
+		r.fail(section, key, k.String(), "a number from 0")
+	}
+	return n
+}
+
 func (r *settingsReader) number(section, key string, defaultValue int) int {
 	k := r.file.Section(section).Key(key)
 	if k.String() == "" {
--- a/internal/process/proxy/messages.go
+++ b/internal/process/proxy/messages.go
@@ -18,6 +18,9 @@
 	Address string `json:"address"`
 	// Callers is the address that callers connect to.
 	Callers string `json:"callers,omitempty"`
+	// Capacity is the processor time that the instance has per second, in cores.
+	// Zero means unknown.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Leaving is set once the proxy accepts no new work.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/process/proxy/watchers.go
+++ b/internal/process/proxy/watchers.go
@@ -173,8 +173,14 @@
 		c.score = score(hash, c.hash)
 		perZone[c.peer.Zone] = insertBest(perZone[c.peer.Zone], c, a.count)
 	}
+	a.watchers[group] = chooseByZone(perZone, a.count)
+}
+
+// chooseByZone picks count candidates, given the best ones of each zone ordered by
+// score.
+func chooseByZone(perZone map[string][]candidate, count int) []candidate {
 	var chosen []candidate
-	for round := 0; round < a.count && len(chosen) < a.count; round++ {
+	for round := 0; round < count && len(chosen) < count; round++ {
 		var tier []candidate
 		for _, best := range perZone {
 			if round < len(best) {
@@ -182,9 +188,9 @@
 			}
 		}
 		slices.SortFunc(tier, byScore)
-		chosen = append(chosen, tier[:min(len(tier), a.count-len(chosen))]...)
+		chosen = append(chosen, tier[:min(len(tier), count-len(chosen))]...)
 	}
-	a.watchers[group] = chosen
+	return chosen
 }
 
 func byScore(x, y candidate) int {
@@ -206,8 +212,9 @@
 }
 
 // Watchers returns the watchers of a group in the order in which they act.
-func (a *Assignments) Watchers(group string) []Peer {
-	chosen := a.watchers[group]
+func (a *Assignments) Watchers(group string) []Peer { return peersOf(a.watchers[group]) }
+
+func peersOf(chosen []candidate) []Peer {
 	peers := make([]Peer, len(chosen))
 	for i, c := range chosen {
 		peers[i] = c.peer
