Relays, roots and registrars go to instances by capacity

Cause: after a power loss of all instances, processes on weak instances came up first asked relays on other weak ones, which start 0.1 s later than strong ones, and waited 150 ms for connections to them.

--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -206,11 +206,9 @@
 	a = assignment{plan: NewPlan(limit, len(h.members), h.usesHomes[group]), local: true, placements: make(map[placementKey]placement)}
 	h.usesHomes[group] = a.plan.Homes > 0
 	if limit > 0 && len(h.members) > 0 && a.plan.Homes > 0 {
+		a.homes = proxy.Choose("home/"+group, h.members, a.plan.Homes)
 		if h.workspaces != nil {
-			a.homes = proxy.ChooseByCapacity("home/"+group, h.members, a.plan.Homes)
 			a.plan.Connections = workspaceConnections(limit, len(a.homes))
-		} else {
-			a.homes = proxy.ChoosePeers("home/"+group, h.members, a.plan.Homes)
 		}
 		a.local = proxy.ContainsPeer(a.homes, h.self)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -168,7 +168,10 @@
 	}
 	f.grace.Store(int64(s.ShutdownGrace))
 	f.registeredVersion.Store(&store.Version{})
-	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Capacity: s.ProcessorShare * s.ProcessorSpeed}
+	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress}
+	if s.PlaceByCapacity {
+		f.self.Capacity = s.ProcessorShare * s.ProcessorSpeed
+	}
 	return f
 }
 
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -73,7 +73,7 @@
 // this proxy is one of the registrars. A proxy that runs again writes its row once it
 // misses it.
 func (f *Front) removeReturned(names []string, live []proxy.Peer) {
-	if len(names) == 0 || !proxy.ContainsPeer(proxy.ChoosePeers("registrars", live, registrarCount), f.self.Name) {
+	if len(names) == 0 || !proxy.ContainsPeer(proxy.Choose("registrars", live, registrarCount), f.self.Name) {
 		return
 	}
 	go contain.Run(f.log, "removal of member rows", func() {
--- a/internal/front/register.go
+++ b/internal/front/register.go
@@ -179,7 +179,7 @@
 	f.mu.Lock()
 	others := slices.DeleteFunc(f.roster.live(), func(p proxy.Peer) bool { return p.Name == f.self.Name })
 	f.mu.Unlock()
-	registrars := sortByPreference(f.self, proxy.ChoosePeers("registrars", others, registrarCount))
+	registrars := sortByPreference(f.self, proxy.Choose("registrars", others, registrarCount))
 	if len(registrars) == 0 {
 		return store.Version{}, errNoRegistrar
 	}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -34,6 +34,9 @@
 	// ProcessorShare is the part of a core that the instance has, and ProcessorSpeed
 	// how fast that core is compared with others. ProcessorShare is zero if unknown.
 	ProcessorShare, ProcessorSpeed float64
+	// PlaceByCapacity is set if roles such as homes and relays go to instances by
+	// their capacity. Otherwise all instances count as equal.
+	PlaceByCapacity bool
 	// ShutdownGrace is the time from the stop signal until the process is
 	// killed.
 	ShutdownGrace clock.Duration
@@ -75,6 +78,7 @@
 	s.FileDescriptors = r.number("instance", "fileDescriptors", 1024)
 	s.ProcessorShare = r.fraction("instance", "processorShare", 0)
 	s.ProcessorSpeed = r.fraction("instance", "processorSpeed", 1)
+	s.PlaceByCapacity = r.boolean("placement", "byCapacity")
 	s.CallerAddress = r.address("listen", "callers")
 	s.ReadyAddress = r.address("listen", "ready")
 	s.MetricsAddress = r.address("listen", "metrics")
--- a/internal/front/tiers.go
+++ b/internal/front/tiers.go
@@ -42,7 +42,7 @@
 	if n < minRelays {
 		return tiers{}
 	}
-	relays := proxy.ChoosePeers("relays", members, n+1)
+	relays := proxy.Choose("relays", members, n+1)
 	if len(relays) < minRelaysForRoots {
 		return tiers{relays: relays, roots: relays}
 	}
--- a/internal/process/proxy/weighted.go
+++ b/internal/process/proxy/weighted.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -11,9 +12,19 @@
 // 0.134 would get a quarter of the roles, though the six can carry all of them.
 const capacityExponent = 3
 
-// defaultCapacity is assumed for proxies that do not tell theirs.
+// defaultCapacity is assumed for a proxy that does not tell its capacity while
+// others do.
 const defaultCapacity = 1.0
 
+// Choose chooses count of the live proxies for key, by capacity if the proxies tell
+// theirs, and as ChoosePeers does otherwise.
+func Choose(key string, live []Peer, count int) []Peer {
+	if slices.ContainsFunc(live, func(p Peer) bool { return p.Capacity > 0 }) {
+		return ChooseByCapacity(key, live, count)
+	}
+	return ChoosePeers(key, live, count)
+}
+
 // ChooseByCapacity chooses count of the live proxies for key by rendezvous hashing
 // weighted by their capacities, spread over the availability zones, or fewer if
 // there are not enough. All proxies with the same view of the members choose the
