Statements need a proof that the configuration is new enough

Cause: a proxy that was cut from the store, frozen, or behind a relay that was, went on running statements of keys that had been removed.

Roots prove it by calls to the store, other proxies by the peer method freshness. SET that is sent to the database of an open transaction is judged as well.

Measured: the tests of internal/version/freshness and internal/connection/session pass with -race. Shown to fail: with the configuration read before the proof TestFrozenProcessAdmitsNothingAfterTheLimit and TestProofIsReadBeforeTheVersion; with the check taken out these, TestOldProofRefusesStatements, TestOldProofEndsTransactions and TestUnknownKeyWithAnOldProofIsNotUnauthorized; without the check of SET TestSetInATransactionIsJudged.

--- a/internal/connection/session/authorize.go
+++ b/internal/connection/session/authorize.go
@@ -1,26 +1,90 @@
 package session
 
 import (
+	"fmt"
+
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 // authorize returns the name of the workspace on whose behalf the session may use
 // a route now, or the failure to report. The name is empty on public routes and
 // where no workspaces are declared.
 func (s *Session) authorize(route *routes.Route) (string, *statement.Failure) {
+	// The proof is read before the configuration: the latter is then at least as new as
+	// what was proved, and whatever it has replaced meanwhile.
+	confirmed := s.confirmed(route)
 	v := s.Configuration.Load()
 	if v.Workspaces == nil || route.Public {
 		return "", nil
 	}
+	if !confirmed {
+		return "", s.refuseUnconfirmed(route, v)
+	}
 	if w := v.Workspaces.OfKey(s.key); w != nil {
 		return w.Name, nil
 	}
+	return "", s.refuseKey(route, v)
+}
+
+// authorizeStart returns the failure to report if no session may be opened on a route.
+// A key that the configuration holds opens a session, whose statements are judged each
+// by themselves. Another key may be held by a newer configuration.
+func (s *Session) authorizeStart(route *routes.Route) *statement.Failure {
+	confirmed := s.confirmed(route)
+	v := s.Configuration.Load()
+	switch {
+	case v.Workspaces == nil || route.Public || v.Workspaces.OfKey(s.key) != nil:
+		return nil
+	case !confirmed:
+		return s.refuseUnconfirmed(route, v)
+	default:
+		return s.refuseKey(route, v)
+	}
+}
+
+// confirmed reports whether the configuration is proved to be new enough for the current
+// request. Before the first proof of a process that has just started, it waits for that.
+func (s *Session) confirmed(route *routes.Route) bool {
+	p := s.Freshness
+	if p == nil || route.Public {
+		return true
+	}
+	if !p.Proved() && s.Configuration.Load().Workspaces != nil {
+		wait := maxStartWait
+		if route.Timeout > 0 {
+			wait = min(wait, route.Timeout/2)
+		}
+		proved := true
+		pollUntil(s.Clock, s.arrived.Add(wait), func() *bool {
+			if p.Proved() {
+				return &proved
+			}
+			return nil
+		})
+	}
+	return p.Admits(s.arrived)
+}
+
+// refuseUnconfirmed returns the failure for a request whose key cannot be judged. Nothing
+// of the request has run.
+func (s *Session) refuseUnconfirmed(route *routes.Route, v *routes.Version) *statement.Failure {
+	now := s.Clock.Now()
+	age, retry := s.Freshness.Age(now), s.Freshness.RetryAfter(now)
+	s.Freshness.CountRefusal()
+	s.Log.Info("key not judged: configuration not confirmed", zap.Uint64("session", s.id), zap.String("keyId", routes.KeyID(s.key)),
+		zap.String("route", route.Name), zap.Uint64("version", v.Number), zap.Stringer("proofAge", age), zap.Stringer("retryAfter", retry))
+	return &statement.Failure{Code: statement.CodeBusy, Text: fmt.Sprintf("configuration not confirmed for %d ms; retry after %d ms", age/clock.Millisecond, retry/clock.Millisecond)}
+}
+
+// refuseKey returns the failure for a key that no workspace holds.
+func (s *Session) refuseKey(route *routes.Route, v *routes.Version) *statement.Failure {
 	s.Log.Info("key refused: no workspace holds it", zap.Uint64("session", s.id), zap.String("keyId", routes.KeyID(s.key)),
 		zap.String("route", route.Name), zap.Uint64("version", v.Number))
-	return "", &statement.Failure{Code: statement.CodeUnauthorized, Text: "no workspace holds the key"}
+	return &statement.Failure{Code: statement.CodeUnauthorized, Text: "no workspace holds the key"}
 }
 
 // admit sets the workspace of the current request: a BEGIN, a statement or a
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -57,10 +57,29 @@
 	Answered(route *routes.Route, a *statement.Answer, took clock.Duration)
 }
 
+// Freshness is the proof that the configuration in force is the newest, or was until a
+// short time ago. *freshness.Proof implements it.
+type Freshness interface {
+	// Proved reports whether there ever was a proof.
+	Proved() bool
+	// Admits reports whether the proof is young enough for a request that had arrived
+	// before the given time was read.
+	Admits(arrived clock.Time) bool
+	// Age returns the age of the proof, and RetryAfter after how long a refused caller
+	// may expect the next one.
+	Age(now clock.Time) clock.Duration
+	RetryAfter(now clock.Time) clock.Duration
+	// CountRefusal counts a request that was refused because the proof was too old.
+	CountRefusal()
+}
+
 // Dependencies holds what all sessions of a process share.
 type Dependencies struct {
 	Clock         clock.Clock
 	Configuration *routes.Current
+	// Freshness proves that Configuration is new enough. If it is nil, no proof is
+	// required.
+	Freshness Freshness
 	// Group returns the database group with the given name, or nil if it is
 	// unknown.
 	Group    func(name string) *backend.GroupClient
@@ -197,7 +216,7 @@
 		return false
 	}
 	s.arrived = s.Clock.Now()
-	if _, f := s.authorize(v.Routes[name]); f != nil {
+	if f := s.authorizeStart(v.Routes[name]); f != nil {
 		_ = s.caller.Refuse(f)
 		return false
 	}
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -219,6 +219,9 @@
 // failed.
 func (s *Session) setInTransaction(r *statement.Request, o statement.Set) bool {
 	t := s.tx
+	if (t.home != "" || t.conn != nil) && !s.admit(t.route) {
+		return false
+	}
 	if t.home != "" {
 		s.route = t.route
 		if !s.forward(r) || s.answer.Failure != nil {
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -220,10 +220,17 @@
 		if !changes.Whole {
 			rereads = 0
 		}
+		applied := true
 		if len(changes.Rows) > 0 || !known {
 			log.Debug("changes", zap.String("from", from), zap.Int("rows", len(changes.Rows)),
 				zap.Bool("whole", changes.Whole), zap.Stringer("version", changes.Version))
-			contain.Run(log, "changes of table "+table, func() { apply(changes) })
+			applied = contain.Call(log, "changes of table "+table, func() error {
+				apply(changes)
+				return nil
+			}) == nil
+		}
+		if applied && table == f.platform.ConfigurationTable {
+			f.confirmApplied(began, from, changes)
 		}
 		if dropped := f.relays.copies[table].Dropped(); dropped != reported {
 			log.Info("rows older than known ones dropped", zap.String("from", from), zap.Uint64("rows", dropped-reported), zap.Stringer("version", changes.Version))
@@ -350,6 +357,9 @@
 // noticed soon. When such a feed fails, the feeds of the other tables are
 // cancelled.
 func (f *Front) feedWait(table string) clock.Duration {
+	if wait, ok := f.proofFeedWait(table); ok {
+		return wait
+	}
 	switch {
 	case !f.relays.exist():
 		switch table {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -85,6 +85,7 @@
 	relays          *relays
 	outage          outage
 	eras            *eraTracker
+	freshness       *freshnessDriver
 	overload        overloadDetector
 	gaugesUpdatedAt clock.Time
 	versions        routes.Current
@@ -150,6 +151,9 @@
 		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(),
 	}
 	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Self: s.Name}
+	if f.freshness = newFreshnessDriver(s.RevocationLimit, c.Now()); f.freshness != nil {
+		f.sessionDeps.Freshness = f.freshness.proof
+	}
 	f.platform.Store = trackedStore{Store: p.Store, metrics: m, eras: f.eras}
 	f.platform.DecodeVersion = func(row store.Row) (v *routes.Version, err error) {
 		err = contain.Call(log, "configuration row", func() error {
@@ -195,7 +199,7 @@
 	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log)
 	handler := &peerHandler{
 		relays: f.relays, host: f.host, registrar: &registrar{clock: systemTimers{f.clock}, put: f.putMembers},
-		earlierClaims: f.handleEarlierClaims, inForce: f.handleInForce,
+		earlierClaims: f.handleEarlierClaims, inForce: f.handleInForce, freshness: f.handleFreshness,
 	}
 	peers, err := proxy.NewPeers(address, handler, f.log)
 	if err != nil {
@@ -226,6 +230,9 @@
 	}
 	backend.WaitOrTimeout(f.membersKnown, membersTimeout)
 	go f.follow(f.platform.ConfigurationTable, maxPollInterval, f.applyVersions)
+	if f.freshness != nil {
+		go f.runFreshness()
+	}
 	go f.follow(f.platform.RegistryTable, maxPollInterval, f.applyEntries)
 	go f.follow(agreementTable, maxAgreementPollInterval, f.applyAgreement)
 }
--- a/internal/front/in_force.go
+++ b/internal/front/in_force.go
@@ -91,6 +91,9 @@
 		f.acceptFromPeers(changes.Rows)
 	}
 	for _, row := range changes.Rows {
+		if f.freshness.hasApplied(row) {
+			continue
+		}
 		f.applyVersion(row, "")
 	}
 }
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -119,6 +119,12 @@
 	if v := f.versions.Load(); v != nil {
 		root.Gauge("configuration_version").Update(float64(v.Number))
 	}
+	if d := f.freshness; d != nil {
+		root.Gauge("proof_refusals").Update(float64(d.proof.Refusals()))
+		if d.proof.Proved() {
+			root.Gauge("proof_age_ms").Update(float64(d.proof.Age(now)))
+		}
+	}
 	if f.droppedLines != nil {
 		root.Gauge("log_lines_dropped").Update(float64(f.droppedLines()))
 	}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/version/freshness"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -118,6 +119,8 @@
 	selfIsRelay bool
 	selfIsRoot  bool
 	avoidUntil  map[string]clock.Time
+	// proofs is whom this proxy asks for proofs of freshness.
+	proofs freshness.Role
 	// storeAnsweredAt is when the store last responded to this process, zero if
 	// never.
 	storeAnsweredAt clock.Time
@@ -138,11 +141,13 @@
 func (r *relays) setMembers(members []proxy.Peer) {
 	chosen := chooseTiers(members)
 	sources := chosen.sources(r.self)
+	proofs := proofRole(r.self, members, chosen)
 	isRelay, isRoot := proxy.ContainsPeer(chosen.relays, r.self.Name), proxy.ContainsPeer(chosen.roots, r.self.Name)
 	r.mu.Lock()
 	changed := isRelay != r.selfIsRelay || isRoot != r.selfIsRoot
 	r.tiers, r.sources = chosen, sources
 	r.selfIsRelay, r.selfIsRoot = isRelay, isRoot
+	r.proofs = proofs
 	r.mu.Unlock()
 	for _, c := range r.copies {
 		c.KeepHistory(isRelay)
@@ -177,6 +182,16 @@
 	return heartbeatWait, r.selfIsRoot
 }
 
+// proofRole returns whom this proxy asks for proofs of freshness.
+func (r *relays) proofRole() freshness.Role {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proofs
+}
+
+// isProver reports whether this proxy asks the store for proofs of freshness.
+func (r *relays) isProver() bool { return r.proofRole().Interval > 0 }
+
 // hasSources reports whether this proxy follows others.
 func (r *relays) hasSources() bool {
 	r.mu.Lock()
@@ -372,29 +387,3 @@
 		r.clock.WaitOrTimeout(changed, until.Sub(now))
 	}
 }
-
-// peerHandler dispatches calls of other proxies to the relay, the registrar, the
-// replacements, the configuration in force or the session host.
-type peerHandler struct {
-	relays        *relays
-	registrar     *registrar
-	earlierClaims func(params json.RawMessage) (any, error)
-	inForce       func(params json.RawMessage) (any, error)
-	host          proxy.Receiver
-}
-
-// Receive implements proxy.Receiver.
-func (r *peerHandler) Receive(ctx context.Context, method string, params json.RawMessage) (any, error) {
-	switch method {
-	case methodFollow:
-		return r.relays.handleFollow(params)
-	case methodRegister:
-		return r.registrar.handleRegister(params)
-	case methodEarlierClaims:
-		return r.earlierClaims(params)
-	case methodInForce:
-		return r.inForce(params)
-	default:
-		return r.host.Receive(ctx, method, params)
-	}
-}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
 
+	"github.com/oleanderflow/oleanderflow/internal/version/freshness"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -37,6 +38,10 @@
 	// DrainLimit is how long a database may get requests after it has announced
 	// that it is leaving.
 	DrainLimit clock.Duration
+	// RevocationLimit is the time within which a key that the configuration no longer
+	// holds must have stopped working at every proxy, connected to the store or not.
+	// Zero if that is not required.
+	RevocationLimit clock.Duration
 }
 
 // SettingsError reports an invalid value in a settings file.
@@ -78,9 +83,27 @@
 	s.PromotionAddress = r.address("platform", "promotions")
 	s.ShutdownGrace = clock.Duration(r.number("shutdown", "graceSeconds", 6)) * clock.Second
 	s.DrainLimit = clock.Duration(r.number("drain", "limitMilliseconds", 7000))
+	if r.boolean("revocation", "strict") {
+		s.RevocationLimit = r.revocationLimit()
+	}
 	return s, r.err
 }
 
+// defaultRevocationLimit is the limit where a settings file asks for one without naming
+// it, in milliseconds.
+const defaultRevocationLimit = 5000
+
+// revocationLimit returns the limit of a settings file. Within less than the least limit,
+// proofs would be too old before the next ones arrive.
+func (r *settingsReader) revocationLimit() clock.Duration {
+	const section, key = "revocation", "limitMilliseconds"
+	limit := clock.Duration(r.number(section, key, defaultRevocationLimit))
+	if least := freshness.MaxCalmAge + freshness.Margin; limit < least {
+		r.fail(section, key, r.file.Section(section).Key(key).String(), fmt.Sprintf("a whole number from %d", least))
+	}
+	return limit
+}
+
 type settingsReader struct {
 	path string
 	file *ini.File
