Operations of workspaces are limited over all proxies

Cause: a declared rate had no effect. A token is taken before the first statement of an operation is sent to a database. While no accountant answers, the proxy that the caller is connected to uses a reserve.

--- a/internal/connection/peer/messages.go
+++ b/internal/connection/peer/messages.go
@@ -29,6 +29,9 @@
 	// Workspace is the workspace on whose behalf the request runs. The sender has
 	// checked the caller's key.
 	Workspace string `json:"workspace,omitempty"`
+	// Reserve is set if the sender has taken the operation from its reserve, because no
+	// accountant answers. The home needs no token for it then.
+	Reserve bool `json:"reserve,omitempty"`
 
 	Route         string             `json:"route"`
 	Group         string             `json:"group"`
@@ -131,7 +134,10 @@
 type RunResponse struct {
 	// Refused is set if the proxy currently rejects forwarded requests. Nothing
 	// ran.
-	Refused   bool              `json:"refused,omitempty"`
+	Refused bool `json:"refused,omitempty"`
+	// NoGrant is set if the operation was refused because no accountant of its workspace
+	// answers. It may be sent again with RunRequest.Reserve.
+	NoGrant   bool              `json:"noGrant,omitempty"`
 	Rows      []byte            `json:"rows,omitempty"`
 	Signature []byte            `json:"signature,omitempty"`
 	Failed    bool              `json:"failed,omitempty"`
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -34,6 +34,7 @@
 	p.Latency.Begin(sent)
 	p.Limiter.Begin(s.slotReserved)
 	s.slotReserved = false
+	s.useToken()
 	n, err := c.Exchange(limit, requests, answers)
 	now := s.Clock.Now()
 	s.answer = answers[last]
--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -50,6 +50,7 @@
 	}
 	deadline := s.arrived.Add(s.route.Timeout)
 	var exclude []string
+	begins := s.beginsOperation()
 	for range maxHomes {
 		home, found := s.chooseHome(exclude)
 		if !found {
@@ -63,8 +64,16 @@
 			minTimeout := max(minHomeAttemptTimeout, s.route.TargetLatency+forwardOverhead)
 			limit = min(limit, s.Homes.AttemptTimeout(home, minTimeout, maxHomeAttemptTimeout))
 		}
+		run.Reserve = begins && s.Limits.Reserve(s.workspace)
 		response, err := s.Homes.Forward(home, run, limit)
+		if err == nil && response.NoGrant && s.mayUseReserve(run) {
+			run.Reserve = true
+			response, err = s.Homes.Forward(home, run, limit)
+		}
 		if err == nil {
+			if begins && (!response.Failed || response.Code != statement.CodeBusy) {
+				s.Limits.Entered(s.workspace)
+			}
 			s.applyRunResponse(r, response, home)
 			return true
 		}
@@ -90,6 +99,16 @@
 	return false
 }
 
+// mayUseReserve reports whether a request that its home has refused, because no
+// accountant answers, may be sent again from this proxy's reserve.
+func (s *Session) mayUseReserve(run *peer.RunRequest) bool {
+	if !s.beginsOperation() || run.Reserve {
+		return false
+	}
+	s.Limits.ReportSilence(s.workspace)
+	return s.Limits.Reserve(s.workspace)
+}
+
 // chooseHome returns the home for the request. All statements of a transaction
 // go to the same home.
 func (s *Session) chooseHome(exclude []string) (string, bool) {
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -94,9 +94,14 @@
 	if p := run.Prepared; p != nil {
 		s.prepared[p.Name] = statement.Prepare{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
 	}
+	s.token = token{reserved: run.Reserve}
 	s.serve(r)
 	s.route = nil
-	if f := s.answer.Failure; f != nil {
+	if run.Begin != nil && s.limited != nil && s.tx != nil && s.tx.conn == nil {
+		// Nothing ran, and the first statement may be sent again.
+		s.tx = nil
+	}
+	if f := s.answer.Failure; f != nil && s.limited == nil {
 		h.deps.Log.Info("forwarded request failed", append(s.groupFields(run.Group), zap.String("request", r.ID),
 			zap.String("session", run.Session), zap.String("group", run.Group), zap.Stringer("code", f.Code), zap.String("cause", f.Text))...)
 	}
@@ -133,6 +138,7 @@
 func newRunResponse(s *Session) *peer.RunResponse {
 	a := &s.answer
 	response := &peer.RunResponse{Rows: slices.Clone(a.Rows), Signature: slices.Clone(a.Signature), State: a.State, Position: a.Position, Floor: s.floor}
+	response.NoGrant = s.limited != nil && s.limited.Silent
 	if f := a.Failure; f != nil {
 		response.Failed, response.Code, response.Text = true, f.Code, f.Text
 	}
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -111,6 +111,9 @@
 			continue
 		}
 		timeout := min(p.AttemptTimeout(minReadAttemptTimeout, maxAttemptTimeout), deadline.Sub(now))
+		if !s.takeToken() {
+			return nil, nil
+		}
 		if err := s.reserveSlot(p, slotDeadline); err != nil {
 			cause = m.ID + ": " + err.Error()
 			exclude = append(exclude, m.ID)
@@ -124,6 +127,12 @@
 			exclude = append(exclude, m.ID)
 			continue
 		}
+		// After the waits for a slot and a connection, the token may be too old.
+		if !s.takeToken() {
+			c.Release()
+			s.releaseSlot(p)
+			return nil, nil
+		}
 		if s.exchange(g, c, p, &request, timeout) == unanswered {
 			c.Discard()
 			cause = m.ID + " has not answered"
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -71,6 +71,8 @@
 	// Homes forwards the requests of groups that home proxies serve. If it is
 	// nil, nothing is forwarded.
 	Homes *peer.Homes
+	// Limits limits the operations of workspaces. If it is nil, they have no limits.
+	Limits Limits
 }
 
 // Session serves the requests of one caller, which may be connected to another
@@ -113,6 +115,10 @@
 	// workspace is the name of the workspace on whose behalf the request runs. It
 	// is empty on public routes and where no workspaces are declared.
 	workspace string
+	// token is the token of the operation that the request begins. limited is the
+	// reason if the operation was refused for its workspace's limit.
+	token   token
+	limited *LimitError
 
 	mu       sync.Mutex
 	waiting  bool
@@ -318,8 +324,9 @@
 
 // serve handles a request and stores the answer in s.answer.
 func (s *Session) serve(r *statement.Request) {
-	s.requestID = r.ID
+	s.requestID, s.limited = r.ID, nil
 	s.answer.Reset()
+	defer s.putBackToken()
 	switch o := r.Operation.(type) {
 	case statement.Begin:
 		s.beginTransaction(r.ID, o)
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -47,6 +47,12 @@
 			s.fail(statement.CodeBusy, "the primary is not confirmed by another database")
 			return
 		}
+		// mayCommit may have waited for longer than a token lasts.
+		if !s.takeToken() {
+			s.releaseSlot(p)
+			c.Release()
+			return
+		}
 		switch s.exchange(g, c, p, r, deadline.Sub(s.Clock.Now())) {
 		case unanswered:
 			c.Discard()
@@ -114,13 +120,23 @@
 		if p == nil {
 			break
 		}
+		// A refused operation must not take a slot or a connection. After the waits for
+		// these, the token may be too old.
+		if !s.takeToken() {
+			return group.Member{}, nil, nil
+		}
 		if err := s.reserveSlot(p, min(until, s.queueDeadline())); err != nil {
 			cause = err
 			break
 		}
 		c, err := p.AcquireFor(min(until, deadline), s.workspace, s.valueTexts)
 		if err == nil && s.prepareConn(g, c, p, r) {
-			return m, p, c
+			if s.takeToken() {
+				return m, p, c
+			}
+			c.Release()
+			s.releaseSlot(p)
+			return group.Member{}, nil, nil
 		}
 		s.releaseSlot(p)
 		if err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/promotion"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -83,10 +85,12 @@
 	homes           *peer.Homes
 	host            *session.Host
 	relays          *relays
+	allowances      *allowances
 	outage          outage
 	eras            *eraTracker
 	overload        overloadDetector
 	gaugesUpdatedAt clock.Time
+	startedAt       clock.Time
 	versions        routes.Current
 	// versionsMu is held while a version is put in force, and guards inForce, the row
 	// of that version. It is taken before the lock of homes.
@@ -103,6 +107,9 @@
 	groupOf  map[string]string
 	roster   *roster
 	sessions map[uint64]*session.Session
+	// membersApplied is set once the members table has been read, and membersPassed once
+	// its proxies were passed on. registeredAtStart is set if this proxy's row was there.
+	membersApplied, membersPassed, registeredAtStart bool
 	// agreementEra is the era of the agreement table, zero until it has been read,
 	// and agreementEraAt is when this process first read it in that era.
 	agreementEra   uint64
@@ -165,6 +172,10 @@
 		})
 		return e, err
 	}
+	f.startedAt = c.Now()
+	f.allowances = newAllowances(s.Name, s.Quota, &f.versions, systemTimers{c}, log)
+	f.sessionDeps.Limits = f.allowances
+	f.metrics.workspaces = f.allowances.mostUsed
 	f.grace.Store(int64(s.ShutdownGrace))
 	f.registeredVersion.Store(&store.Version{})
 	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress}
@@ -195,7 +206,7 @@
 	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log)
 	handler := &peerHandler{
 		relays: f.relays, host: f.host, registrar: &registrar{clock: systemTimers{f.clock}, put: f.putMembers},
-		earlierClaims: f.handleEarlierClaims, inForce: f.handleInForce,
+		earlierClaims: f.handleEarlierClaims, inForce: f.handleInForce, grant: f.allowances.handleGrant,
 	}
 	peers, err := proxy.NewPeers(address, handler, f.log)
 	if err != nil {
@@ -204,11 +215,21 @@
 	f.peerConns = peers
 	f.self.Address = f.peerConns.Address()
 	f.relays.peers = f.peerConns
+	f.allowances.call = f.callAccountant
 	f.homes = peer.NewHomes(f.settings.Name, f.settings.Zone, f.peerConns, f.clock)
 	f.sessionDeps.Homes = f.homes
 	return nil
 }
 
+// callAccountant asks another proxy for tokens.
+func (f *Front) callAccountant(name string, p grantParams) (grantResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), workspace.CallTimeout.Std())
+	defer cancel()
+	var result grantResult
+	err := f.peerConns.Call(ctx, name, methodGrant, p, &result)
+	return result, err
+}
+
 // membersTimeout is the longest that an instance waits, once it has read the
 // members table, for the list of live proxies, from which the relays are chosen,
 // before it follows the other tables. Proxies that start at the same time have
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -29,6 +30,9 @@
 	list := f.roster.live()
 	// A row that this instance wrote before a restart is still valid.
 	registered := f.roster.listed[f.settings.Name] == f.self
+	if !f.membersApplied {
+		f.membersApplied, f.registeredAtStart = true, registered
+	}
 	f.mu.Unlock()
 	for _, key := range found.invalid {
 		f.log.Warn("invalid member row", zap.String("key", key))
@@ -51,9 +55,21 @@
 func (f *Front) setMembers(list []proxy.Peer) {
 	f.homes.SetMembers(list)
 	f.relays.setMembers(list)
+	f.allowances.setMembers(list, f.accountsAlone())
 	f.log.Info("proxies known", zap.Int("count", len(list)))
 }
 
+// accountsAlone reports whether no other proxy can have accounted for the workspaces that
+// this proxy accounts for now. When this process started, others had its row and asked it
+// already, or the whole system is starting and no proxy has granted much.
+func (f *Front) accountsAlone() bool {
+	f.mu.Lock()
+	first := f.registeredAtStart && !f.membersPassed
+	f.membersPassed = true
+	f.mu.Unlock()
+	return first || f.settings.FirstStart && f.clock.Now().Sub(f.startedAt) < workspace.HoldBack
+}
+
 // expireMembers drops proxies that have not written their rows again after a restore
 // of the store.
 func (f *Front) expireMembers(now clock.Time) {
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -36,6 +36,9 @@
 	closer        io.Closer
 	text          *textReporter
 	statusQueries tally.Counter
+	// workspaces returns the counts of the workspaces that are shown, nil if there are
+	// none.
+	workspaces func() []namedCount
 
 	mu         sync.Mutex
 	routes     map[routeKey]routeMetrics
@@ -144,6 +147,9 @@
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	_, _ = w.Write(m.text.render())
+	if m.workspaces != nil {
+		_, _ = w.Write(renderWorkspaces(m.workspaces()))
+	}
 }
 
 // Close stops the periodic updates.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -374,12 +374,13 @@
 }
 
 // peerHandler dispatches calls of other proxies to the relay, the registrar, the
-// replacements, the configuration in force or the session host.
+// replacements, the configuration in force, the accountant or the session host.
 type peerHandler struct {
 	relays        *relays
 	registrar     *registrar
 	earlierClaims func(params json.RawMessage) (any, error)
 	inForce       func(params json.RawMessage) (any, error)
+	grant         func(params json.RawMessage) (any, error)
 	host          proxy.Receiver
 }
 
@@ -394,6 +395,8 @@
 		return r.earlierClaims(params)
 	case methodInForce:
 		return r.inForce(params)
+	case methodGrant:
+		return r.grant(params)
 	default:
 		return r.host.Receive(ctx, method, params)
 	}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -37,6 +39,8 @@
 	// DrainLimit is how long a database may get requests after it has announced
 	// that it is leaving.
 	DrainLimit clock.Duration
+	// Quota states how many operations of a workspace may arrive at databases.
+	Quota workspace.Quota
 }
 
 // SettingsError reports an invalid value in a settings file.
@@ -78,6 +82,7 @@
 	s.PromotionAddress = r.address("platform", "promotions")
 	s.ShutdownGrace = clock.Duration(r.number("shutdown", "graceSeconds", 6)) * clock.Second
 	s.DrainLimit = clock.Duration(r.number("drain", "limitMilliseconds", 7000))
+	s.Quota = r.quota()
 	return s, r.err
 }
 
@@ -122,6 +127,38 @@
 	return v
 }
 
+// quota returns the quota of workspaces. Keys that are missing have the product's
+// defaults.
+func (r *settingsReader) quota() workspace.Quota {
+	q := workspace.DefaultQuota()
+	if s := r.decimal("quota", "windowSeconds", seconds(q.Window)); s > 0 {
+		q.Window = clock.FromStd(time.Duration(s * float64(time.Second)))
+	} else {
+		r.fail("quota", "windowSeconds", fmt.Sprint(s), "a number above 0")
+	}
+	q.Overshoot = r.decimal("quota", "overshoot", q.Overshoot)
+	q.Slack = r.decimal("quota", "slack", q.Slack)
+	return q
+}
+
+// maxDecimal is the largest value of a setting with decimals.
+const maxDecimal = 1e6
+
+func (r *settingsReader) decimal(section, key string, defaultValue float64) float64 {
+	k := r.file.Section(section).Key(key)
+	if k.String() == "" {
+		return defaultValue
+	}
+	v, err := k.Float64()
+	if err != nil || !(v >= 0 && v <= maxDecimal) {
+		r.fail(section, key, k.String(), "a number from 0")
+		return defaultValue
+	}
+	return v
+}
+
+func seconds(d clock.Duration) float64 { return d.Std().Seconds() }
+
 func (r *settingsReader) number(section, key string, defaultValue int) int {
 	k := r.file.Section(section).Key(key)
 	if k.String() == "" {
