Bound of a workspace's operations in virtual time, and accountants that leave room for reserves

Cause: reserves of a part of the network that is cut off came on top of what the accountant grants to the rest. Operations from a reserve are paid back by later grants.

--- a/internal/process/workspace/accountant.go
+++ b/internal/process/workspace/accountant.go
@@ -14,12 +14,22 @@
 const (
 	// slotCount is the number of slots of time for which a bucket remembers its grants.
 	slotCount = 18
-	// unmetDecay is the time in which the memory of wants that were not met decays.
+	// unmetDecay is the time in which the memory of asks that were not met decays.
 	unmetDecay = 250 * clock.Millisecond
-	// maxPollDelay is the longest that an asking proxy waits because of the wants of
-	// others, and minRetry the shortest time that is stated.
+	// pollSpacing is added to the time until the next ask of a proxy for each ask that was
+	// not met recently, up to maxPollDelay. It bounds the messages for a workspace over its
+	// limit: 6 proxies that ask do so every 90 ms, and 115 every 250 ms.
+	pollSpacing  = 5 * clock.Millisecond
 	maxPollDelay = 250 * clock.Millisecond
-	minRetry     = 10 * clock.Millisecond
+	// minRetry is the shortest time that is stated.
+	minRetry = 10 * clock.Millisecond
+	// gatedShare is the share of a bucket's depth that is granted only while the
+	// accountant is known to reach the others, and reachShare the share of it below which
+	// that is found out.
+	gatedShare = 0.5
+	reachShare = 0.85
+	// minFill is the share of the rate at which a bucket fills at least.
+	minFill = 0.25
 	// holdingRetry is stated while the accountant grants nothing at all.
 	holdingRetry = 200 * clock.Millisecond
 	// assignmentTime is how long a change of the assignment is remembered, and
@@ -64,6 +74,10 @@
 	assignments []assignment
 	buckets     map[string]*bucket
 	sweptAt     clock.Time
+	// reach tells which share of the proxies uses reserves. reachNeeded is set if it has
+	// to be known, as of the last Grant.
+	reach       *Reach
+	reachNeeded bool
 }
 
 // assignment tells what a proxy accounts for since a time.
@@ -85,15 +99,17 @@
 	// granted has the tokens granted in the slots of time up to lastSlot, as a ring.
 	granted  [slotCount]float64
 	lastSlot int64
-	// unmet is the recent number of tokens that were wanted in vain.
+	// unmet is the recent number of asks that were not met.
 	unmet   float64
 	unmetAt clock.Time
+	// usual is the average of the tokens granted.
+	usual average
 }
 
 // NewAccountant returns an Accountant that accounts for nothing.
-func NewAccountant(q Quota, now clock.Time) *Accountant {
+func NewAccountant(q Quota, r *Reach, now clock.Time) *Accountant {
 	slot := (q.Life(Limit{})+q.SendTime())/(slotCount-2) + 1
-	return &Accountant{quota: q, slot: slot, buckets: make(map[string]*bucket), sweptAt: now}
+	return &Accountant{quota: q, reach: r, slot: slot, buckets: make(map[string]*bucket), sweptAt: now}
 }
 
 // Assign sets which workspaces this proxy accounts for from now on. Those that it takes
@@ -145,23 +161,66 @@
 	a.sweep(now)
 	b := a.bucket(now, from, ask.Workspace, l)
 	b.refill(a, now)
-	b.takeBack(a, now, float64(min(max(ask.Unused, 0), math.MaxInt32)))
-	n := max(math.Floor(min(float64(want), b.level)), 0)
+	back := float64(min(max(ask.Unused, 0), math.MaxInt32))
+	b.takeBack(a, now, back)
+	gate, unknown := b.gate(a, now)
+	usable := b.level - gate
+	n := max(math.Floor(min(float64(want), usable)), 0)
 	b.level -= n
 	b.granted[b.lastSlot%slotCount] += n
+	b.usual.addN(now, n-min(back, n))
 	g.Tokens, g.LifeMillis = int(n), a.quota.Life(l)
 	b.unmet *= math.Exp(-seconds(now.Sub(b.unmetAt)) / seconds(unmetDecay))
 	b.unmetAt = now
-	if g.Tokens < want {
+	switch {
+	case g.Tokens < want && unknown && b.level >= 1:
+		// The round that is under way takes a round trip.
+		g.RetryMillis = minRetry
+	case g.Tokens < want:
 		// Others that ask at the same time get their turn first, which also bounds the
 		// number of messages while a workspace is over its limit.
-		b.unmet += float64(want) - n
-		wait := max(millis((1-b.level)/l.Rate), min(millis(b.unmet/l.Rate), maxPollDelay), minRetry)
-		g.RetryMillis = wait
+		b.unmet++
+		wait := min(clock.Duration(b.unmet*float64(pollSpacing)), maxPollDelay)
+		if b.level < 1 {
+			wait = max(wait, millis((1-b.level)/l.Rate))
+		}
+		g.RetryMillis = max(wait, minRetry)
 	}
 	return g
 }
 
+// ReachNeeded reports whether a round of Reach is needed.
+func (a *Accountant) ReachNeeded() bool { return a.reachNeeded }
+
+// gate returns the part of the bucket that must not be granted now, and whether that is
+// because it is unknown which proxies the accountant reaches. Unless it reaches nearly all,
+// others may be using their reserves.
+func (b *bucket) gate(a *Accountant, now clock.Time) (gate float64, unknown bool) {
+	depth := a.quota.Depth(b.limit)
+	a.reachNeeded = a.quota.reservesCompete(b.limit) && b.level < reachShare*max(depth-b.usualUnderWay(a, now), 0)
+	if !a.quota.reservesCompete(b.limit) {
+		return 0, false
+	}
+	cut, reached := a.reach.CutOff(now)
+	if reached {
+		return 0, false
+	}
+	return gatedShare * depth, cut == 0
+}
+
+// fillRate returns the rate less what the proxies that are cut off may be using.
+func (b *bucket) fillRate(a *Accountant, now clock.Time) float64 {
+	cut, _ := a.reach.CutOff(now)
+	if cut == 0 || !a.quota.reservesCompete(b.limit) {
+		return b.limit.Rate
+	}
+	usual := min(b.usual.perSecond(now), b.limit.Rate)
+	if now.Sub(b.from) < usualSpan {
+		usual = b.limit.Rate
+	}
+	return max(b.limit.Rate-cut*reserveShare*usual, b.limit.Rate*minFill)
+}
+
 // bucket returns the bucket of a workspace, and creates it as full as it would be.
 func (a *Accountant) bucket(now, from clock.Time, w string, l Limit) *bucket {
 	b, ok := a.buckets[w]
@@ -187,7 +246,7 @@
 		b.granted[b.lastSlot%slotCount] = 0
 	}
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.level += seconds(elapsed) * b.limit.Rate
+		b.level += seconds(elapsed) * b.fillRate(a, now)
 		b.at = now
 	}
 	b.capLevel(a)
@@ -210,6 +269,11 @@
 	return sum
 }
 
+// usualUnderWay returns underWay at the usual demand.
+func (b *bucket) usualUnderWay(a *Accountant, now clock.Time) float64 {
+	return b.usual.perSecond(now) * seconds(a.quota.Life(b.limit)+a.quota.SendTime()+a.slot)
+}
+
 // takeBack puts tokens back that were granted recently and will not be used.
 func (b *bucket) takeBack(a *Accountant, now clock.Time, n float64) {
 	for i := int64(0); i < slotCount && n > 0 && b.lastSlot >= i; i++ {
@@ -230,7 +294,8 @@
 	a.sweptAt = now
 	for w, b := range a.buckets {
 		idle := now.Sub(b.at)
-		if idle >= sweepInterval && b.level+seconds(idle)*b.limit.Rate >= a.quota.Depth(b.limit) {
+		// Until then the usual demand is remembered, as other proxies do.
+		if idle >= idleTime && b.level+seconds(idle)*b.limit.Rate >= a.quota.Depth(b.limit) {
 			delete(a.buckets, w)
 		}
 	}
--- a/internal/process/workspace/allowance.go
+++ b/internal/process/workspace/allowance.go
@@ -27,6 +27,9 @@
 	// CallTimeout is how long the answer of an accountant is awaited. Tokens that come
 	// later would expire soon.
 	CallTimeout = 200 * clock.Millisecond
+	// maxDebt is the time of use for which operations from a reserve are paid back. After
+	// a longer silence the accountant's bucket has filled.
+	maxDebt = clock.Second
 	// silentRetry is the time between two asks of an accountant that does not answer.
 	silentRetry = 100 * clock.Millisecond
 	// idleTime is how long the state of a workspace that is not in use is kept.
@@ -109,6 +112,9 @@
 	// silentSince is when the accountant was found not to answer, zero if it does.
 	silentSince clock.Time
 	reserve     reserve
+	// debt is the number of operations that were run here from a reserve and that no
+	// token has been granted for. An accountant that is only slow grants them too.
+	debt float64
 }
 
 type lot struct {
@@ -189,7 +195,7 @@
 	s := a.share(now, o.Workspace, o.Limit)
 	late := now.Sub(o.Since) >= AnswerTimeout
 	if late && s.asked && now.Sub(s.askedAt) >= AnswerTimeout/2 {
-		s.markSilent(a, now)
+		s.markSilent(now)
 	}
 	d := s.take(a, now, o.Hosted)
 	if _, wait := d.(Wait); wait {
@@ -217,6 +223,7 @@
 		return granted
 	case s.silentSince != 0:
 		if !hosted && s.reserve.take(now) {
+			s.debt++
 			s.used.add(now)
 			return Granted{Until: now.Add(a.quota.SendTime())}
 		}
@@ -271,7 +278,7 @@
 	}
 	to := a.target(now, w, s)
 	if to == "" {
-		s.markSilent(a, now)
+		s.markSilent(now)
 		return Message{}, false
 	}
 	return a.message(now, to)
@@ -340,7 +347,8 @@
 	if target < minAhead {
 		target = 0
 	}
-	ask.Want = max(int(target)-s.held(), 0) + s.waiting
+	s.debt = min(s.debt, max(rate, 1)*seconds(maxDebt))
+	ask.Want = max(int(target)-s.held(), 0) + s.waiting + int(s.debt)
 	if s.silentSince != 0 {
 		// An answer is wanted more than the token.
 		ask.Want = max(ask.Want, 1)
@@ -399,7 +407,7 @@
 			s.heldUntil, s.gaveUp = now.Add(retry), false
 		}
 		if next := a.target(now, ask.Workspace, s); next == m.Accountant || s.gaveUp {
-			s.markSilent(a, now)
+			s.markSilent(now)
 		}
 	}
 }
@@ -412,8 +420,13 @@
 		s.emptyUntil = now.Add(min(g.RetryMillis, clock.Minute))
 	}
 	life := min(g.LifeMillis, a.quota.Life(s.limit))
-	if expires := sent.Add(life); g.Tokens > 0 && now < expires {
-		s.lots = append(s.lots, lot{tokens: g.Tokens, expires: expires})
+	tokens := max(g.Tokens, 0)
+	if expires := sent.Add(life); now < expires {
+		paid := min(int(s.debt), tokens)
+		s.debt -= float64(paid)
+		if tokens > paid {
+			s.lots = append(s.lots, lot{tokens: tokens - paid, expires: expires})
+		}
 	}
 }
 
@@ -426,16 +439,16 @@
 			if m.Accountant != s.accountant {
 				s.gaveUp = true
 			}
-			s.markSilent(a, now)
+			s.markSilent(now)
 		}
 	}
 }
 
-func (s *share) markSilent(a *Allowance, now clock.Time) {
+func (s *share) markSilent(now clock.Time) {
 	if s.silentSince == 0 {
 		s.silentSince = now
 	}
-	s.reserve.start(now, s.reserveRate(a, now), 0)
+	s.reserve.start(now, s.reserveRate(now), 0)
 }
 
 // sweep forgets the workspaces that have not been in use for idleTime.
--- a/internal/process/workspace/reserve.go
+++ b/internal/process/workspace/reserve.go
@@ -5,9 +5,9 @@
 )
 
 const (
-	// maxReserveShare is the share of its usual demand that a proxy serves at most while
-	// no accountant answers.
-	maxReserveShare = 0.75
+	// reserveShare is the share of its usual demand that a proxy serves while no
+	// accountant answers.
+	reserveShare = 0.75
 	// reserveDepth is the time of the reserve's rate that is kept while nothing is used.
 	reserveDepth = clock.Second
 	// reportedSilence is how long an accountant counts as silent after a home has
@@ -15,15 +15,10 @@
 	reportedSilence = clock.Second
 )
 
-// reserveShare returns the share of its usual demand that a proxy serves while no
-// accountant answers. Others may still be granted the whole limit, so that all reserves
-// together must fit into the rest of the tolerance even if the workspace usually runs at
-// its rate.
-func (q Quota) reserveShare(l Limit) float64 {
-	if l.Rate <= 0 {
-		return 0
-	}
-	return min(maxReserveShare, (1-grantsShare)*q.tolerance(l)/(l.Rate*seconds(q.Window)))
+// reservesCompete reports whether the reserves of a workspace that runs at its rate may be
+// more than the part of the tolerance that is left for them.
+func (q Quota) reservesCompete(l Limit) bool {
+	return reserveShare*l.Rate*seconds(q.Window) > (1-grantsShare)*q.tolerance(l)
 }
 
 // reserve is what a proxy may run for a workspace while no accountant answers. It belongs
@@ -96,8 +91,13 @@
 	a.share(now, w, l).reserve.usual.add(now)
 }
 
-func (s *share) reserveRate(a *Allowance, now clock.Time) float64 {
-	return s.reserve.usual.perSecond(now) * a.quota.reserveShare(s.limit)
+func (s *share) reserveRate(now clock.Time) float64 {
+	return s.reserve.usual.perSecond(now) * reserveShare
+}
+
+// Reserved records that an operation was run here from the reserve of another proxy.
+func (a *Allowance) Reserved(now clock.Time, w string, l Limit) {
+	a.share(now, w, l).debt++
 }
 
 // Reserve takes an operation from the reserve, if no accountant answers this proxy or,
@@ -109,5 +109,5 @@
 // ReportSilence records that a home has found the accountant silent.
 func (a *Allowance) ReportSilence(now clock.Time, w string, l Limit) {
 	s := a.share(now, w, l)
-	s.reserve.start(now, s.reserveRate(a, now), now.Add(reportedSilence))
+	s.reserve.start(now, s.reserveRate(now), now.Add(reportedSilence))
 }
--- a/internal/process/workspace/usage.go
+++ b/internal/process/workspace/usage.go
@@ -70,9 +70,11 @@
 	a.at = max(a.at, now)
 }
 
-func (a *average) add(now clock.Time) {
+func (a *average) add(now clock.Time) { a.addN(now, 1) }
+
+func (a *average) addN(now clock.Time, n float64) {
 	a.decay(now)
-	a.value += 1 / seconds(usualSpan)
+	a.value += n / seconds(usualSpan)
 }
 
 func (a *average) perSecond(now clock.Time) float64 {
