Deputies for silent accountants, and a handover between accountants

Cause: the row of a killed proxy stays in the members table, so that a fifth of the workspaces would run on reserves for good; small reserves of many proxies served a third of usual demand; a change of members stopped grants for seconds. Change: the other accountants stand in, in a fixed order, for those that they find silent, and tell them when they answer again. A new accountant has the previous one release a workspace. A part of a divided network with less than 0.55 of the proxies gets 0.75 of its share of usual demand.

--- a/internal/front/allowances.go
+++ b/internal/front/allowances.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/session"
@@ -13,17 +15,26 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 // methodGrant is the peer method that asks an accountant for tokens.
 const methodGrant = "grant"
 
-// maxAsks is the maximum number of asks that one message is answered for.
-const maxAsks = 4096
+const (
+	// maxAsks is the maximum number of asks that one message is answered for.
+	maxAsks = 4096
+	// unknownRetry is stated for a workspace that this proxy does not know.
+	unknownRetry = 100 * clock.Millisecond
+)
 
-// grantParams asks an accountant for tokens of several workspaces.
+// grantParams asks an accountant for tokens of several workspaces. Without asks, it asks
+// for a sign of life.
 type grantParams struct {
 	Asks []workspace.Ask `json:"asks"`
+	// Granted names workspaces for which the sending proxy has granted tokens, as deputy
+	// of the one that it sends to.
+	Granted []string `json:"granted,omitempty"`
 }
 
 // grantResult is the answer of an accountant.
@@ -43,12 +54,15 @@
 	// to grant by it.
 	confirmed func() bool
 	// call sends a message to another proxy. It is set before the first operation.
-	call func(accountant string, p grantParams) (grantResult, error)
+	call func(name string, limit clock.Duration, p grantParams) (grantResult, error)
 
 	mu          sync.Mutex
 	allowance   *workspace.Allowance
 	accountant  *workspace.Accountant
+	reach       *workspace.Reach
 	accountants []string
+	// addresses has the addresses of the accountants, and of those before them.
+	addresses, previousAddresses map[string]string
 	// arrived is closed, and replaced, when an answer has been taken in.
 	arrived chan struct{}
 	counts  map[string]*workspaceCount
@@ -58,9 +72,10 @@
 	if q.Window <= 0 {
 		q = workspace.DefaultQuota()
 	}
+	reach := workspace.NewReach()
 	return &allowances{
 		self: self, clock: c, log: log, versions: v, confirmed: func() bool { return true },
-		allowance: workspace.NewAllowance(self, q), accountant: workspace.NewAccountant(q, c.Now()),
+		allowance: workspace.NewAllowance(self, q), accountant: workspace.NewAccountant(self, q, reach, c.Now()), reach: reach,
 		arrived: make(chan struct{}), counts: make(map[string]*workspaceCount),
 	}
 }
@@ -69,22 +84,41 @@
 // proxy can have accounted for the workspaces that this one takes over.
 func (a *allowances) setMembers(members []proxy.Peer, started bool) {
 	names := workspace.ChooseAccountants(members)
+	is := slices.Contains(names, a.self)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if is {
+		a.reach.SetMembers(a.self, namesOf(members, a.self))
+	}
 	if slices.Equal(names, a.accountants) {
 		return
 	}
-	before, is := slices.Contains(a.accountants, a.self), slices.Contains(names, a.self)
+	was := slices.Contains(a.accountants, a.self)
+	a.previousAddresses, a.addresses = a.addresses, make(map[string]string)
+	for _, p := range members {
+		if slices.Contains(names, p.Name) {
+			a.addresses[p.Name] = p.Address
+		}
+	}
 	a.accountants = names
 	a.allowance.SetAccountants(names)
-	if before || is {
-		a.accountant.Assign(a.clock.Now(), func(w string) bool { return workspace.AccountantOf(w, names) == a.self }, started)
-	}
-	if before != is {
+	a.accountant.Assign(a.clock.Now(), names, started)
+	if was != is {
 		a.log.Info("accountant role changed", zap.Bool("accountant", is), zap.Bool("held", !started))
 	}
 }
 
+// addressOf returns the address of an accountant that may have left the members, or "" if
+// it is not known.
+func (a *allowances) addressOf(name string) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if address, ok := a.addresses[name]; ok {
+		return address
+	}
+	return a.previousAddresses[name]
+}
+
 // limit returns the limit of a workspace in the configuration in force. It returns false
 // if the workspace has none. A workspace that this proxy does not know yet has a limit
 // that only its accountant knows.
@@ -120,7 +154,8 @@
 		}
 		arrived := a.arrived
 		a.mu.Unlock()
-		a.clock.WaitOrTimeout(arrived, workspace.AnswerTimeout-a.clock.Now().Sub(o.Since))
+		left := workspace.AnswerTimeout - a.clock.Now().Sub(o.Since)
+		a.clock.WaitOrTimeout(arrived, min(left, workspace.DeputyTimeout))
 		a.mu.Lock()
 		decision = a.allowance.Retry(a.clock.Now(), o)
 	}
@@ -137,21 +172,23 @@
 	}
 }
 
-// askLocked asks the accountant of a workspace if that is due. This proxy itself answers
-// at once, without a message.
+// askLocked sends the messages that are due because of a workspace. This proxy itself
+// answers at once, without a message.
 func (a *allowances) askLocked(name string) {
 	now := a.clock.Now()
-	for range 2 {
-		m, ok := a.allowance.Next(now, name)
-		if !ok {
-			return
-		}
-		if m.Accountant != a.self {
-			a.sendLocked(m)
-			return
+	for again := true; again; {
+		again = false
+		for _, m := range a.allowance.Next(now, name) {
+			if m.Accountant != a.self {
+				a.sendLocked(m)
+				continue
+			}
+			grants := a.grantLocked(m.Asks).Grants
+			a.allowance.Answered(now, now, m, grants)
+			a.wakeLocked()
+			// If this proxy holds back, another one is to be asked.
+			again = slices.ContainsFunc(grants, func(g workspace.Grant) bool { return g.Workspace == name && g.Holding })
 		}
-		a.allowance.Answered(now, now, m, a.grantLocked(m.Asks).Grants)
-		a.wakeLocked()
 	}
 }
 
@@ -159,7 +196,7 @@
 func (a *allowances) sendLocked(m workspace.Message) {
 	sent := a.clock.Now()
 	go contain.Run(a.log, "ask of accountant", func() {
-		answer, err := a.call(m.Accountant, grantParams{Asks: m.Asks})
+		answer, err := a.call(m.Accountant, workspace.CallTimeout, grantParams{Asks: m.Asks})
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		now := a.clock.Now()
@@ -176,13 +213,53 @@
 	})
 }
 
+// checkLocked sends what the accountant of this proxy has to find out from others.
+func (a *allowances) checkLocked(now clock.Time) {
+	for _, m := range a.accountant.Messages(now) {
+		go contain.Run(a.log, "check of accountant", func() {
+			answer, err := a.call(m.Accountant, workspace.CallTimeout, grantParams{Asks: m.Asks, Granted: m.Granted})
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if err != nil {
+				a.accountant.Unanswered(a.clock.Now(), m)
+				return
+			}
+			a.accountant.Answered(a.clock.Now(), m, answer.Grants)
+		})
+	}
+	round, names := a.reach.Begin(now, a.accountant.ReachNeeded())
+	if len(names) == 0 {
+		return
+	}
+	go contain.Run(a.log, "signs of life", func() {
+		var wg sync.WaitGroup
+		for _, name := range names {
+			wg.Go(func() {
+				_, err := a.call(name, workspace.RoundTimeout, grantParams{})
+				var remote *jsonrpc2.Error
+				// An earlier build does not know the method, but it answers.
+				if err != nil && !errors.As(err, &remote) {
+					return
+				}
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				a.reach.Answered(round, name)
+			})
+		}
+		wg.Wait()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.reach.End(round)
+	})
+}
+
 // wakeLocked lets the operations that wait for an answer look again.
 func (a *allowances) wakeLocked() {
 	close(a.arrived)
 	a.arrived = make(chan struct{})
 }
 
-// handleGrant answers the asks of another proxy.
+// handleGrant answers a message of another proxy.
 func (a *allowances) handleGrant(params json.RawMessage) (any, error) {
 	var p grantParams
 	if err := json.Unmarshal(params, &p); err != nil {
@@ -190,26 +267,46 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	for _, name := range p.Granted[:min(len(p.Granted), maxAsks)] {
+		// Names that the configuration does not hold would be kept in vain.
+		if l, known := a.declared(name); known && l.Rate > 0 {
+			a.accountant.Drain(a.clock.Now(), name, l)
+		}
+	}
 	return a.grantLocked(p.Asks[:min(len(p.Asks), maxAsks)]), nil
 }
 
 func (a *allowances) grantLocked(asks []workspace.Ask) grantResult {
 	result := grantResult{Grants: make([]workspace.Grant, 0, len(asks))}
-	now, confirmed, v := a.clock.Now(), a.confirmed(), a.versions.Load()
+	now, confirmed := a.clock.Now(), a.confirmed()
 	for _, ask := range asks {
-		var l workspace.Limit
-		known := false
-		if v != nil {
-			if w := v.Workspaces.Find(ask.Workspace); w != nil {
-				l, known = workspace.Limit{Rate: w.Rate, Burst: w.Burst}, true
-			}
+		l, known := a.declared(ask.Workspace)
+		if !known {
+			// The asking proxy may have a newer configuration, in which it is new.
+			result.Grants = append(result.Grants, workspace.Grant{Workspace: ask.Workspace, Holding: true, RetryMillis: unknownRetry})
+			continue
 		}
-		// The asking proxy may have a newer configuration, in which the workspace is new.
-		result.Grants = append(result.Grants, a.accountant.Grant(now, ask, l, confirmed && known))
+		result.Grants = append(result.Grants, a.accountant.Grant(now, ask, l, confirmed))
+	}
+	if len(asks) > 0 {
+		a.checkLocked(now)
 	}
 	return result
 }
 
+// declared returns the limit of a workspace that the configuration in force declares.
+func (a *allowances) declared(name string) (workspace.Limit, bool) {
+	v := a.versions.Load()
+	if v == nil {
+		return workspace.Limit{}, false
+	}
+	w := v.Workspaces.Find(name)
+	if w == nil {
+		return workspace.Limit{}, false
+	}
+	return workspace.Limit{Rate: w.Rate, Burst: w.Burst}, true
+}
+
 // PutBack implements session.Limits.
 func (a *allowances) PutBack(name string, g workspace.Granted) {
 	a.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,7 +21,6 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/promotion"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
-	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -221,12 +220,16 @@
 	return nil
 }
 
-// callAccountant asks another proxy for tokens.
-func (f *Front) callAccountant(name string, p grantParams) (grantResult, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), workspace.CallTimeout.Std())
+// callAccountant sends a message to an accountant, which may have left the members.
+func (f *Front) callAccountant(name string, limit clock.Duration, p grantParams) (grantResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 	defer cancel()
 	var result grantResult
 	err := f.peerConns.Call(ctx, name, methodGrant, p, &result)
+	var unknown *proxy.UnknownPeerError
+	if address := f.allowances.addressOf(name); address != "" && errors.As(err, &unknown) {
+		err = proxy.CallAddress(ctx, address, methodGrant, p, &result)
+	}
 	return result, err
 }
 
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -67,7 +67,7 @@
 	first := f.registeredAtStart && !f.membersPassed
 	f.membersPassed = true
 	f.mu.Unlock()
-	return first || f.settings.FirstStart && f.clock.Now().Sub(f.startedAt) < workspace.HoldBack
+	return first || f.settings.FirstStart && f.clock.Now().Sub(f.startedAt) < workspace.SpreadTime
 }
 
 // expireMembers drops proxies that have not written their rows again after a restore
--- a/internal/process/workspace/allowance.go
+++ b/internal/process/workspace/allowance.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,14 +23,12 @@
 	// round trip between zones, so that a pause of the accountant of a few
 	// milliseconds refuses nothing.
 	AnswerTimeout = 40 * clock.Millisecond
-	// CallTimeout is how long the answer of an accountant is awaited. Tokens that come
-	// later would expire soon.
-	CallTimeout = 200 * clock.Millisecond
+	// DeputyTimeout is how long the answer of one accountant is awaited before a deputy is
+	// asked. The rest of AnswerTimeout suffices for that.
+	DeputyTimeout = 20 * clock.Millisecond
 	// maxDebt is the time of use for which operations from a reserve are paid back. After
 	// a longer silence the accountant's bucket has filled.
 	maxDebt = clock.Second
-	// silentRetry is the time between two asks of an accountant that does not answer.
-	silentRetry = 100 * clock.Millisecond
 	// idleTime is how long the state of a workspace that is not in use is kept.
 	idleTime = 60 * clock.Second
 )
@@ -74,26 +71,25 @@
 	// before the last change. choice is the number of that change.
 	accountants, previous []string
 	choice                int
-	// busy has the accountants that a message is under way to.
-	busy map[string]bool
-}
-
-// Message is what to ask an accountant, which may be this proxy itself.
-type Message struct {
-	Accountant string
-	Asks       []Ask
+	contacts              map[string]*contact
 }
 
 // share is what a proxy holds of one workspace.
 type share struct {
 	limit Limit
-	// accountant and before account for the workspace, and did before the last change of
-	// accountants, as of the change number choice. heldUntil is when accountant begins to
-	// grant, as it has answered; before is asked until then, unless it has given up too.
-	accountant, before string
-	choice             int
-	heldUntil          clock.Time
-	gaveUp             bool
+	// candidates has the proxies that may grant, as of the change number choice of the
+	// accountants. accountant is the first accountant, and those from the index
+	// deputiesFrom are deputies. moved is the accountant that another one has named.
+	candidates        []string
+	accountant, moved string
+	deputiesFrom      int
+	choice            int
+	// refusals has the accountants that grant nothing now. No deputy does until
+	// noDeputyUntil.
+	refusals      []refusal
+	noDeputyUntil clock.Time
+	// usual is the usual demand of the workspace, as its accountant has told.
+	usual float64
 	// lots has the tokens, ordered by when they expire.
 	lots []lot
 	// demand counts the operations that need tokens, and used those that got one.
@@ -101,17 +97,17 @@
 	usedAt       clock.Time
 	// waiting is the number of operations that wait for a grant.
 	waiting int
-	// asked is set while an ask is under way. askedAt is when the last one was sent.
-	asked   bool
+	// asked is the accountant that an ask is under way to, "" if none is. askedAt is when
+	// the last one was sent.
+	asked   string
 	askedAt clock.Time
 	// answered is set once an accountant has answered, last at answeredAt.
 	answered   bool
 	answeredAt clock.Time
-	// emptyUntil is the time before which the accountant has nothing to grant.
+	// emptyUntil is the time before which the accountant emptyAt has nothing to grant.
 	emptyUntil clock.Time
-	// silentSince is when the accountant was found not to answer, zero if it does.
-	silentSince clock.Time
-	reserve     reserve
+	emptyAt    string
+	reserve    reserve
 	// debt is the number of operations that were run here from a reserve and that no
 	// token has been granted for. An accountant that is only slow grants them too.
 	debt float64
@@ -124,28 +120,7 @@
 
 // NewAllowance returns the Allowance of the proxy with the given name.
 func NewAllowance(self string, q Quota) *Allowance {
-	return &Allowance{self: self, quota: q, shares: make(map[string]*share), busy: make(map[string]bool)}
-}
-
-// SetAccountants sets the names of the accountants.
-func (a *Allowance) SetAccountants(names []string) {
-	if slices.Equal(a.accountants, names) {
-		return
-	}
-	a.previous, a.accountants = a.accountants, names
-	a.choice++
-}
-
-// target returns which proxy to ask for a workspace, "" if there is none.
-func (a *Allowance) target(now clock.Time, w string, s *share) string {
-	if s.choice != a.choice || s.accountant == "" {
-		s.accountant, s.before = AccountantOf(w, a.accountants), AccountantOf(w, a.previous)
-		s.choice, s.heldUntil, s.gaveUp = a.choice, 0, false
-	}
-	if now < s.heldUntil && !s.gaveUp && s.before != "" && s.before != s.accountant {
-		return s.before
-	}
-	return s.accountant
+	return &Allowance{self: self, quota: q, shares: make(map[string]*share), contacts: make(map[string]*contact)}
 }
 
 // share returns the state of a workspace, and creates it on first use.
@@ -179,11 +154,12 @@
 }
 
 // Request records that an operation needs a token and decides on it. After Wait, Retry
-// has to be called when the accountant has answered or AnswerTimeout has passed.
+// has to be called whenever an accountant has answered, and after each DeputyTimeout until
+// AnswerTimeout has passed.
 func (a *Allowance) Request(now clock.Time, o Operation) Decision {
 	s := a.share(now, o.Workspace, o.Limit)
 	s.demand.add(now)
-	d := s.take(a, now, o.Hosted)
+	d := s.take(a, now, o)
 	if _, wait := d.(Wait); wait {
 		s.waiting++
 	}
@@ -193,26 +169,24 @@
 // Retry decides again on an operation that waits.
 func (a *Allowance) Retry(now clock.Time, o Operation) Decision {
 	s := a.share(now, o.Workspace, o.Limit)
-	late := now.Sub(o.Since) >= AnswerTimeout
-	if late && s.asked && now.Sub(s.askedAt) >= AnswerTimeout/2 {
-		s.markSilent(now)
+	if s.asked != "" && now.Sub(s.askedAt) >= DeputyTimeout {
+		a.contact(s.asked).markSilent(now)
 	}
-	d := s.take(a, now, o.Hosted)
+	d := s.take(a, now, o)
 	if _, wait := d.(Wait); wait {
-		if !late {
+		if now.Sub(o.Since) < AnswerTimeout {
 			return d
 		}
-		d = s.refused(now, silentRetry)
+		d = s.takeReserve(a, now, o)
 	}
 	s.waiting = max(s.waiting-1, 0)
 	return d
 }
 
 // take decides on one operation.
-func (s *share) take(a *Allowance, now clock.Time, hosted bool) Decision {
+func (s *share) take(a *Allowance, now clock.Time, o Operation) Decision {
 	s.dropExpired(now)
-	switch {
-	case len(s.lots) > 0:
+	if len(s.lots) > 0 {
 		l := &s.lots[0]
 		granted := Granted{Until: now.Add(a.quota.SendTime()), Expires: l.expires}
 		l.tokens--
@@ -221,21 +195,31 @@
 		}
 		s.used.add(now)
 		return granted
-	case s.silentSince != 0:
-		if !hosted && s.reserve.take(now) {
-			s.debt++
-			s.used.add(now)
-			return Granted{Until: now.Add(a.quota.SendTime())}
-		}
-		return s.refused(now, s.reserve.wait())
-	case now < s.emptyUntil:
+	}
+	switch target, _ := a.target(now, o.Workspace, s); {
+	case target == "":
+		return s.takeReserve(a, now, o)
+	case target == s.emptyAt && now < s.emptyUntil:
 		return s.refused(now, s.emptyUntil.Sub(now))
 	}
 	return Wait{}
 }
 
+// takeReserve decides on an operation while no accountant answers.
+func (s *share) takeReserve(a *Allowance, now clock.Time, o Operation) Decision {
+	s.reserve.start(now, s.reserveRate(now), 0)
+	if !o.Hosted && s.reserve.take(now) {
+		s.debt++
+		s.used.add(now)
+		return Granted{Until: now.Add(a.quota.SendTime())}
+	}
+	r := s.refused(now, s.reserve.wait())
+	r.Silent = true
+	return r
+}
+
 func (s *share) refused(now clock.Time, retry clock.Duration) Refused {
-	r := Refused{Retry: max(retry, minRetry), Silent: s.silentSince != 0, Used: int(s.used.perSecond(now)), Age: -1}
+	r := Refused{Retry: max(retry, minRetry), Used: int(s.used.perSecond(now)), Age: -1}
 	if s.answered {
 		r.Age = now.Sub(s.answeredAt)
 	}
@@ -268,62 +252,13 @@
 	}
 }
 
-// Next returns the message to send now because of a workspace, if any. One message at a
-// time is under way to an accountant; it takes along what other workspaces of that
-// accountant will need soon.
-func (a *Allowance) Next(now clock.Time, w string) (Message, bool) {
-	s, ok := a.shares[w]
-	if !ok || !s.wantsAsk(now) {
-		return Message{}, false
-	}
-	to := a.target(now, w, s)
-	if to == "" {
-		s.markSilent(now)
-		return Message{}, false
-	}
-	return a.message(now, to)
+// wantsAsk reports whether an accountant should be asked now.
+func (s *share) wantsAsk(now clock.Time, to string) bool {
+	return s.mayAsk(now, to) && (s.waiting > s.held() || s.reserve.on || s.below(now, lowAhead))
 }
 
-// More returns the next message to an accountant that has answered, if an operation waits
-// for one.
-func (a *Allowance) More(now clock.Time, accountant string) (Message, bool) {
-	for w, s := range a.shares {
-		if s.waiting > 0 && s.wantsAsk(now) && a.target(now, w, s) == accountant {
-			return a.message(now, accountant)
-		}
-	}
-	return Message{}, false
-}
-
-func (a *Allowance) message(now clock.Time, to string) (Message, bool) {
-	if a.busy[to] {
-		return Message{}, false
-	}
-	m := Message{Accountant: to}
-	for w, s := range a.shares {
-		if a.target(now, w, s) != to {
-			continue
-		}
-		if ask, ok := s.ask(now, w); ok {
-			m.Asks = append(m.Asks, ask)
-		}
-	}
-	if len(m.Asks) == 0 {
-		return Message{}, false
-	}
-	a.busy[to] = true
-	return m, true
-}
-
-// wantsAsk reports whether the accountant should be asked now.
-func (s *share) wantsAsk(now clock.Time) bool {
-	if s.asked || now < s.emptyUntil {
-		return false
-	}
-	if s.silentSince != 0 {
-		return now.Sub(s.askedAt) >= silentRetry
-	}
-	return s.waiting > 0 || s.below(now, lowAhead)
+func (s *share) mayAsk(now clock.Time, to string) bool {
+	return s.asked != to && (s.emptyAt != to || now >= s.emptyUntil)
 }
 
 // below reports whether the tokens last less than span.
@@ -333,13 +268,13 @@
 }
 
 // ask returns what to ask for a workspace. It returns false if nothing has to be asked.
-func (s *share) ask(now clock.Time, w string) (Ask, bool) {
-	if s.asked || now < s.emptyUntil || s.silentSince != 0 && now.Sub(s.askedAt) < silentRetry {
+func (s *share) ask(now clock.Time, w, to string) (Ask, bool) {
+	if !s.mayAsk(now, to) {
 		return Ask{}, false
 	}
 	s.dropExpired(now)
 	rate := s.demand.perSecond(now)
-	if s.waiting == 0 && s.silentSince == 0 && !s.below(now, (lowAhead+fullAhead)/2) {
+	if s.waiting <= s.held() && !s.reserve.on && !s.below(now, (lowAhead+fullAhead)/2) {
 		return Ask{}, false
 	}
 	ask := Ask{Workspace: w, Unused: s.giveBack(now, rate)}
@@ -348,15 +283,16 @@
 		target = 0
 	}
 	s.debt = min(s.debt, max(rate, 1)*seconds(maxDebt))
-	ask.Want = max(int(target)-s.held(), 0) + s.waiting + int(s.debt)
-	if s.silentSince != 0 {
+	// Tokens that have just come are for those that wait.
+	ask.Want = max(int(target)+s.waiting-s.held(), 0) + int(s.debt)
+	if s.reserve.on {
 		// An answer is wanted more than the token.
 		ask.Want = max(ask.Want, 1)
 	}
 	if ask.Want == 0 {
 		return Ask{}, false
 	}
-	s.asked, s.askedAt = true, now
+	s.asked, s.askedAt = to, now
 	return ask, true
 }
 
@@ -382,75 +318,6 @@
 	return back
 }
 
-// Answered takes in the answer to a message that was sent at a time.
-func (a *Allowance) Answered(now, sent clock.Time, m Message, grants []Grant) {
-	delete(a.busy, m.Accountant)
-	byName := make(map[string]Grant, len(grants))
-	for _, g := range grants {
-		byName[g.Workspace] = g
-	}
-	for _, ask := range m.Asks {
-		s, ok := a.shares[ask.Workspace]
-		if !ok {
-			continue
-		}
-		s.asked = false
-		g, ok := byName[ask.Workspace]
-		if ok && !g.Holding {
-			s.apply(a, now, sent, g)
-			continue
-		}
-		retry := min(max(g.RetryMillis, minRetry), HoldBack)
-		if m.Accountant != s.accountant {
-			s.gaveUp = true
-		} else if now >= s.heldUntil {
-			s.heldUntil, s.gaveUp = now.Add(retry), false
-		}
-		if next := a.target(now, ask.Workspace, s); next == m.Accountant || s.gaveUp {
-			s.markSilent(now)
-		}
-	}
-}
-
-func (s *share) apply(a *Allowance, now, sent clock.Time, g Grant) {
-	s.silentSince, s.answered, s.answeredAt = 0, true, now
-	s.reserve.stop(now)
-	s.emptyUntil = 0
-	if g.RetryMillis > 0 {
-		s.emptyUntil = now.Add(min(g.RetryMillis, clock.Minute))
-	}
-	life := min(g.LifeMillis, a.quota.Life(s.limit))
-	tokens := max(g.Tokens, 0)
-	if expires := sent.Add(life); now < expires {
-		paid := min(int(s.debt), tokens)
-		s.debt -= float64(paid)
-		if tokens > paid {
-			s.lots = append(s.lots, lot{tokens: tokens - paid, expires: expires})
-		}
-	}
-}
-
-// Unanswered records that a message got no answer.
-func (a *Allowance) Unanswered(now clock.Time, m Message) {
-	delete(a.busy, m.Accountant)
-	for _, ask := range m.Asks {
-		if s, ok := a.shares[ask.Workspace]; ok {
-			s.asked = false
-			if m.Accountant != s.accountant {
-				s.gaveUp = true
-			}
-			s.markSilent(now)
-		}
-	}
-}
-
-func (s *share) markSilent(now clock.Time) {
-	if s.silentSince == 0 {
-		s.silentSince = now
-	}
-	s.reserve.start(now, s.reserveRate(now), 0)
-}
-
 // sweep forgets the workspaces that have not been in use for idleTime.
 func (a *Allowance) sweep(now clock.Time) {
 	if now.Sub(a.sweptAt) < sweepInterval {
--- a/internal/process/workspace/bound_test.go
+++ b/internal/process/workspace/bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -56,6 +57,11 @@
 	w.loadAll(nodes, usualDemand*surgeFactor, d)
 }
 
+// without returns the members less one.
+func without(members []proxy.Peer, name string) []proxy.Peer {
+	return slices.DeleteFunc(slices.Clone(members), func(p proxy.Peer) bool { return p.Name == name })
+}
+
 // accountants returns the proxies that account for any workspace.
 func (w *world) accountants() []*node {
 	var list []*node
@@ -182,12 +188,7 @@
 		for range 3 {
 			w.run(2 * clock.Second)
 			gone := w.accountants()[0].name
-			var left []proxy.Peer
-			for _, p := range w.nodes[0].members {
-				if p.Name != gone {
-					left = append(left, p)
-				}
-			}
+			left := without(w.nodes[0].members, gone)
 			for _, n := range w.nodes {
 				w.after(clock.Duration(w.rand.IntN(2000)), func() { n.setMembers(left) })
 			}
@@ -247,3 +248,96 @@
 		w.run(10 * clock.Second)
 	})
 }
+
+// An accountant that answers too late for all must not add its grants to the reserves.
+func TestSlowAccountantStaysWithinTheBound(t *testing.T) {
+	forSeeds(t, func(t *testing.T, w *world) {
+		w.late = 1
+		w.surge(w.nodes, 2*surgeTime)
+		w.run(2 * surgeTime)
+	})
+}
+
+// A workspace that always runs near its rate has large reserves.
+func TestDividedNetworkAtHighUsualDemandStaysWithinTheBound(t *testing.T) {
+	for seed := range uint64(3) {
+		w := newWorld(seed, fleet, limits())
+		w.run(5 * clock.Second)
+		w.loadAll(w.nodes, 0.95, settled)
+		w.run(settled)
+		w.surge(w.nodes, 2*surgeTime)
+		for i, n := range w.nodes {
+			if i%3 != 0 {
+				n.part = 1
+			}
+		}
+		w.run(2 * surgeTime)
+		w.report(t)
+		w.requireBound(t)
+	}
+}
+
+// An accountant that comes back finds its bucket full, while its deputies have granted in
+// the meantime.
+func TestReturningAccountantStaysWithinTheBound(t *testing.T) {
+	for _, how := range []string{"frozen", "restarted", "reconnected"} {
+		t.Run(how, func(t *testing.T) {
+			forSeeds(t, func(t *testing.T, w *world) {
+				w.surge(w.nodes, 3*surgeTime)
+				for _, n := range w.accountants()[:3] {
+					w.run(clock.Second)
+					switch how {
+					case "frozen":
+						n.frozen = w.now.Add(3 * clock.Second)
+						w.run(3 * clock.Second)
+					case "restarted":
+						n.kill()
+						w.run(3 * clock.Second)
+						n.start(n.members)
+					default:
+						n.part = 1
+						w.run(3 * clock.Second)
+						n.part = 0
+					}
+				}
+				w.run(6 * clock.Second)
+			})
+		})
+	}
+}
+
+// In a network that has been divided for long, no part may save up what it has not used.
+func TestSurgeInADividedNetworkStaysWithinTheBound(t *testing.T) {
+	for _, idle := range []float64{0, 0.1, usualDemand} {
+		t.Run(fmt.Sprint("demand", idle), func(t *testing.T) {
+			forSeeds(t, func(t *testing.T, w *world) {
+				for i, n := range w.nodes {
+					if i%3 != 0 {
+						n.part = 1
+					}
+				}
+				if idle > 0 {
+					w.loadAll(w.nodes, idle, 15*clock.Second)
+				}
+				w.run(15 * clock.Second)
+				w.surge(w.nodes, surgeTime)
+				w.run(surgeTime)
+			})
+		})
+	}
+}
+
+// A proxy whose configuration is not confirmed grants nothing, and others use reserves.
+func TestUnconfirmedAccountantGrantsNothing(t *testing.T) {
+	w := settledWorld(1, fleet)
+	for _, n := range w.accountants() {
+		n.unconfirmed = true
+	}
+	w.run(clock.Second)
+	before := len(w.spaces[nameOf(300)].arrivals)
+	w.surge(w.nodes, surgeTime)
+	w.run(surgeTime)
+	served := len(w.spaces[nameOf(300)].arrivals) - before
+	require.LessOrEqual(t, float64(served), 300*usualDemand*reserveShare*seconds(surgeTime)*1.1+fleet)
+	w.requireBound(t)
+}
--- a/internal/process/workspace/choice.go
+++ b/internal/process/workspace/choice.go
@@ -1,6 +1,9 @@
 package workspace
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -22,14 +25,19 @@
 	return names
 }
 
-// AccountantOf returns which of the accountants accounts for a workspace, or "" if there
-// are none.
-func AccountantOf(workspace string, accountants []string) string {
-	best, top := "", uint64(0)
-	for _, name := range accountants {
-		if score := xxhash.Sum64String(workspace + "/" + name); best == "" || score > top || score == top && name < best {
-			best, top = name, score
-		}
+// RankAccountants returns the accountants in the order in which they account for a
+// workspace: the first does, and each other one does while those before it are silent.
+func RankAccountants(workspace string, accountants []string) []string {
+	score := func(name string) uint64 { return xxhash.Sum64String(workspace + "/" + name) }
+	ranked := slices.Clone(accountants)
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b)) })
+	return ranked
+}
+
+// first returns the first name, or "" if there is none.
+func first(names []string) string {
+	if len(names) == 0 {
+		return ""
 	}
-	return best
+	return names[0]
 }
--- a/internal/process/workspace/reach.go
+++ b/internal/process/workspace/reach.go
@@ -11,12 +11,21 @@
 )
 
 const (
-	// sampleSize is the number of proxies that an accountant asks for a sign of life.
+	// sampleSize is the number of proxies that an accountant asks for a sign of life, and
+	// wideSize that while it does not reach some of them. With 64, a part of 0.35 of the
+	// proxies is taken for a majority in fewer than 1 of 1,000 rounds.
 	sampleSize = 16
+	wideSize   = 64
+	// majority is the share of the sample that a proxy must reach to account for a
+	// workspace in full. It is above a half, since two parts must not both reach it.
+	majority = 0.55
 	// roundInterval is the time between two rounds of that, and RoundTimeout the time
 	// after which a proxy counts as cut off. Their sum is how long the accountant and the
 	// reserves of proxies that are cut off can add up.
 	roundInterval = 500 * clock.Millisecond
+	// calmInterval replaces roundInterval while no workspace needs more than half of its
+	// burst: a division of the network is noticed before a surge that follows it.
+	calmInterval = 5 * clock.Second
 	// RoundTimeout allows for pauses of small machines.
 	RoundTimeout = 200 * clock.Millisecond
 	// reachTime is how long the outcome of a round counts.
@@ -28,9 +37,11 @@
 
 // Reach estimates which share of the proxies cannot reach an accountant. Those use their
 // reserves, which the accountant has to leave room for. It asks a sample of the proxies,
-// and only while a workspace uses its burst.
+// and often only while a workspace uses its burst.
 type Reach struct {
+	// sample has the proxies to ask, the first sampleSize of them while all is well.
 	sample   []string
+	asked    []string
 	began    clock.Time
 	round    int
 	answered map[string]bool
@@ -43,7 +54,7 @@
 
 // NewReach returns a Reach without members.
 func NewReach() *Reach {
-	return &Reach{began: -clock.Time(roundInterval), answered: make(map[string]bool)}
+	return &Reach{began: -clock.Time(calmInterval), answered: make(map[string]bool)}
 }
 
 // SetMembers chooses the sample from the names of all proxies.
@@ -60,20 +71,32 @@
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name)) })
 	r.sample = r.sample[:0:0]
-	for _, c := range list[:min(len(list), sampleSize)] {
+	for _, c := range list[:min(len(list), wideSize)] {
 		r.sample = append(r.sample, c.name)
 	}
 }
 
-// Begin begins a round if one is due. It returns its number and the proxies to ask.
-func (r *Reach) Begin(now clock.Time) (int, []string) {
-	if len(r.sample) == 0 || now.Sub(r.began) < roundInterval {
+// Begin begins a round if one is due. It returns its number and the proxies to ask. needed
+// tells that the outcome is needed now.
+func (r *Reach) Begin(now clock.Time, needed bool) (int, []string) {
+	interval, size := calmInterval, sampleSize
+	if needed {
+		interval = roundInterval
+	}
+	if r.failed > toleratedSilence {
+		interval, size = roundInterval, wideSize
+		if len(r.asked) < min(size, len(r.sample)) {
+			interval = RoundTimeout
+		}
+	}
+	if len(r.sample) == 0 || now.Sub(r.began) < interval {
 		return 0, nil
 	}
 	r.round++
 	r.began = now
-	r.answered = make(map[string]bool, len(r.sample))
-	return r.round, r.sample
+	r.asked = r.sample[:min(len(r.sample), size)]
+	r.answered = make(map[string]bool, len(r.asked))
+	return r.round, r.asked
 }
 
 // Answered records that a proxy has answered in a round.
@@ -96,29 +119,34 @@
 
 // silent returns the share of the sample that has not answered in the current round.
 func (r *Reach) silent() float64 {
-	n := 0
-	for _, name := range r.sample {
-		if !r.answered[name] {
-			n++
-		}
-	}
-	return float64(n) / float64(max(len(r.sample), 1))
+	return 1 - float64(len(r.answered))/float64(max(len(r.asked), 1))
+}
+
+// Cut tells which share of the proxies one does not reach.
+type Cut struct {
+	// Share is the share of the sample, and High is one standard deviation of the sample
+	// above it.
+	Share, High float64
+	// Reached is set if nearly all proxies are reached, and Majority if so many are that
+	// no other part of the network can reach as many.
+	Reached, Majority bool
+	// Known is set if Share is not older than a round or two.
+	Known bool
 }
 
-// CutOff returns the estimated share of the proxies that cannot reach this one, and
-// whether that is known and low enough to use the whole depth of a bucket. The estimate is
-// one standard deviation of the sample on the safe side.
-func (r *Reach) CutOff(now clock.Time) (float64, bool) {
+// CutOff returns the share of the proxies that this one does not reach. While it is not
+// known, it counts as zero, but not as reached.
+func (r *Reach) CutOff(now clock.Time) Cut {
 	if len(r.sample) == 0 {
-		return 0, true
+		return Cut{Reached: true, Majority: true, Known: true}
 	}
 	if !r.known || now.Sub(r.knownAt) > reachTime {
-		return 0, false
+		return Cut{Majority: true}
 	}
-	if r.failed == 0 {
-		return 0, true
+	c := Cut{Known: true, Share: r.failed, Reached: r.failed <= toleratedSilence, Majority: 1-r.failed >= majority}
+	if r.failed > 0 {
+		n := float64(max(len(r.asked), 1))
+		c.High = min(r.failed+math.Sqrt(r.failed*(1-r.failed)/n)+0.5/n, 1)
 	}
-	n := float64(len(r.sample))
-	share := min(r.failed+math.Sqrt(r.failed*(1-r.failed)/n)+0.5/n, 1)
-	return share, r.failed <= toleratedSilence
+	return c
 }
--- a/internal/process/workspace/reserve.go
+++ b/internal/process/workspace/reserve.go
@@ -1,6 +1,8 @@
 package workspace
 
 import (
+	"math"
+
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -8,19 +10,14 @@
 	// reserveShare is the share of its usual demand that a proxy serves while no
 	// accountant answers.
 	reserveShare = 0.75
-	// reserveDepth is the time of the reserve's rate that is kept while nothing is used.
-	reserveDepth = clock.Second
+	// reserveTime is how long an operation may be run after it has come into the reserve.
+	// Proxies that had nothing to run for a while must not have one each then.
+	reserveTime = clock.Second
 	// reportedSilence is how long an accountant counts as silent after a home has
 	// reported it.
 	reportedSilence = clock.Second
 )
 
-// reservesCompete reports whether the reserves of a workspace that runs at its rate may be
-// more than the part of the tolerance that is left for them.
-func (q Quota) reservesCompete(l Limit) bool {
-	return reserveShare*l.Rate*seconds(q.Window) > (1-grantsShare)*q.tolerance(l)
-}
-
 // reserve is what a proxy may run for a workspace while no accountant answers. It belongs
 // to the proxy that callers are connected to: if homes had reserves too, the same demand
 // would count twice, and a home that takes over for another would have none.
@@ -62,7 +59,17 @@
 		to = min(to, r.until)
 	}
 	if elapsed := to.Sub(r.at); elapsed > 0 {
-		r.level = min(r.level+r.rate*seconds(elapsed), max(1, r.rate*seconds(reserveDepth)))
+		r.level += r.rate * seconds(elapsed)
+		kept := r.rate * seconds(reserveTime)
+		if part := r.level - math.Floor(r.level); r.level >= 1 && kept < 1 {
+			// The last operation has come in when the level was whole.
+			r.level = part
+			if part < kept {
+				r.level++
+			}
+		} else if r.level >= 1 {
+			r.level = min(r.level, kept+part)
+		}
 	}
 	r.at = now
 	r.on = to == now
--- a/internal/process/workspace/world_test.go
+++ b/internal/process/workspace/world_test.go
@@ -16,16 +16,22 @@
 
 // world runs the decisions of many proxies in virtual time, with a network between them.
 type world struct {
-	rand    *rand.Rand
-	quota   Quota
-	now     clock.Time
-	events  events
-	nodes   []*node
-	byName  map[string]*node
-	limits  map[string]Limit
-	loss    float64
-	late    float64
-	message int
+	rand   *rand.Rand
+	quota  Quota
+	now    clock.Time
+	events events
+	nodes  []*node
+	byName map[string]*node
+	limits map[string]Limit
+	loss   float64
+	late   float64
+	order  int
+	// chosen has the accountants among the members that were last given.
+	chosen      []string
+	chosenFrom  *proxy.Peer
+	chosenCount int
+	// asks and probes count the messages of both kinds, with their answers.
+	asks, probes int
 	// spaces has what was seen of each workspace.
 	spaces map[string]*seen
 }
@@ -52,6 +58,8 @@
 	members    []proxy.Peer
 	part       int
 	frozen     clock.Time
+	// unconfirmed is set while the proxy's configuration is not confirmed.
+	unconfirmed bool
 	// life is the number of the process. A dead process answers nothing.
 	life int
 	dead bool
@@ -117,7 +125,7 @@
 	n.dead = false
 	n.allowance = NewAllowance(n.name, n.world.quota)
 	n.reach = NewReach()
-	n.accountant = NewAccountant(n.world.quota, n.reach, n.world.now)
+	n.accountant = NewAccountant(n.name, n.world.quota, n.reach, n.world.now)
 	n.pending = nil
 	n.members = nil
 	n.setMembers(members)
@@ -126,22 +134,30 @@
 func (n *node) setMembers(members []proxy.Peer) {
 	first := n.members == nil
 	n.members = members
-	names := ChooseAccountants(members)
-	var all []string
-	for _, p := range members {
-		all = append(all, p.Name)
+	names := n.world.chooseAccountants(members)
+	if slices.Contains(names, n.name) {
+		var all []string
+		for _, p := range members {
+			all = append(all, p.Name)
+		}
+		n.reach.SetMembers(n.name, all)
 	}
-	n.reach.SetMembers(n.name, all)
 	n.allowance.SetAccountants(names)
-	n.accountant.Assign(n.world.now, func(w string) bool { return AccountantOf(w, names) == n.name }, first)
+	n.accountant.Assign(n.world.now, names, first)
 }
 
-func (w *world) after(d clock.Duration, run func()) {
-	w.order()
-	heap.Push(&w.events, event{at: w.now.Add(d), order: w.message, run: run})
+// chooseAccountants chooses once for all proxies that are told the same members.
+func (w *world) chooseAccountants(members []proxy.Peer) []string {
+	if w.chosen == nil || w.chosenFrom != &members[0] || w.chosenCount != len(members) {
+		w.chosen, w.chosenFrom, w.chosenCount = ChooseAccountants(members), &members[0], len(members)
+	}
+	return w.chosen
 }
 
-func (w *world) order() { w.message++ }
+func (w *world) after(d clock.Duration, run func()) {
+	w.order++
+	heap.Push(&w.events, event{at: w.now.Add(d), order: w.order, run: run})
+}
 
 // run lets d pass.
 func (w *world) run(d clock.Duration) {
@@ -166,14 +182,8 @@
 	}
 }
 
-// messages counts the messages that proxies send.
-type messages struct{ grants int }
-
-var sent messages
-
 // send sends a message if the network lets it pass, and reports whether.
 func (w *world) send(from, to *node, run func()) {
-	sent.grants++
 	if from.part != to.part || to.dead || w.rand.Float64() < w.loss {
 		return
 	}
@@ -189,36 +199,38 @@
 	})
 }
 
-func (n *node) ask(m Message) {
+// answer answers a message of another proxy, or of this one.
+func (n *node) answer(m Message) []Grant {
 	w := n.world
-	sentAt := w.now
-	answer := func(to *node) []Grant {
-		var grants []Grant
-		for _, ask := range m.Asks {
-			grants = append(grants, to.accountant.Grant(w.now, ask, w.limits[ask.Workspace], true))
-			if to.accountant.ReachNeeded() {
-				to.probe()
-			}
-		}
-		return grants
+	for _, name := range m.Granted {
+		n.accountant.Drain(w.now, name, w.limits[name])
 	}
-	if m.Accountant == n.name {
-		n.allowance.Answered(w.now, sentAt, m, answer(n))
-		n.retryAll()
-		return
+	var grants []Grant
+	for _, ask := range m.Asks {
+		grants = append(grants, n.accountant.Grant(w.now, ask, w.limits[ask.Workspace], !n.unconfirmed))
+	}
+	if len(m.Asks) > 0 {
+		n.probe(n.accountant.ReachNeeded())
+		for _, check := range n.accountant.Messages(w.now) {
+			n.call(check, func(_ clock.Time, grants []Grant) { n.accountant.Answered(w.now, check, grants) }, func() { n.accountant.Unanswered(w.now, check) })
+		}
 	}
-	ended, life := false, n.life
+	return grants
+}
+
+// call sends a message to another proxy and takes in its answer, or that there is none.
+func (n *node) call(m Message, answered func(sentAt clock.Time, grants []Grant), unanswered func()) {
+	w := n.world
+	sentAt, ended, life := w.now, false, n.life
 	to := w.byName[m.Accountant]
+	w.asks++
 	w.send(n, to, func() {
-		grants := answer(to)
+		grants := to.answer(m)
+		w.asks++
 		w.send(to, n, func() {
 			if !ended {
 				ended = true
-				n.allowance.Answered(w.now, sentAt, m, grants)
-				n.retryAll()
-				if next, ok := n.allowance.More(w.now, m.Accountant); ok {
-					n.ask(next)
-				}
+				answered(sentAt, grants)
 			}
 		})
 	})
@@ -227,21 +239,41 @@
 			n.awake(func() {
 				if !ended {
 					ended = true
-					n.allowance.Unanswered(w.now, m)
-					n.retryAll()
+					unanswered()
 				}
 			})
 		}
 	})
 }
 
+func (n *node) ask(m Message) {
+	w := n.world
+	if m.Accountant == n.name {
+		n.allowance.Answered(w.now, w.now, m, n.answer(m))
+		n.retryAll()
+		return
+	}
+	n.call(m, func(sentAt clock.Time, grants []Grant) {
+		n.allowance.Answered(w.now, sentAt, m, grants)
+		n.retryAll()
+		if next, ok := n.allowance.More(w.now, m.Accountant); ok {
+			n.ask(next)
+		}
+	}, func() {
+		n.allowance.Unanswered(w.now, m)
+		n.retryAll()
+	})
+}
+
 // probe asks a sample of the proxies for a sign of life.
-func (n *node) probe() {
+func (n *node) probe(needed bool) {
 	w := n.world
-	round, names := n.reach.Begin(w.now)
+	round, names := n.reach.Begin(w.now, needed)
 	for _, name := range names {
 		to := w.byName[name]
+		w.probes++
 		w.send(n, to, func() {
+			w.probes++
 			w.send(to, n, func() { n.reach.Answered(round, name) })
 		})
 	}
@@ -284,13 +316,15 @@
 		if _, wait := d.(Wait); wait {
 			n.pending = append(n.pending, o)
 			life := n.life
-			w.after(AnswerTimeout, func() {
-				n.awake(func() {
-					if life == n.life && !o.done {
-						n.decide(o, n.allowance.Retry(w.now, o.Operation))
-					}
+			for _, d := range []clock.Duration{DeputyTimeout, AnswerTimeout} {
+				w.after(d, func() {
+					n.awake(func() {
+						if life == n.life && !o.done {
+							n.decide(o, n.allowance.Retry(w.now, o.Operation))
+						}
+					})
 				})
-			})
+			}
 		}
 		n.decide(o, d)
 	})
@@ -319,7 +353,7 @@
 			s.owedAt = append(s.owedAt, w.now)
 		}
 	}
-	if m, ok := n.allowance.Next(w.now, o.Workspace); ok {
+	for _, m := range n.allowance.Next(w.now, o.Workspace) {
 		n.ask(m)
 	}
 }
