--- a/internal/front/peer_handler.go
+++ b/internal/front/peer_handler.go
@@ -8,13 +8,14 @@
 )
 
 // peerHandler dispatches calls of other proxies to the relay, the registrar, the
-// replacements, the configuration in force, its proof or the session host.
+// replacements, the configuration in force, its proof, the accountant or the session host.
 type peerHandler struct {
 	relays        *relays
 	registrar     *registrar
 	earlierClaims func(params json.RawMessage) (any, error)
 	inForce       func(params json.RawMessage) (any, error)
 	freshness     func(params json.RawMessage) (any, error)
+	grant         func(params json.RawMessage) (any, error)
 	host          proxy.Receiver
 }
 
@@ -31,6 +32,8 @@
 		return r.inForce(params)
 	case methodFreshness:
 		return r.freshness(params)
+	case methodGrant:
+		return r.grant(params)
 	default:
 		return r.host.Receive(ctx, method, params)
 	}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
 
 	"github.com/oleanderflow/oleanderflow/internal/version/freshness"
+	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -48,6 +50,8 @@
 	// holds must have stopped working at every proxy, connected to the store or not.
 	// Zero if that is not required.
 	RevocationLimit clock.Duration
+	// Quota states how many operations of a workspace may arrive at databases.
+	Quota workspace.Quota
 }
 
 // SettingsError reports an invalid value in a settings file.
@@ -81,8 +85,8 @@
 	s.FirstStart = r.boolean("instance", "firstStart")
 	s.MemoryMB = r.number("instance", "memoryMB", 0)
 	s.FileDescriptors = r.number("instance", "fileDescriptors", 1024)
-	s.ProcessorShare = r.fraction("instance", "processorShare", 0)
-	s.ProcessorSpeed = r.fraction("instance", "processorSpeed", 1)
+	s.ProcessorShare = r.decimal("instance", "processorShare", 0)
+	s.ProcessorSpeed = r.decimal("instance", "processorSpeed", 1)
 	s.PlaceByCapacity = r.boolean("placement", "byCapacity")
 	s.CallerAddress = r.address("listen", "callers")
 	s.ReadyAddress = r.address("listen", "ready")
@@ -95,6 +99,7 @@
 	if r.boolean("revocation", "strict") {
 		s.RevocationLimit = r.revocationLimit()
 	}
+	s.Quota = r.quota()
 	return s, r.err
 }
 
@@ -154,18 +159,38 @@
 	return v
 }
 
-func (r *settingsReader) fraction(section, key string, defaultValue float64) float64 {
+// quota returns the quota of workspaces. Keys that are missing have the product's
+// defaults.
+func (r *settingsReader) quota() workspace.Quota {
+	q := workspace.DefaultQuota()
+	if s := r.decimal("quota", "windowSeconds", seconds(q.Window)); s > 0 {
+		q.Window = clock.FromStd(time.Duration(s * float64(time.Second)))
+	} else {
+		r.fail("quota", "windowSeconds", fmt.Sprint(s), "a number above 0")
+	}
+	q.Overshoot = r.decimal("quota", "overshoot", q.Overshoot)
+	q.Slack = r.decimal("quota", "slack", q.Slack)
+	return q
+}
+
+// maxDecimal is the largest value of a setting with decimals.
+const maxDecimal = 1e6
+
+func (r *settingsReader) decimal(section, key string, defaultValue float64) float64 {
 	k := r.file.Section(section).Key(key)
 	if k.String() == "" {
 		return defaultValue
 	}
-	n, err := k.Float64()
-	if err != nil || !(n >= 0) {
+	v, err := k.Float64()
+	if err != nil || !(v >= 0 && v <= maxDecimal) {
 		r.fail(section, key, k.String(), "a number from 0")
+		return defaultValue
 	}
-	return n
+	return v
 }
 
+func seconds(d clock.Duration) float64 { return d.Std().Seconds() }
+
 func (r *settingsReader) number(section, key string, defaultValue int) int {
 	k := r.file.Section(section).Key(key)
 	if k.String() == "" {
--- /dev/null
+++ b/internal/process/workspace/accountant.go
@@ -0,0 +1,258 @@
+package workspace
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// SpreadTime is how far apart proxies learn of a change of the members. For so long the
+// previous accountant of a workspace goes on after it has learned of the change, unless the
+// new one releases it. If the new one cannot, it grants nothing for twice that time, since
+// the previous one may learn of the change so much later.
+const SpreadTime = 2 * clock.Second
+
+const (
+	// holdingRetry is stated while the accountant grants nothing, and checkRetry while it
+	// finds out whether it may.
+	holdingRetry = 200 * clock.Millisecond
+	checkRetry   = 50 * clock.Millisecond
+	// assignmentTime is how long a change of the assignment is remembered, and
+	// maxAssignments how many are.
+	assignmentTime = clock.Minute
+	maxAssignments = 64
+	// sweepInterval is the time between two searches for buckets that are not in use.
+	sweepInterval = 5 * clock.Second
+)
+
+// Accountant counts the operations of the workspaces that one proxy accounts for, or is
+// the deputy of a silent accountant for. A bucket that nobody has asked for is as full as
+// if it had filled since the accountant started, so that buckets are kept only while they
+// are in use. It is not safe for concurrent use.
+type Accountant struct {
+	self  string
+	quota Quota
+	slot  clock.Duration
+	// assignments has the changes of the accountants, by their times. Those that are
+	// older than assignmentTime are merged into the first.
+	assignments []assignment
+	// ranks has the ranked accountants of the workspaces in use.
+	ranks   map[string][]string
+	buckets map[string]*bucket
+	sweptAt clock.Time
+	// released has the workspaces whose previous accountant has stopped for this one, and
+	// handed those that this one has been released from, with the times of that.
+	released, handed map[string]clock.Time
+	others           map[string]*colleague
+	// reach tells which share of the proxies this one does not reach. reachNeeded is set
+	// if that has to be known.
+	reach       *Reach
+	reachNeeded bool
+}
+
+// assignment has the accountants since a time.
+type assignment struct {
+	at    clock.Time
+	names []string
+	// started is set if nobody else may have granted before.
+	started bool
+}
+
+// NewAccountant returns the Accountant of the proxy with the given name. It accounts for
+// nothing yet.
+func NewAccountant(self string, q Quota, r *Reach, now clock.Time) *Accountant {
+	return &Accountant{
+		self: self, quota: q, reach: r, slot: (q.Life(Limit{})+q.SendTime())/(slotCount-2) + 1, sweptAt: now,
+		ranks: make(map[string][]string), buckets: make(map[string]*bucket), released: make(map[string]clock.Time), handed: make(map[string]clock.Time), others: make(map[string]*colleague),
+	}
+}
+
+// Assign sets the names of the accountants from now on. Workspaces that this proxy takes
+// over are held back, unless started is set: this proxy accounted for them before its
+// process started, or no proxy has granted before. Their buckets are empty then, whatever
+// was granted before.
+func (a *Accountant) Assign(now clock.Time, names []string, started bool) {
+	a.assignments = append(a.assignments, assignment{at: now, names: names, started: started})
+	for len(a.assignments) > 1 && (now.Sub(a.assignments[1].at) > assignmentTime || len(a.assignments) > maxAssignments) {
+		a.assignments = a.assignments[1:]
+		a.assignments[0].started = true
+	}
+	clear(a.ranks)
+	old := func(_ string, at clock.Time) bool { return now.Sub(at) > assignmentTime }
+	maps.DeleteFunc(a.released, old)
+	maps.DeleteFunc(a.handed, old)
+	maps.DeleteFunc(a.others, func(name string, c *colleague) bool {
+		return !slices.Contains(names, name) && !c.busy && now.Sub(c.sentAt) > assignmentTime
+	})
+}
+
+func (a *Accountant) ranked(workspace string) []string {
+	r, ok := a.ranks[workspace]
+	if !ok && len(a.assignments) > 0 {
+		r = RankAccountants(workspace, a.assignments[len(a.assignments)-1].names)
+		a.ranks[workspace] = r
+	}
+	return r
+}
+
+// filledFrom returns since when the bucket of a workspace fills, of which this proxy is
+// the first accountant, and the accountant before it if that time is still to come.
+func (a *Accountant) filledFrom(now clock.Time, workspace string) (clock.Time, string) {
+	i := len(a.assignments) - 1
+	for i > 0 && first(RankAccountants(workspace, a.assignments[i-1].names)) == a.self {
+		i--
+	}
+	taken := a.assignments[i]
+	if taken.started {
+		return taken.at, ""
+	}
+	if at, ok := a.released[workspace]; ok && at >= taken.at {
+		return at, ""
+	}
+	from := taken.at.Add(2 * SpreadTime)
+	if i == 0 || now >= from {
+		return from, ""
+	}
+	before := first(RankAccountants(workspace, a.assignments[i-1].names))
+	if c, ok := a.others[before]; ok && c.silent && c.silentSince.Add(2*SpreadTime) <= now && now.Sub(c.failedAt) < silenceTime {
+		// This proxy was its deputy.
+		return c.silentSince, ""
+	}
+	return from, before
+}
+
+// outgoing reports whether this proxy was the accountant of a workspace before the last
+// change and goes on until the new one releases it.
+func (a *Accountant) outgoing(now clock.Time, workspace string) bool {
+	i := len(a.assignments) - 1
+	if i < 1 || now.Sub(a.assignments[i].at) >= SpreadTime || a.handed[workspace] >= a.assignments[i].at {
+		return false
+	}
+	return first(RankAccountants(workspace, a.assignments[i-1].names)) == a.self
+}
+
+// Grant answers an ask for a workspace with the given limit. confirmed tells whether this
+// proxy's configuration is proved to be recent enough, which the limit depends on.
+func (a *Accountant) Grant(now clock.Time, ask Ask, l Limit, confirmed bool) Grant {
+	a.sweep(now)
+	g := Grant{Workspace: ask.Workspace}
+	ranked := a.ranked(ask.Workspace)
+	rank := slices.Index(ranked, a.self)
+	hold := func(retry clock.Duration) Grant {
+		g.Holding, g.RetryMillis = true, max(retry, minRetry)
+		return g
+	}
+	if ask.Release && rank != 0 {
+		a.handed[ask.Workspace] = now
+		return hold(holdingRetry)
+	}
+	outgoing := rank != 0 && a.outgoing(now, ask.Workspace)
+	if !confirmed || !outgoing && (rank < 0 || rank > 0 && !ask.Deputy) {
+		if rank != 0 {
+			g.Moved = first(ranked)
+		}
+		return hold(holdingRetry)
+	}
+	var from clock.Time
+	if outgoing {
+		b, ok := a.buckets[ask.Workspace]
+		if !ok {
+			return hold(holdingRetry)
+		}
+		from, rank = b.from, 0
+	} else if rank == 0 {
+		var before string
+		if from, before = a.filledFrom(now, ask.Workspace); now < from {
+			a.check(before, Ask{Workspace: ask.Workspace, Release: true})
+			return hold(min(from.Sub(now), checkRetry))
+		}
+	} else {
+		since, alone := a.silentSince(now, ranked[:rank])
+		a.reachNeeded = true
+		if !alone || !a.reach.CutOff(now).Known {
+			return hold(checkRetry)
+		}
+		from = since
+	}
+	want := min(max(ask.Want, 0), math.MaxInt32)
+	if g.LifeMillis = a.quota.Life(l); l.Rate <= 0 {
+		// The asking proxy has another configuration, with a limit.
+		g.Tokens = want
+		return g
+	}
+	b := a.bucket(now, from, ask.Workspace, l)
+	b.deputy = rank > 0
+	b.told = max(b.told, min(max(ask.Usual, 0), l.Rate))
+	if b.deputy && b.fillRate(a, now) < minFillRate {
+		// The asking proxy may use its reserve.
+		return hold(holdingRetry)
+	}
+	tokens, retry := b.grant(a, now, float64(want), float64(min(max(ask.Unused, 0), math.MaxInt32)))
+	g.Tokens, g.RetryMillis = int(tokens), retry
+	g.Usual = math.Ceil(b.usualRate(now)*10) / 10
+	if g.Tokens > 0 {
+		a.recordDeputy(now, ask.Workspace, ranked[:rank])
+	}
+	return g
+}
+
+// bucket returns the bucket of a workspace, and creates it as full as it would be.
+func (a *Accountant) bucket(now, from clock.Time, w string, l Limit) *bucket {
+	b, ok := a.buckets[w]
+	if !ok || b.from != from && b.at < from {
+		b = &bucket{from: from, at: from, lastSlot: int64(now) / int64(a.slot), unmetAt: now}
+		a.buckets[w] = b
+	}
+	if l.Rate < b.limit.Rate {
+		b.told = 0
+	}
+	b.limit = l
+	return b
+}
+
+// Drain empties the bucket of a workspace, for which a deputy has granted while this proxy
+// was silent.
+func (a *Accountant) Drain(now clock.Time, w string, l Limit) {
+	if first(a.ranked(w)) != a.self {
+		return
+	}
+	from, _ := a.filledFrom(now, w)
+	if now < from {
+		return
+	}
+	b := a.bucket(now, from, w, l)
+	b.refill(a, now)
+	b.level = 0
+}
+
+// ReachNeeded reports whether a round of Reach is needed, and forgets that.
+func (a *Accountant) ReachNeeded() bool {
+	needed := a.reachNeeded
+	a.reachNeeded = false
+	return needed
+}
+
+// sweep forgets the buckets that are full.
+func (a *Accountant) sweep(now clock.Time) {
+	if now.Sub(a.sweptAt) < sweepInterval {
+		return
+	}
+	a.sweptAt = now
+	for w, b := range a.buckets {
+		idle := now.Sub(b.at)
+		// Until then the usual demand is remembered, as other proxies do.
+		if idle >= idleTime && b.level+seconds(idle)*b.limit.Rate >= a.quota.Depth(b.limit) {
+			delete(a.buckets, w)
+		}
+	}
+	for w := range a.ranks {
+		if _, used := a.buckets[w]; !used {
+			delete(a.ranks, w)
+		}
+	}
+}
+
+// Len returns the number of buckets.
+func (a *Accountant) Len() int { return len(a.buckets) }
