--- a/cmd/oleanderflow-front/front_test.go
+++ b/cmd/oleanderflow-front/front_test.go
@@ -60,10 +60,17 @@
 }
 
 func (s *testSystem) startFront(t *testing.T, name string) *front.Front {
+	t.Helper()
+	return s.startFrontWithLimit(t, name, 0)
+}
+
+// startFrontWithLimit starts a proxy with a revocation limit, zero for none.
+func (s *testSystem) startFrontWithLimit(t *testing.T, name string, limit clock.Duration) *front.Front {
 	t.Helper()
 	settings := front.Settings{
 		Name: name, Zone: "a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		StoreAddress: s.platform.Address(), PromotionAddress: s.platform.Address(), ShutdownGrace: 3 * clock.Second,
+		RevocationLimit: limit,
 	}
 	lines := front.NewLogWriter(io.Discard)
 	log, err := front.NewLog(lines, "debug", name)
