--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
 
-	"github.com/oleanderflow/oleanderflow/internal/version/freshness"
 	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
+	"github.com/oleanderflow/oleanderflow/internal/version/freshness"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
