Limits in a divided network: parts of the rate, and roots that follow other roots

Ruled out: proxies that reach no accountant (trial with grants logged). Change: a part gets 0.75 of its proxies' part of the rate, which is taken off the others'; the average of usual demand is that of the time observed. Roots that the store has not answered for 2 s follow other roots where proofs are needed. TestRootWithoutTheStoreFollowsOtherRoots fails without the change.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -286,7 +286,8 @@
 			backend.Sleep(initialPollWait)
 			continue
 		}
-		if errors.Is(err, errStoreLost) && !f.relays.storeAnsweredRecently(now) {
+		// Roots try the store at the usual interval, whatever other roots say.
+		if errors.Is(err, errStoreLost) && !f.relays.isRoot() && !f.relays.storeAnsweredRecently(now) {
 			f.outage.reportByRelays(now)
 		}
 		wait, recovered := f.outage.reserveAttempt(now)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -212,6 +212,7 @@
 func (f *Front) startPeers(address string) error {
 	tables := []string{membersTable, f.platform.ConfigurationTable, f.platform.RegistryTable, agreementTable}
 	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log)
+	f.relays.followRoots = f.freshness != nil
 	handler := &peerHandler{
 		relays: f.relays, host: f.host, registrar: &registrar{clock: systemTimers{f.clock}, put: f.putMembers},
 		earlierClaims: f.handleEarlierClaims, inForce: f.handleInForce, freshness: f.handleFreshness, grant: f.allowances.handleGrant,
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -119,8 +120,11 @@
 	selfIsRelay bool
 	selfIsRoot  bool
 	avoidUntil  map[string]clock.Time
-	// proofs is whom this proxy asks for proofs of freshness.
-	proofs freshness.Role
+	// proofs is whom this proxy asks for proofs of freshness. followRoots is set if a
+	// root that the store does not answer follows other roots, so that it has in force
+	// what their proofs are of.
+	proofs      freshness.Role
+	followRoots bool
 	// storeAnsweredAt is when the store last responded to this process, zero if
 	// never.
 	storeAnsweredAt clock.Time
@@ -171,6 +175,12 @@
 	return r.selfIsRelay
 }
 
+func (r *relays) isRoot() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selfIsRoot
+}
+
 // heartbeat returns how long the store may hold open this proxy's feed of the
 // configuration, and whether this proxy is a root.
 func (r *relays) heartbeat() (clock.Duration, bool) {
@@ -207,13 +217,18 @@
 	return list[:min(n, len(list))]
 }
 
-// candidates returns the sources that may be polled now. A root has none.
+// candidates returns the sources that may be polled now. A root has none while the
+// store answers it.
 func (r *relays) candidates() []string {
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	sources := r.sources
+	if r.selfIsRoot && r.followRoots && now.Sub(r.storeAnsweredAt) >= heartbeatWait {
+		sources = slices.DeleteFunc(sortByPreference(r.self, r.tiers.roots), func(p proxy.Peer) bool { return p.Name == r.self.Name })
+	}
 	var names []string
-	for _, p := range r.sources {
+	for _, p := range sources {
 		if now >= r.avoidUntil[p.Name] {
 			names = append(names, p.Name)
 		}
--- a/internal/front/tiers_test.go
+++ b/internal/front/tiers_test.go
@@ -194,3 +194,23 @@
 	require.NoError(t, err)
 	require.NotEmpty(t, answer.(followResult).Rows[0].Packed)
 }
+
+// A root that the store turns away must go on learning of changes from other roots: their
+// proofs are of configurations that it would otherwise lack, so that it could confirm
+// nothing as accountant of workspaces.
+func TestRootWithoutTheStoreFollowsOtherRoots(t *testing.T) {
+	c := newManualClock()
+	root, cut, follower := startTier(t, "root", c), startTier(t, "cut", c), startTier(t, "follower", c)
+	connectTiers(root, cut, follower)
+	for _, r := range []*relays{root, cut} {
+		r.tiers.roots, r.sources, r.selfIsRoot, r.followRoots = r.tiers.relays, nil, true, true
+	}
+	cut.markStoreAnswered(c.Now())
+	require.Empty(t, cut.candidates(), "the store answers")
+	c.Advance(heartbeatWait)
+	root.markStoreAnswered(c.Now())
+	root.update("t", store.Changes{Rows: []store.Row{{Key: "config", Value: []byte("{}"), Version: at(3)}}, Whole: true, Version: at(3)})
+	require.Equal(t, at(3), pass(t, cut, false, at(0)).Version)
+	cut.followRoots = false
+	require.Empty(t, cut.candidates(), "no proofs are needed")
+}
--- a/internal/process/workspace/bucket.go
+++ b/internal/process/workspace/bucket.go
@@ -23,6 +23,10 @@
 	// which that is found out. Between both lies the round trip of a round.
 	gatedShare = 0.5
 	reachShare = 0.65
+	// partShare is the share of the rate that a part of a divided network may run, for
+	// each of its proxies. It is more than their usual demand, of which reserves are a
+	// share.
+	partShare = 0.75
 )
 
 // bucket is the token bucket of a workspace.
@@ -59,7 +63,7 @@
 	b.granted[b.lastSlot%slotCount] += tokens
 	if cut := a.reach.CutOff(now); cut.Known && !cut.Reached {
 		// What is granted to a part of the network is not what is usual.
-		b.usual.at = now
+		b.usual.skip(now)
 	} else {
 		b.usual.addN(now, tokens-min(back, tokens))
 	}
@@ -113,23 +117,21 @@
 }
 
 // fillRate returns the tokens a second that come in: the rate less what the proxies that
-// are cut off may be running, or, if most are cut off, what the others usually run.
+// are cut off may be running, or, if most are cut off, the others' part of it. Parts are
+// taken of the rate and not of the usual demand, which is not known before a workspace
+// has been in use for a while, and not while nothing could be admitted.
 func (b *bucket) fillRate(a *Accountant, now clock.Time) float64 {
 	rate := b.limit.Rate
 	cut := a.reach.CutOff(now)
-	usual := b.usualRate(now)
 	if !cut.Majority {
-		return reserveShare * usual * (1 - cut.Share)
+		return partShare * rate * (1 - cut.High)
 	}
-	if now.Sub(b.from) < usualSpan && b.told == 0 {
-		usual = rate
-	}
-	return rate - cut.High*reserveShare*usual
+	return rate * (1 - cut.High*partShare)
 }
 
 // usualRate returns the usual demand as far as it is known.
 func (b *bucket) usualRate(now clock.Time) float64 {
-	usual := b.usual.value
+	usual := b.usual.value()
 	if b.deputy || now.Sub(b.from) < usualSpan {
 		usual = max(usual, b.told)
 	}
--- a/internal/process/workspace/usage.go
+++ b/internal/process/workspace/usage.go
@@ -57,27 +57,46 @@
 // about the rate: fewer come together by chance.
 const minRecent = 8
 
-// average is an exponentially weighted average of events a second.
+// average is an exponentially weighted average of events a second. Until usualSpan has
+// passed since the first event, it is that of the time since then: at first, the weights
+// of a plain one sum to little.
 type average struct {
-	value float64
-	at    clock.Time
+	sum float64
+	// weight is the sum of the weights of the time since the first event.
+	weight float64
+	at     clock.Time
 }
 
+// minWeight is the least weight that an average is divided by, that of a second. A few
+// events that come together at first are not usual.
+const minWeight = 0.05
+
 func (a *average) decay(now clock.Time) {
+	if a.weight == 0 {
+		a.weight, a.at = math.SmallestNonzeroFloat64, now
+	}
 	if elapsed := now.Sub(a.at); elapsed > 0 {
-		a.value *= math.Exp(-seconds(elapsed) / seconds(usualSpan))
+		kept := math.Exp(-seconds(elapsed) / seconds(usualSpan))
+		a.sum *= kept
+		a.weight = 1 - (1-a.weight)*kept
+		a.at = now
 	}
-	a.at = max(a.at, now)
 }
 
 func (a *average) add(now clock.Time) { a.addN(now, 1) }
 
 func (a *average) addN(now clock.Time, n float64) {
 	a.decay(now)
-	a.value += n / seconds(usualSpan)
+	a.sum += n / seconds(usualSpan)
 }
 
+// skip leaves the time since the last event out.
+func (a *average) skip(now clock.Time) { a.at = max(a.at, now) }
+
 func (a *average) perSecond(now clock.Time) float64 {
 	a.decay(now)
-	return a.value
+	return a.value()
 }
+
+// value returns the average as of the last event.
+func (a *average) value() float64 { return a.sum / max(a.weight, minWeight) }
