Relays from 26 proxies on

Change: there are three relays, which are all roots, as soon as there are more proxies than one relay serves (25). Below 50 proxies two proxies ask for proofs of freshness, as before. Deployments of up to 25 and from 50 proxies on are served as before.

--- a/internal/front/freshness.go
+++ b/internal/front/freshness.go
@@ -24,9 +24,10 @@
 	// interval between two of them it is less than heartbeatWait and heartbeatGrace, so
 	// that a relay that waits for one answer is not taken for cut off.
 	storeProofTimeout = 800 * clock.Millisecond
-	// proverCount is how many proxies ask the store where there are no relays: with two,
+	// proverCount is how many proxies ask the store below minProxiesForRoots: with two,
 	// one may fail.
-	proverCount = 2
+	proverCount        = 2
+	minProxiesForRoots = 50
 	// idleCheckInterval is the time between two checks whether proofs are needed.
 	idleCheckInterval = 500 * clock.Millisecond
 	// proofRegistryWait replaces directRegistryWait, and directHeartbeatWait as the wait
@@ -238,15 +239,18 @@
 }
 
 // proofRole returns whom a proxy among these members asks for proofs, given the tiers in
-// which they follow the store. Roots ask the store. Where there are no relays, two proxies
+// which they follow the store. Roots ask the store. Below minProxiesForRoots two proxies
 // do, and the others ask these: with each of 15 proxies asking the store, its calls would
 // be three times as many as without proofs.
 func proofRole(self proxy.Peer, members []proxy.Peer, chosen tiers) freshness.Role {
 	provers, tiersBelow := chosen.roots, 1
 	switch {
-	case len(chosen.relays) > len(chosen.roots):
-		tiersBelow = 2
-	case len(provers) > 0:
+	case len(members) >= minProxiesForRoots:
+		if len(chosen.relays) > len(chosen.roots) {
+			tiersBelow = 2
+		}
+	case len(provers) > proverCount:
+		provers = provers[:proverCount]
 	case len(members) > proverCount:
 		provers = proxy.ChoosePeers(methodFreshness, members, proverCount)
 	default:
@@ -256,7 +260,7 @@
 		others := namesOf(sortByPreference(self, provers), self.Name)
 		return freshness.Role{Interval: freshness.StoreInterval(tiersBelow), Sources: others}
 	}
-	if len(chosen.relays) > 0 {
+	if len(members) >= minProxiesForRoots {
 		provers = chosen.sources(self)
 	}
 	return freshness.Role{Sources: namesOf(sortByPreference(self, provers), self.Name)}
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -24,7 +24,10 @@
 // A few proxies follow the store directly. With many, the load on the store
 // grows only with the number of relays, and every zone has one.
 func TestRelaysAreFewAndInEveryZone(t *testing.T) {
-	require.Empty(t, chooseTiers(makeProxies(17)).relays)
+	require.Empty(t, chooseTiers(makeProxies(25)).relays)
+	for _, n := range []int{26, 27, 49} {
+		require.Len(t, chooseTiers(makeProxies(n)).relays, 3)
+	}
 	for _, n := range []int{50, 121, 1000, 4900} {
 		list := chooseTiers(makeProxies(n)).relays
 		require.GreaterOrEqual(t, len(list), n/proxiesPerRelay)
--- a/internal/front/tiers.go
+++ b/internal/front/tiers.go
@@ -14,9 +14,10 @@
 	// relay. One call from each of them every few seconds is a small load for
 	// the smallest machine.
 	proxiesPerRelay = 25
-	// minRelays is the number of relays below which every proxy follows the
-	// store directly.
-	minRelays = 2
+	// minRelays is the least number of relays: with three, two may fail at once. Up to
+	// proxiesPerRelay proxies follow the store directly, since three relays would hardly
+	// save calls then.
+	minRelays = 3
 	// relaysPerRoot is the upper bound of the average number of relays per root,
 	// and minRoots the least number of roots: with three, two may fail at once.
 	relaysPerRoot = 25
@@ -38,11 +39,10 @@
 // chooseTiers selects the relays and roots among the live proxies, or none if
 // there are too few proxies. Both are spread over the availability zones.
 func chooseTiers(members []proxy.Peer) tiers {
-	n := len(members) / proxiesPerRelay
-	if n < minRelays {
+	if len(members) <= proxiesPerRelay {
 		return tiers{}
 	}
-	relays := proxy.Choose("relays", members, n+1)
+	relays := proxy.Choose("relays", members, max(len(members)/proxiesPerRelay+1, minRelays))
 	if len(relays) < minRelaysForRoots {
 		return tiers{relays: relays, roots: relays}
 	}
