--- a/internal/connection/backend/selection.go
+++ b/internal/connection/backend/selection.go
@@ -13,8 +13,9 @@
 const (
 	// crossZoneCost is added to the expected latency of a database in another
 	// availability zone, in ms. It accounts for the network round trip and the
-	// price of cross-zone traffic.
-	crossZoneCost = 8.0
+	// price of cross-zone traffic, and is about the time of one statement: a read
+	// leaves its zone when the database there has several requests in flight.
+	crossZoneCost = 24.0
 	// dialCost is added where a connection has to be opened first, in ms.
 	dialCost = 15.0
 	// saturatedCost is added where a request has to wait for the limiter, in
