Forward statements as frames encoded by msgp

Peers.Run sends requests as frames on a connection of its own: opening bytes together with the first frame, one writer that writes all queued frames at once and lives only while there are any, one timer for a connection, pooled buffers.

A peer whose connection ends before its opening is taken for an earlier build: statements are calls for a minute, and then it is examined with the opening alone, so that no statement is risked again. Calls of earlier builds are served as before. Answers beyond 1 MiB pass in several frames and requests beyond it as calls, because both were served before.

--- a/Makefile
+++ b/Makefile
@@ -11,3 +11,4 @@
 
 generate:
 	go tool -modfile=tools/go.mod wire ./internal/core
+	go generate ./internal/connection/peer
--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -355,10 +355,8 @@
 	latency := h.latencyTracker(home)
 	began := h.clock.Now()
 	latency.Begin(began)
-	ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
-	defer cancel()
 	var response RunResponse
-	err := h.peers.Call(ctx, home, MethodRun, run, &response)
+	err := h.peers.Run(context.Background(), home, run, &response, limit.Std())
 	now := h.clock.Now()
 	var unreachable *proxy.UnreachableError
 	var unknown *proxy.UnknownPeerError
--- a/internal/connection/peer/messages.go
+++ b/internal/connection/peer/messages.go
@@ -4,85 +4,139 @@
 
 import (
 	"fmt"
+	"slices"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
-	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
+//go:generate go tool -modfile=../../../tools/go.mod msgp -file messages.go -o messages_gen.go -io=false -tests=false -unexported
+
+// The tags of msgp are sent on the wire. Fields that are empty are omitted, and
+// fields with unknown tags are skipped, so that builds with other fields
+// understand each other. The limits bound what one message can allocate.
+//
+//msgp:limit arrays:4096 maps:64
+//msgp:replace clock.Duration with:int64
+//msgp:replace routes.Consistency with:uint8
+//msgp:replace statement.Code with:uint8
+//msgp:replace statement.State with:uint8
+//msgp:replace statement.Set with:wireSet
+//msgp:shim Kind as:uint8 using:Kind.number/kindOfNumber
+//msgp:ignore UnknownKindError
+
 // MethodRun is the name of the call that runs a caller's request at another
-// proxy.
-const MethodRun = "run"
+// proxy, if that is of a build without frames.
+const MethodRun = proxy.MethodRun
+
+//msgp:tuple wireSet
+
+// wireSet is the encoding of a statement.Set.
+type wireSet struct {
+	Name string
+	Text string
+}
+
+//msgp:tuple Position
+
+// Position is the encoding of a position.Position.
+type Position struct {
+	Term   uint64
+	Offset uint64
+}
+
+// IsZero reports whether p is the zero Position.
+func (p Position) IsZero() bool { return p == Position{} }
 
 // RunRequest is a caller's request together with its route and the state of its
 // session.
 type RunRequest struct {
 	// Session identifies the caller's session across all proxies.
-	Session string `json:"session"`
+	Session string `json:"session" msg:"s,omitempty"`
 	// Transaction is the number of the open transaction within the session, or
 	// zero outside a transaction.
-	Transaction uint64 `json:"transaction,omitempty"`
+	Transaction uint64 `json:"transaction,omitempty" msg:"t,omitempty"`
 	// Begin is set on the first statement of a transaction.
-	Begin *Begin `json:"begin,omitempty"`
+	Begin *Begin `json:"begin,omitempty" msg:"b,omitempty"`
 
 	// Workspace is the workspace on whose behalf the request runs. The sender has
 	// checked the caller's key.
-	Workspace string `json:"workspace,omitempty"`
+	Workspace string `json:"workspace,omitempty" msg:"w,omitempty"`
 	// Reserve is set if the sender has taken the operation from its reserve, because no
 	// accountant answers. The home needs no token for it then.
-	Reserve bool `json:"reserve,omitempty"`
+	Reserve bool `json:"reserve,omitempty" msg:"v,omitempty"`
 
-	Route         string             `json:"route"`
-	Group         string             `json:"group"`
-	Consistency   routes.Consistency `json:"kind"`
-	Timeout       clock.Duration     `json:"timeout"`
-	TargetLatency clock.Duration     `json:"target"`
-	Priority      int                `json:"priority"`
-	MaxAge        clock.Duration     `json:"maxAge,omitempty"`
+	Route         string             `json:"route" msg:"r,omitempty"`
+	Group         string             `json:"group" msg:"g,omitempty"`
+	Consistency   routes.Consistency `json:"kind" msg:"k,omitempty"`
+	Timeout       clock.Duration     `json:"timeout" msg:"d,omitempty"`
+	TargetLatency clock.Duration     `json:"target" msg:"l,omitempty"`
+	Priority      int                `json:"priority" msg:"p,omitempty"`
+	MaxAge        clock.Duration     `json:"maxAge,omitempty" msg:"a,omitempty"`
 
 	// Floor is the position of the session's last acknowledged commit. Values
 	// holds the session variables, which are sent unless the home already has them
 	// from the first statement of the transaction. Prepared is set for a
 	// statement.Execute.
-	Floor    position.Position `json:"floor"`
-	Values   []statement.Set   `json:"values,omitempty"`
-	Prepared *Prepared         `json:"prepared,omitempty"`
+	Floor    Position        `json:"floor" msg:"f,omitzero"`
+	Values   []statement.Set `json:"values,omitempty" msg:"e,omitempty"`
+	Prepared *Prepared       `json:"prepared,omitempty" msg:"x,omitempty"`
 
-	ID        string    `json:"id"`
-	Operation Operation `json:"operation"`
+	ID        string    `json:"id" msg:"i,omitempty"`
+	Operation Operation `json:"operation" msg:"o,omitzero"`
 }
 
 // Begin holds the parameters of the caller's BEGIN.
 type Begin struct {
-	ID       string `json:"id"`
-	ReadOnly bool   `json:"readOnly,omitempty"`
+	ID       string `json:"id" msg:"i,omitempty"`
+	ReadOnly bool   `json:"readOnly,omitempty" msg:"r,omitempty"`
 }
 
 // Prepared is the prepared statement that an execute operation refers to.
 type Prepared struct {
-	Name   string `json:"name"`
-	Writes bool   `json:"writes,omitempty"`
-	Shape  string `json:"shape"`
+	Name   string `json:"name" msg:"n,omitempty"`
+	Writes bool   `json:"writes,omitempty" msg:"w,omitempty"`
+	Shape  string `json:"shape" msg:"s,omitempty"`
 }
 
 // Operation is the wire form of a statement.Operation.
 type Operation struct {
-	Kind string `json:"kind"`
-	Name string `json:"name,omitempty"`
-	Text string `json:"text,omitempty"`
+	Kind Kind   `json:"kind" msg:"k"`
+	Name string `json:"name,omitempty" msg:"n,omitempty"`
+	Text string `json:"text,omitempty" msg:"t,omitempty"`
 }
 
-// Values of Operation.Kind.
+// Kind is the kind of an Operation. In a frame it is sent as its number.
+type Kind string
+
+// The kinds of operations.
 const (
-	kindCommit   = "commit"
-	kindRollback = "rollback"
-	kindRead     = "read"
-	kindWrite    = "write"
-	kindSet      = "set"
-	kindExecute  = "execute"
+	kindCommit   Kind = "commit"
+	kindRollback Kind = "rollback"
+	kindRead     Kind = "read"
+	kindWrite    Kind = "write"
+	kindSet      Kind = "set"
+	kindExecute  Kind = "execute"
 )
 
+// kinds has the kinds by number. The numbers are sent on the wire, and zero stands
+// for an unknown kind.
+var kinds = [...]Kind{"", kindCommit, kindRollback, kindRead, kindWrite, kindSet, kindExecute}
+
+func (k Kind) number() uint8 { return uint8(max(slices.Index(kinds[:], k), 0)) }
+
+func kindOfNumber(n uint8) Kind {
+	if int(n) < len(kinds) {
+		return kinds[n]
+	}
+	return ""
+}
+
+// IsZero reports whether no operation is set. A request that is sent has one.
+func (o Operation) IsZero() bool { return o == Operation{} }
+
 // Encode returns the wire form of an operation. It returns false for operations
 // that are not forwarded.
 func Encode(operation statement.Operation) (Operation, bool) {
@@ -126,7 +180,7 @@
 }
 
 // UnknownKindError reports an Operation with an unknown kind.
-type UnknownKindError struct{ Kind string }
+type UnknownKindError struct{ Kind Kind }
 
 func (e *UnknownKindError) Error() string { return fmt.Sprintf("unknown kind of operation %q", e.Kind) }
 
@@ -134,20 +188,20 @@
 type RunResponse struct {
 	// Refused is set if the proxy currently rejects forwarded requests. Nothing
 	// ran.
-	Refused bool `json:"refused,omitempty"`
+	Refused bool `json:"refused,omitempty" msg:"x,omitempty"`
 	// NoGrant is set if the operation was refused because no accountant of its workspace
 	// answers. It may be sent again with RunRequest.Reserve.
-	NoGrant   bool              `json:"noGrant,omitempty"`
-	Rows      []byte            `json:"rows,omitempty"`
-	Signature []byte            `json:"signature,omitempty"`
-	Failed    bool              `json:"failed,omitempty"`
-	Code      statement.Code    `json:"code,omitempty"`
-	Text      string            `json:"text,omitempty"`
-	State     statement.State   `json:"state,omitempty"`
-	Position  position.Position `json:"position"`
+	NoGrant   bool            `json:"noGrant,omitempty" msg:"n,omitempty"`
+	Rows      []byte          `json:"rows,omitempty" msg:"r,omitempty"`
+	Signature []byte          `json:"signature,omitempty" msg:"g,omitempty"`
+	Failed    bool            `json:"failed,omitempty" msg:"e,omitempty"`
+	Code      statement.Code  `json:"code,omitempty" msg:"c,omitempty"`
+	Text      string          `json:"text,omitempty" msg:"t,omitempty"`
+	State     statement.State `json:"state,omitempty" msg:"s,omitempty"`
+	Position  Position        `json:"position" msg:"p,omitzero"`
 	// Floor is the position of the session's last acknowledged commit.
-	Floor position.Position `json:"floor"`
+	Floor Position `json:"floor" msg:"f,omitzero"`
 	// Unreachable lists the homes of the group that the responding proxy could
 	// not reach recently.
-	Unreachable []string `json:"unreachable,omitempty"`
+	Unreachable []string `json:"unreachable,omitempty" msg:"u,omitempty"`
 }
--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
 const (
@@ -155,7 +156,7 @@
 		Session:   s.Self + "/" + strconv.FormatUint(s.id, 10),
 		Workspace: s.workspace, Route: route.Name, Group: route.Group, Consistency: route.Consistency, Timeout: route.Timeout,
 		TargetLatency: route.TargetLatency, Priority: route.Priority, MaxAge: route.MaxAge,
-		Floor: s.floor, ID: r.ID, Operation: operation,
+		Floor: peer.Position(s.floor), ID: r.ID, Operation: operation,
 	}
 	if t := s.tx; t != nil {
 		run.Transaction = t.number
@@ -180,11 +181,11 @@
 	s.answer.Reset()
 	s.answer.Rows = append(s.answer.Rows, response.Rows...)
 	s.answer.Signature = append(s.answer.Signature, response.Signature...)
-	s.answer.Position = response.Position
+	s.answer.Position = position.Position(response.Position)
 	if response.Failed {
 		s.answer.Failure = &statement.Failure{Code: response.Code, Text: response.Text}
 	}
-	s.floor = s.floor.Max(response.Floor)
+	s.floor = s.floor.Max(position.Position(response.Floor))
 	t := s.tx
 	if t == nil {
 		return
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -7,12 +7,16 @@
 	"strconv"
 	"sync"
 
+	"github.com/go-faster/errors"
+	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
 // Host serves requests that other proxies forward to this one. Its lock may be
@@ -64,6 +68,27 @@
 	return h.run(&run, &statement.Request{ID: run.ID, Operation: operation}), nil
 }
 
+// Run implements proxy.Receiver. It runs the peer.RunRequest of a frame and returns
+// a *peer.RunResponse. It returns a *proxy.DecodeError if the request cannot be
+// decoded.
+func (h *Host) Run(_ context.Context, request []byte) (msgp.Marshaler, error) {
+	var run peer.RunRequest
+	rest, err := run.UnmarshalMsg(request)
+	if err == nil && len(rest) > 0 {
+		err = errTrailing
+	}
+	if err != nil {
+		return nil, &proxy.DecodeError{Cause: err}
+	}
+	operation, err := run.Operation.Decode()
+	if err != nil {
+		return nil, err
+	}
+	return h.run(&run, &statement.Request{ID: run.ID, Operation: operation}), nil
+}
+
+var errTrailing = errors.New("bytes after the end of the request")
+
 // run serves a request, in its hosted transaction if it belongs to one.
 func (h *Host) run(run *peer.RunRequest, r *statement.Request) *peer.RunResponse {
 	h.mu.Lock()
@@ -137,7 +162,7 @@
 
 func newRunResponse(s *Session) *peer.RunResponse {
 	a := &s.answer
-	response := &peer.RunResponse{Rows: slices.Clone(a.Rows), Signature: slices.Clone(a.Signature), State: a.State, Position: a.Position, Floor: s.floor}
+	response := &peer.RunResponse{Rows: slices.Clone(a.Rows), Signature: slices.Clone(a.Signature), State: a.State, Position: peer.Position(a.Position), Floor: peer.Position(s.floor)}
 	response.NoGrant = s.limited != nil && s.limited.Silent
 	if f := a.Failure; f != nil {
 		response.Failed, response.Code, response.Text = true, f.Code, f.Text
@@ -149,7 +174,7 @@
 // the request.
 func (h *Host) newSession(run *peer.RunRequest) *Session {
 	s := New(h.deps, 0, nil)
-	s.floor, s.workspace = run.Floor, run.Workspace
+	s.floor, s.workspace = position.Position(run.Floor), run.Workspace
 	for _, v := range run.Values {
 		s.setValue(v)
 	}
--- a/internal/core/dev.go
+++ b/internal/core/dev.go
@@ -212,7 +212,10 @@
 
 const methodFault = "fault"
 
-type faultReceiver struct{ dev *Dev }
+type faultReceiver struct {
+	proxy.CallsOnly
+	dev *Dev
+}
 
 // Receive implements proxy.Receiver.
 func (f *faultReceiver) Receive(_ context.Context, method string, params json.RawMessage) (any, error) {
--- a/internal/core/receiver.go
+++ b/internal/core/receiver.go
@@ -14,7 +14,10 @@
 )
 
 // receiver handles the messages of other proxies and of operator commands.
-type receiver struct{ proxy *Proxy }
+type receiver struct {
+	proxy.CallsOnly
+	proxy *Proxy
+}
 
 // Receive implements proxy.Receiver.
 func (r *receiver) Receive(_ context.Context, method string, params json.RawMessage) (any, error) {
--- a/internal/front/contain_test.go
+++ b/internal/front/contain_test.go
@@ -68,7 +68,7 @@
 }
 
 // panickingReceiver panics over one method.
-type panickingReceiver struct{}
+type panickingReceiver struct{ proxy.CallsOnly }
 
 func (panickingReceiver) Receive(_ context.Context, method string, _ json.RawMessage) (any, error) {
 	if method == "bad" {
--- a/internal/front/peer_handler.go
+++ b/internal/front/peer_handler.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 )
 
@@ -38,3 +40,8 @@
 		return r.host.Receive(ctx, method, params)
 	}
 }
+
+// Run implements proxy.Receiver.
+func (r *peerHandler) Run(ctx context.Context, request []byte) (msgp.Marshaler, error) {
+	return r.host.Run(ctx, request)
+}
--- /dev/null
+++ b/internal/process/proxy/incoming.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
+)
+
+// incoming is a connection with frames that another proxy has opened. Each request
+// is served in a goroutine of its own.
+type incoming struct {
+	stream
+	receiver Receiver
+	log      *zap.Logger
+}
+
+func newIncoming(conn net.Conn, r Receiver, log *zap.Logger) *incoming {
+	return &incoming{stream: stream{conn: conn}, receiver: r, log: log}
+}
+
+// serve answers the opening, whose first byte was read before, and serves requests
+// until the connection ends.
+func (i *incoming) serve() {
+	err := i.serveRequests()
+	if isProtocolError(err) {
+		i.log.Warn("connection of peer closed", zap.Stringer("peer", i.conn.RemoteAddr()), zap.Error(err))
+	}
+	i.close(err)
+}
+
+func (i *incoming) serveRequests() error {
+	r := newFrameReader(i.conn)
+	if err := r.readOpening(1); err != nil {
+		return err
+	}
+	if _, err := i.conn.Write(opening[:]); err != nil {
+		return err
+	}
+	for {
+		f, err := r.next()
+		if err != nil {
+			return err
+		}
+		if f.kind != frameRequest {
+			return &FrameKindError{Kind: uint8(f.kind)}
+		}
+		w := newWork()
+		w.incoming, w.number = i, f.number
+		w.payload = append(w.payload[:0], f.payload...)
+		go w.runFunc()
+	}
+}
+
+// work is a request that is being served.
+type work struct {
+	incoming *incoming
+	number   uint64
+	payload  []byte
+	// runFunc is the method value of run, which costs an allocation.
+	runFunc func()
+}
+
+var works sync.Pool
+
+func newWork() *work {
+	if w, ok := works.Get().(*work); ok {
+		return w
+	}
+	w := new(work)
+	w.runFunc = w.run
+	return w
+}
+
+// run serves the request and sends the answer.
+func (w *work) run() {
+	i, number := w.incoming, w.number
+	var answer msgp.Marshaler
+	err := contain.Call(i.log, "call of peer method "+MethodRun, func() (err error) {
+		answer, err = i.receiver.Run(context.Background(), w.payload)
+		return err
+	})
+	w.incoming = nil
+	if cap(w.payload) <= maxIdleBuffer {
+		works.Put(w)
+	}
+	var decode *DecodeError
+	switch {
+	case errors.As(err, &decode):
+		i.log.Warn("connection of peer closed", zap.Stringer("peer", i.conn.RemoteAddr()), zap.Error(err))
+		i.close(err)
+		return
+	case err == nil:
+		err = contain.Call(i.log, "encoding of an answer", func() error { return i.answer(number, answer) })
+	}
+	if err != nil {
+		i.fail(number, err)
+	}
+	i.startWriting()
+}
+
+// answer queues the answer to a request.
+func (i *incoming) answer(number uint64, message msgp.Marshaler) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.closeIfFullLocked()
+	if i.err != nil {
+		return nil
+	}
+	err := i.enqueueLocked(number, frameAnswer, message)
+	var length *FrameLengthError
+	if !errors.As(err, &length) {
+		return err
+	}
+	rest, err := message.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	for len(rest) > maxFramePayload && err == nil {
+		err = i.enqueueLocked(number, framePart, encoded(rest[:maxFramePayload]))
+		rest = rest[maxFramePayload:]
+	}
+	if err == nil {
+		err = i.enqueueLocked(number, frameAnswer, encoded(rest))
+	}
+	return err
+}
+
+// fail queues the error that a request ended with.
+func (i *incoming) fail(number uint64, cause error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.err == nil {
+		_ = i.enqueueLocked(number, frameError, errorText(cause.Error())) // never too long
+	}
+}
+
+// startWriting writes what is queued, unless another goroutine does.
+func (i *incoming) startWriting() {
+	i.mu.Lock()
+	start := !i.writing && i.queued != nil
+	i.writing = i.writing || start
+	i.mu.Unlock()
+	if start {
+		i.flush()
+	}
+}
--- a/internal/process/proxy/messages.go
+++ b/internal/process/proxy/messages.go
@@ -41,6 +41,8 @@
 	MethodPause    = "pause"
 	MethodPromote  = "promote"
 	MethodStatus   = "status"
+	// MethodRun runs a caller's request at a proxy whose build has no frames.
+	MethodRun = "run"
 )
 
 // OpinionMessage is a watcher's view of a group's primary: whether it suspects
--- a/internal/process/proxy/peers.go
+++ b/internal/process/proxy/peers.go
@@ -3,18 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
-	"log"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
+	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
-
-	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 )
 
 const (
@@ -43,10 +39,6 @@
 
 func (e *UnknownPeerError) Error() string { return "no proxy named " + e.Name + " is known" }
 
-// discardLogs disables the logging of the jsonrpc2 library, which returns the
-// same failures as errors.
-var discardLogs = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
-
 // UnreachableError reports that connecting to a proxy failed, so nothing was
 // sent.
 type UnreachableError struct {
@@ -66,8 +58,24 @@
 	// Receive handles one request or notification. It decodes params itself.
 	// For a request, its result or the text of its error is sent to the peer.
 	Receive(ctx context.Context, method string, params json.RawMessage) (any, error)
+	// Run handles the request of a frame, which it decodes itself and does not keep.
+	// Its result or the text of its error is sent to the peer. It returns a
+	// *DecodeError if the request cannot be decoded.
+	Run(ctx context.Context, request []byte) (msgp.Marshaler, error)
 }
 
+// CallsOnly implements the part of Receiver that is for frames. It is embedded by
+// receivers that other proxies forward no statements to.
+type CallsOnly struct{}
+
+// Run returns a *NoFramesError.
+func (CallsOnly) Run(context.Context, []byte) (msgp.Marshaler, error) { return nil, &NoFramesError{} }
+
+// NoFramesError reports a request in a frame to a proxy that serves none.
+type NoFramesError struct{}
+
+func (*NoFramesError) Error() string { return "statements are not served here" }
+
 // Peers holds outgoing connections to other proxies and accepts connections
 // from them. It is safe for concurrent use. Lock order: Peers.mu before link.mu.
 type Peers struct {
@@ -77,34 +85,19 @@
 	done     chan struct{}
 	wg       sync.WaitGroup
 
-	mu       sync.Mutex
-	known    map[string]Peer
-	links    map[string]*link
-	incoming map[*jsonrpc2.Conn]struct{}
+	mu    sync.Mutex
+	known map[string]Peer
+	links map[string]*link
+	// earlier has the peers that are taken for earlier builds, which have no frames,
+	// and when they are examined again.
+	earlier map[string]time.Time
+	// accepted has the connections of other proxies, which Close closes.
+	accepted map[net.Conn]struct{}
+	// incoming has those of them with frames.
+	incoming map[*incoming]struct{}
 	closed   bool
 }
 
-// link holds the outgoing connection to one peer and the messages queued for it.
-type link struct {
-	peer Peer
-	// queue has the messages of Notify. It is nil before the first, and guarded
-	// by Peers.mu.
-	queue chan func()
-	// usedAt is the time of the last Call or message, in nanoseconds since the
-	// Unix epoch.
-	usedAt atomic.Int64
-
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
-	// removed is set when the link is no longer used. No connection is opened
-	// for the messages that are still queued or being sent.
-	removed bool
-	// dialErr is the error of the last dial, nil if it succeeded. failedAt is
-	// when that dial ended.
-	dialErr  error
-	failedAt time.Time
-}
-
 // NewPeers listens on the TCP address for other proxies and passes their calls to
 // r. It returns an error if it cannot listen.
 func NewPeers(address string, r Receiver, log *zap.Logger) (*Peers, error) {
@@ -118,7 +111,8 @@
 func newPeers(l net.Listener, r Receiver, log *zap.Logger) *Peers {
 	p := &Peers{
 		receiver: r, log: log, listener: l, done: make(chan struct{}),
-		known: make(map[string]Peer), links: make(map[string]*link), incoming: make(map[*jsonrpc2.Conn]struct{}),
+		known: make(map[string]Peer), links: make(map[string]*link), earlier: make(map[string]time.Time),
+		accepted: make(map[net.Conn]struct{}), incoming: make(map[*incoming]struct{}),
 	}
 	p.wg.Add(2)
 	go p.serve()
@@ -143,6 +137,11 @@
 			p.removeLinkLocked(name)
 		}
 	}
+	for name := range p.earlier {
+		if _, ok := p.known[name]; !ok {
+			delete(p.earlier, name)
+		}
+	}
 }
 
 // linkLocked returns the link to a known peer and creates it if necessary. It
@@ -192,6 +191,7 @@
 		case <-p.done:
 			return
 		case now := <-ticker.C:
+			p.closeStuck()
 			p.mu.Lock()
 			for name, l := range p.links {
 				if now.UnixNano()-l.usedAt.Load() >= int64(linkIdleTimeout) && len(l.queue) == 0 {
@@ -282,117 +282,6 @@
 	return conn.Call(ctx, method, params, result)
 }
 
-// connect returns the open connection of a link, or opens one.
-func (p *Peers) connect(ctx context.Context, l *link) (*jsonrpc2.Conn, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.removed {
-		return nil, &UnknownPeerError{Name: l.peer.Name}
-	}
-	if l.conn != nil {
-		select {
-		case <-l.conn.DisconnectNotify():
-			l.conn = nil
-		default:
-			return l.conn, nil
-		}
-	}
-	if l.dialErr != nil && time.Since(l.failedAt) < dialBackoff {
-		return nil, l.dialErr
-	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	c, err := dialer.DialContext(ctx, "tcp", l.peer.Address)
-	if l.dialErr, l.failedAt = err, time.Now(); err != nil {
-		return nil, err
-	}
-	l.conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), jsonrpc2.HandlerWithError(rejectRequest), discardLogs)
-	return l.conn, nil
-}
-
-// rejectRequest rejects requests that arrive on an outgoing connection: a proxy
-// sends requests only on connections that it has opened itself.
-func rejectRequest(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "requests go the other way"}
-}
-
-func (l *link) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.closeLocked()
-}
-
-func (l *link) closeLocked() {
-	if l.conn != nil {
-		_ = l.conn.Close()
-		l.conn = nil
-	}
-}
-
-// remove closes the connection for good.
-func (l *link) remove() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.removed = true
-	l.closeLocked()
-}
-
-func (p *Peers) serve() {
-	defer p.wg.Done()
-	for {
-		c, err := p.listener.Accept()
-		switch {
-		case err == nil:
-			p.accept(c)
-		case errors.Is(err, net.ErrClosed):
-			return
-		default:
-			// For example, the file descriptors have run out.
-			p.log.Warn("accept peer failed", zap.Error(err))
-			select {
-			case <-p.done:
-				return
-			case <-time.After(acceptBackoff):
-			}
-		}
-	}
-}
-
-func (p *Peers) accept(c net.Conn) {
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle))
-	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), handler, discardLogs)
-	p.mu.Lock()
-	p.incoming[conn] = struct{}{}
-	p.mu.Unlock()
-	p.wg.Add(1)
-	go func() {
-		defer p.wg.Done()
-		select {
-		case <-conn.DisconnectNotify():
-		case <-p.done:
-			_ = conn.Close()
-		}
-		p.mu.Lock()
-		delete(p.incoming, conn)
-		p.mu.Unlock()
-	}()
-}
-
-func (p *Peers) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	var params json.RawMessage
-	if r.Params != nil {
-		params = *r.Params
-	}
-	var result any
-	err := contain.Call(p.log, "call of peer method "+r.Method, func() (err error) {
-		result, err = p.receiver.Receive(ctx, r.Method, params)
-		return err
-	})
-	if err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
-	}
-	return result, nil
-}
-
 // Close stops listening, closes all connections and waits for their goroutines.
 func (p *Peers) Close() {
 	close(p.done)
@@ -402,6 +291,9 @@
 	for name := range p.links {
 		p.removeLinkLocked(name)
 	}
+	for conn := range p.accepted {
+		_ = conn.Close()
+	}
 	p.mu.Unlock()
 	p.wg.Wait()
 }
--- a/internal/process/proxy/peers_test.go
+++ b/internal/process/proxy/peers_test.go
@@ -14,7 +14,10 @@
 )
 
 // countingReceiver counts the calls that it answers.
-type countingReceiver struct{ calls atomic.Int64 }
+type countingReceiver struct {
+	CallsOnly
+	calls atomic.Int64
+}
 
 func (r *countingReceiver) Receive(context.Context, string, json.RawMessage) (any, error) {
 	r.calls.Add(1)
