Decode any number of session values in frames

The decoder took at most 4,096 session values, while callers may set any number. A caller with more would have closed the connection to its home at each statement, with the statements of others on it. The limit is now above what fits into a frame.

--- a/internal/connection/peer/messages.go
+++ b/internal/connection/peer/messages.go
@@ -16,9 +16,11 @@
 
 // The tags of msgp are sent on the wire. Fields that are empty are omitted, and
 // fields with unknown tags are skipped, so that builds with other fields
-// understand each other. The limits bound what one message can allocate.
+// understand each other. The limits bound what one message can allocate; that of
+// arrays is above the number of values that fit into a frame, because a request that
+// cannot be decoded closes the connection.
 //
-//msgp:limit arrays:4096 maps:64
+//msgp:limit arrays:400000 maps:64
 //msgp:replace clock.Duration with:int64
 //msgp:replace routes.Consistency with:uint8
 //msgp:replace statement.Code with:uint8
--- a/internal/connection/peer/messages_gen.go
+++ b/internal/connection/peer/messages_gen.go
@@ -11,7 +11,7 @@
 
 // Size limits for msgp deserialization
 const (
-	z2c18a699limitArrays = 4096
+	z2c18a699limitArrays = 400000
 	z2c18a699limitMaps   = 64
 )
 
--- a/internal/connection/peer/messages_test.go
+++ b/internal/connection/peer/messages_test.go
@@ -101,6 +101,19 @@
 	require.Len(t, b, 7)
 }
 
+// Callers may set any number of variables. A request with more than its home decodes
+// would close the connection, with the statements of others on it.
+func TestAllValuesThatFitIntoAFrameAreDecoded(t *testing.T) {
+	r := &RunRequest{Values: make([]statement.Set, 349_000)}
+	b, err := r.MarshalMsg(nil)
+	require.NoError(t, err)
+	require.Less(t, len(b), 1<<20)
+	var got RunRequest
+	_, err = got.UnmarshalMsg(b)
+	require.NoError(t, err)
+	require.Len(t, got.Values, 349_000)
+}
+
 // An operation of a kind that this build does not know is an error, not another
 // operation.
 func TestUnknownKindIsAnError(t *testing.T) {
--- a/internal/process/proxy/stream_test.go
+++ b/internal/process/proxy/stream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -198,3 +200,39 @@
 	require.False(t, o.isOpen())
 	require.ErrorIs(t, o.err, errNotReading)
 }
+
+// BenchmarkCapacityIdleFrames measures the memory of both ends of an idle connection
+// with frames, on which requests have run. It includes the stacks of its goroutines.
+func BenchmarkCapacityIdleFrames(b *testing.B) {
+	const count = 200
+	server, err := NewPeers("127.0.0.1:0", &runReceiver{run: echo}, zap.NewNop())
+	require.NoError(b, err)
+	defer server.Close()
+	p, err := NewPeers("127.0.0.1:0", &countingReceiver{}, zap.NewNop())
+	require.NoError(b, err)
+	defer p.Close()
+	var known []Peer
+	for i := range count {
+		known = append(known, Peer{Name: fmt.Sprint(i), Address: server.Address()})
+	}
+	p.SetPeers(known)
+	inUse := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc + m.StackInuse)
+	}
+	before := inUse()
+	for _, peer := range known {
+		for range 10 {
+			var response text
+			require.NoError(b, p.Run(context.Background(), peer.Name, text("request"), &response, callTimeout))
+		}
+	}
+	b.ReportMetric((inUse()-before)/count, "heldBytes/pair")
+	for range b.N {
+		var response text
+		require.NoError(b, p.Run(context.Background(), "0", text("request"), &response, callTimeout))
+	}
+}
