Schedule waiting requests by class, share and deadline

Requests that waited for a slot at a database were ordered by class only, for at most a quarter of their target latency, and a full queue refused every arrival, so that a workspace that sent much took the slots of others. A Scheduler without lock, clock or channel now orders them where workspaces are declared: by class, workspace priority and fair share weighted by declared rate, with late requests last, and it refuses requests whose deadline is out of reach or that give way in a full queue at once, with the time after which there is room. Where no workspaces are declared, order and waiting bound stay as they were (ByArrival).

--- a/internal/connection/backend/limiter.go
+++ b/internal/connection/backend/limiter.go
@@ -1,10 +1,8 @@
 package backend
 
 import (
-	"slices"
 	"sync"
-
-	"github.com/go-faster/errors"
+	"time"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
@@ -42,12 +40,6 @@
 	// compared with its latency of minutes ago.
 	latencyWeight  = 0.1
 	baselineWeight = 0.002
-	// maxWaiting bounds the number of waiting requests.
-	maxWaiting = 24
-	// fifoPeriod is how long a queue is served in the order of arrival. In a
-	// queue that persists for longer, the newest requests go first: the oldest
-	// are late already, and in the order of arrival all would be late.
-	fifoPeriod = 100 * clock.Millisecond
 )
 
 // Limiter limits the requests that a process has in flight at one database, for
@@ -67,21 +59,11 @@
 	// latency is the smoothed latency, and baseline the estimated latency
 	// without queueing at the database, in ms.
 	latency, baseline float64
-	// waiting is in the order of arrival, and has not been empty since
-	// queuedSince.
-	waiting     []waiter
-	queuedSince clock.Time
-}
-
-type waiter struct {
-	priority int
-	ch       chan struct{}
+	// scheduler holds the waiting requests, and results the channel of each.
+	scheduler Scheduler
+	results   map[uint64]chan error
 }
 
-// errTooManyWaiting is returned when too many requests wait for a database, or
-// when a request has got no slot before its timeout.
-var errTooManyWaiting = errors.New("too many requests wait for the database")
-
 // tryReserveLocked reserves a slot for new work if one is free.
 func (l *Limiter) tryReserveLocked() bool {
 	if l.limit == 0 {
@@ -94,38 +76,71 @@
 	return true
 }
 
-// Reserve waits up to timeout for a slot for new work. More urgent requests go
-// first; a lower priority number is more urgent. It returns an error if the
-// queue is full or no slot becomes free in time.
-func (l *Limiter) Reserve(now clock.Time, timeout clock.Duration, priority int) error {
-	l.mu.Lock()
-	if len(l.waiting) == 0 && l.tryReserveLocked() {
-		l.mu.Unlock()
+// Reserve waits for a slot for new work, until r.Until at the latest. The policy
+// decides which of the waiting requests goes first, and which are refused. It
+// returns a *TooManyWaitingError if the request is refused; nothing was sent then.
+func (l *Limiter) Reserve(now clock.Time, p Policy, r Request) error {
+	w := l.enqueue(now, p, r)
+	if w == nil {
 		return nil
 	}
-	if timeout <= 0 || len(l.waiting) >= maxWaiting {
-		l.mu.Unlock()
-		return errTooManyWaiting
+	timer := time.NewTimer(w.limit.Std())
+	defer timer.Stop()
+	select {
+	case err := <-w.result:
+		return err
+	case <-timer.C:
 	}
-	if len(l.waiting) == 0 {
-		l.queuedSince = now
-	}
-	w := waiter{priority: priority, ch: make(chan struct{}, 1)}
-	l.waiting = append(l.waiting, w)
-	l.mu.Unlock()
-	if WaitOrTimeout(w.ch, timeout) {
+	l.stopWaiting(now.Add(w.limit), w.id)
+	return <-w.result
+}
+
+// waiter is a request in the queue, with the channel that receives its result, and
+// for how long it may wait.
+type waiter struct {
+	id     uint64
+	result chan error
+	limit  clock.Duration
+}
+
+// enqueue reserves a slot and returns nil if one is free. Otherwise it adds the
+// request to the queue.
+func (l *Limiter) enqueue(now clock.Time, p Policy, r Request) *waiter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.scheduler.SetPolicy(p)
+	l.wakeLocked(now)
+	if l.scheduler.Len() == 0 && l.tryReserveLocked() {
 		return nil
 	}
+	if l.results == nil {
+		l.results = make(map[uint64]chan error)
+	}
+	id, refused := l.scheduler.Arrive(now, r)
+	w := &waiter{id: id, result: make(chan error, 1), limit: l.scheduler.WaitLimit(now, r)}
+	l.results[id] = w.result
+	l.refuseLocked(refused)
+	return w
+}
+
+// stopWaiting refuses a request whose wait has ended, unless it has its result.
+func (l *Limiter) stopWaiting(now clock.Time, id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i := range l.waiting {
-		if l.waiting[i].ch == w.ch {
-			l.waiting = slices.Delete(l.waiting, i, i+1)
-			return errTooManyWaiting
-		}
+	if r := l.scheduler.End(now, id); r != nil {
+		l.resolveLocked(r.ID, r.Err)
 	}
-	// The slot was granted just after the timeout.
-	return nil
+}
+
+func (l *Limiter) refuseLocked(refused []Refusal) {
+	for _, r := range refused {
+		l.resolveLocked(r.ID, r.Err)
+	}
+}
+
+func (l *Limiter) resolveLocked(id uint64, err error) {
+	l.results[id] <- err
+	delete(l.results, id)
 }
 
 // Cancel gives back a reserved slot that was not used.
@@ -155,6 +170,9 @@
 	if !busy {
 		l.observeLocked(float64(took))
 	}
+	if !busy {
+		l.scheduler.Completed(now, took)
+	}
 	used := float64(l.inFlight + l.reserved)
 	l.inFlight--
 	switch {
@@ -189,25 +207,14 @@
 	l.baseline += baselineWeight * (l.latency - l.baseline)
 }
 
+// wakeLocked gives free slots to waiting requests, and refuses those that can no
+// longer meet their deadline.
 func (l *Limiter) wakeLocked(now clock.Time) {
-	for len(l.waiting) > 0 && l.tryReserveLocked() {
-		i := nextWaiter(l.waiting, now.Sub(l.queuedSince) >= fifoPeriod)
-		l.waiting[i].ch <- struct{}{}
-		l.waiting = slices.Delete(l.waiting, i, i+1)
-	}
-}
-
-// nextWaiter returns the index of the waiter that goes first: the most urgent
-// one, and among these the newest or the oldest.
-func nextWaiter(waiting []waiter, newest bool) int {
-	next := 0
-	for i, w := range waiting {
-		p := waiting[next].priority
-		if w.priority < p || newest && w.priority == p {
-			next = i
-		}
+	for l.scheduler.Len() > 0 && l.tryReserveLocked() {
+		id, _ := l.scheduler.Next(now)
+		l.resolveLocked(id, nil)
 	}
-	return next
+	l.refuseLocked(l.scheduler.Refuse(now))
 }
 
 // RecentlyRefused reports whether the database has recently refused requests
@@ -222,5 +229,5 @@
 func (l *Limiter) Saturated() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.waiting) > 0 || l.limit > 0 && float64(l.inFlight+l.reserved) >= l.limit
+	return l.scheduler.Len() > 0 || l.limit > 0 && float64(l.inFlight+l.reserved) >= l.limit
 }
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -55,28 +55,6 @@
 	return answered
 }
 
-// maxQueueShare is the fraction of a route's target latency for which a request
-// may wait for slots at databases. A request that waits longer at a busy
-// database misses the target anyway, since each of its statements queues there
-// too.
-const maxQueueShare = 0.25
-
-// queueDeadline returns the time until which the request may wait for a slot.
-func (s *Session) queueDeadline() clock.Time {
-	return s.arrived.Add(clock.Duration(float64(s.route.TargetLatency) * maxQueueShare))
-}
-
-// reserveSlot waits until the given time for a slot for new work at a database.
-// It returns an error if too many requests wait or none becomes free in time.
-func (s *Session) reserveSlot(p *backend.Pool, until clock.Time) error {
-	now := s.Clock.Now()
-	if err := p.Limiter.Reserve(now, until.Sub(now), s.route.Priority); err != nil {
-		return err
-	}
-	s.slotReserved = true
-	return nil
-}
-
 // releaseSlot gives back a reserved slot that was not used.
 func (s *Session) releaseSlot(p *backend.Pool) {
 	if s.slotReserved {
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -91,21 +91,27 @@
 	request := *r
 	request.Floor = floor
 	until := min(deadline, s.arrived.Add(s.route.TargetLatency))
-	slotDeadline := min(until, s.queueDeadline())
+	policy := s.slotPolicy()
+	slotUntil := s.slotUntil(policy, until)
+	_, shared := policy.(backend.ByShare)
+	// noSlot is the error of the last database tried, noSlotAt, if it gave no slot.
+	// refused counts the databases that were excluded for that.
+	var noSlot error
+	noSlotAt, refused := "", 0
 	wait := retryPause
 	for tries := 0; ; tries++ {
 		now := s.Clock.Now()
-		if now >= deadline || tries > 0 && now >= until {
+		if now >= deadline || tries > 0 && now >= until && (noSlot == nil || !shared) {
 			break
 		}
 		m, p := g.SelectForRead(s.workspace, exclude)
 		if p == nil {
-			if len(exclude) == 0 {
+			if len(exclude) == 0 || shared && refused == len(exclude) {
 				break
 			}
 			// All databases have been tried. During the pause replicas may catch up and
 			// the load may fall.
-			exclude = exclude[:0]
+			exclude, refused = exclude[:0], 0
 			backend.Sleep(min(wait, deadline.Sub(now)))
 			wait = min(2*wait, maxReadRetryPause)
 			continue
@@ -114,11 +120,17 @@
 		if !s.takeToken() {
 			return nil, nil
 		}
-		if err := s.reserveSlot(p, slotDeadline); err != nil {
-			cause = m.ID + ": " + err.Error()
+		if noSlot = s.reserveSlot(p, policy, slotUntil); noSlot != nil {
+			cause = m.ID + ": " + noSlot.Error()
 			exclude = append(exclude, m.ID)
+			noSlotAt = m.ID
+			refused++
 			continue
 		}
+		if shared {
+			// The wait for the slot may have used up most of the time.
+			timeout = max(min(timeout, deadline.Sub(s.Clock.Now())), 1)
+		}
 		c, err := p.AcquireFor(s.Clock.Now().Add(timeout), s.workspace, s.valueTexts)
 		if err != nil {
 			s.releaseSlot(p)
@@ -155,6 +167,7 @@
 		exclude = append(exclude, m.ID)
 		p.Latency.Avoid(s.Clock.Now().Add(pauseAfter(f.Code)))
 	}
+	s.logNoSlot(noSlotAt, noSlot)
 	s.fail(statement.CodeBusy, cause)
 	return nil, nil
 }
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -85,6 +85,8 @@
 	Group    func(name string) *backend.GroupClient
 	Log      *zap.Logger
 	Recorder Recorder
+	// Waits records the waits for slots at databases, if it is not nil.
+	Waits WaitRecorder
 	// Self is the name of this instance.
 	Self string
 	// Homes forwards the requests of groups that home proxies serve. If it is
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -110,6 +110,8 @@
 // the answer fails with CodeBusy: nothing ran.
 func (s *Session) acquirePrimary(g *backend.GroupClient, r *statement.Request, deadline clock.Time) (group.Member, *backend.Pool, *backend.PooledConn) {
 	until := s.arrived.Add(clock.Duration(float64(s.route.Timeout) * primaryWaitShare))
+	policy := s.slotPolicy()
+	slotUntil := s.slotUntil(policy, until)
 	var cause error = errors.New("no primary is known")
 	for {
 		m, ok := s.awaitPrimary(g, until)
@@ -125,11 +127,12 @@
 		if !s.takeToken() {
 			return group.Member{}, nil, nil
 		}
-		if err := s.reserveSlot(p, min(until, s.queueDeadline())); err != nil {
+		if err := s.reserveSlot(p, policy, slotUntil); err != nil {
+			s.logNoSlot(p.ID, err)
 			cause = err
 			break
 		}
-		c, err := p.AcquireFor(min(until, deadline), s.workspace, s.valueTexts)
+		c, err := p.AcquireFor(max(min(until, deadline), slotUntil), s.workspace, s.valueTexts)
 		if err == nil && s.prepareConn(g, c, p, r) {
 			if s.takeToken() {
 				return m, p, c
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -157,7 +157,7 @@
 		roster: newRoster(), sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
 		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(),
 	}
-	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Self: s.Name}
+	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Waits: m, Self: s.Name}
 	if f.freshness = newFreshnessDriver(s.RevocationLimit, c.Now()); f.freshness != nil {
 		f.sessionDeps.Freshness = f.freshness.proof
 	}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
@@ -43,6 +45,14 @@
 	mu         sync.Mutex
 	routes     map[routeKey]routeMetrics
 	storeCalls map[storeCall]tally.Counter
+	waits      map[string]tally.Histogram
+	noSlots    map[noSlot]tally.Counter
+}
+
+// noSlot is the class of requests that got no slot at a database, and the reason.
+type noSlot struct {
+	class  string
+	reason backend.Reason
 }
 
 // storeCall is the kind of a call to the store, and its table.
@@ -67,6 +77,7 @@
 	return &Metrics{
 		scope: scope, closer: closer, text: text, routes: make(map[routeKey]routeMetrics),
 		statusQueries: scope.Counter("status_questions"), storeCalls: make(map[storeCall]tally.Counter),
+		waits: make(map[string]tally.Histogram), noSlots: make(map[noSlot]tally.Counter),
 	}
 }
 
@@ -110,6 +121,45 @@
 	rm.latency.RecordDuration(took.Std())
 }
 
+// maxNamedClass is the highest class priority that metrics name, so that the number
+// of names does not grow with what configurations declare.
+const maxNamedClass = 7
+
+func className(class int) string {
+	if class < 0 || class > maxNamedClass {
+		return "other"
+	}
+	return strconv.Itoa(class)
+}
+
+// Waited records for how long a request of a class waited for a slot at a database.
+// It implements session.WaitRecorder.
+func (m *Metrics) Waited(class int, waited clock.Duration) {
+	name := className(class)
+	m.mu.Lock()
+	h, ok := m.waits[name]
+	if !ok {
+		h = m.scope.Tagged(map[string]string{"class": name}).Histogram("slot_wait", latencyBounds)
+		m.waits[name] = h
+	}
+	m.mu.Unlock()
+	h.RecordDuration(waited.Std())
+}
+
+// Refused counts a request of a class that got no slot at a database. It implements
+// session.WaitRecorder.
+func (m *Metrics) Refused(class int, reason backend.Reason) {
+	key := noSlot{className(class), reason}
+	m.mu.Lock()
+	counter, ok := m.noSlots[key]
+	if !ok {
+		counter = m.scope.Tagged(map[string]string{"class": key.class, "reason": reason.String()}).Counter("slot_refused")
+		m.noSlots[key] = counter
+	}
+	m.mu.Unlock()
+	counter.Inc(1)
+}
+
 // gaugeInterval is the time between two updates of the gauges.
 const gaugeInterval = 5 * clock.Second
 
--- a/internal/front/metrics_test.go
+++ b/internal/front/metrics_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"math"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 )
 
 // In the exposition format, each bucket of a histogram counts the samples of the
@@ -24,3 +28,20 @@
 latency_count{kind="primary"} 6
 `, string(r.render()))
 }
+
+// A configuration with many priorities must not add a time series for each.
+func TestSlotMetricsHaveABoundedSetOfNames(t *testing.T) {
+	m := NewMetrics()
+	for class := -5; class < 1000; class++ {
+		m.Waited(class, 30)
+		m.Refused(class, backend.Displaced)
+	}
+	m.Close()
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	text := w.Body.String()
+	require.Contains(t, text, `oleanderflow_slot_refused{class="0",reason="displaced"} 1`)
+	require.Contains(t, text, `oleanderflow_slot_refused{class="other",reason="displaced"} 997`)
+	require.Contains(t, text, `oleanderflow_slot_wait_count{class="0"} 1`)
+	require.Equal(t, maxNamedClass+2, strings.Count(text, "oleanderflow_slot_refused{"))
+}
--- a/internal/version/routes/workspaces.go
+++ b/internal/version/routes/workspaces.go
@@ -26,6 +26,9 @@
 	byKey  map[string]*Workspace
 	// sorted is ordered by name.
 	sorted []*Workspace
+	// limited is the number of workspaces with a rate, and rates the sum of these.
+	limited int
+	rates   float64
 }
 
 // DuplicateKeyError reports a key that two workspaces hold.
@@ -70,6 +73,10 @@
 	}
 	added := &workspace
 	w.byName[added.Name] = added
+	if added.Rate > 0 {
+		w.limited++
+		w.rates += added.Rate
+	}
 	for _, key := range keys {
 		w.byKey[key] = added
 	}
@@ -94,6 +101,21 @@
 	return w.byName[name]
 }
 
+// Weight returns the size of a workspace's fair share relative to those of others:
+// its declared rate. A workspace without one counts as the average of those that
+// have one. It returns 1 if none has, and for an unknown workspace.
+func (w *Workspaces) Weight(name string) float64 {
+	found := w.Find(name)
+	switch {
+	case found == nil || w.limited == 0:
+		return 1
+	case found.Rate > 0:
+		return found.Rate
+	default:
+		return w.rates / float64(w.limited)
+	}
+}
+
 // All returns the workspaces ordered by name. The slice must not be changed.
 func (w *Workspaces) All() []*Workspace {
 	if w == nil {
--- a/internal/version/routes/workspaces_test.go
+++ b/internal/version/routes/workspaces_test.go
@@ -32,3 +32,17 @@
 	require.Nil(t, w.Find("a"))
 	require.Empty(t, w.All())
 }
+
+// A workspace without a limit must neither be starved beside large ones nor get all.
+func TestWeightsFollowDeclaredRates(t *testing.T) {
+	w := NewWorkspaces()
+	require.NoError(t, w.Add(Workspace{Name: "unlimited"}, nil))
+	require.Equal(t, 1.0, w.Weight("unlimited"), "no rate is declared")
+	require.NoError(t, w.Add(Workspace{Name: "small", Rate: 10}, nil))
+	require.NoError(t, w.Add(Workspace{Name: "large", Rate: 30}, nil))
+	require.Equal(t, 10.0, w.Weight("small"))
+	require.Equal(t, 30.0, w.Weight("large"))
+	require.Equal(t, 20.0, w.Weight("unlimited"))
+	require.Equal(t, 1.0, w.Weight("unknown"))
+	require.Equal(t, 1.0, (*Workspaces)(nil).Weight("a"))
+}
