Tell homes for how long a forwarded request is awaited

A proxy that forwards a read waits 250 to 800 ms for one home and then asks another. Since requests of workspaces may now wait for a slot until their deadline, the first home would have run a read that runs elsewhere too. The optional field answerWithin of RunRequest limits the wait at the home; it is sent for requests of workspaces only.

What only the primary can serve waits for 0.6 of its timeout as before, so that a write is not sent just before its deadline and in doubt afterwards. A request that cannot get its slot within the time for which it may wait is refused at once.

--- a/internal/connection/backend/scheduler.go
+++ b/internal/connection/backend/scheduler.go
@@ -299,7 +299,7 @@
 		return nil
 	}
 	longest := now.Add(clock.Duration(interval * float64(len(s.waiting)))).Add(s.estimate.service())
-	if !slices.ContainsFunc(s.waiting, func(w *waiting) bool { return w.Deadline != 0 && w.Deadline < longest }) {
+	if !slices.ContainsFunc(s.waiting, func(w *waiting) bool { return s.missesDeadline(longest, w) }) {
 		return nil
 	}
 	s.sort(now)
@@ -319,8 +319,12 @@
 }
 
 // missesDeadline reports whether a request that gets its slot at the given time is
-// expected to be answered too late.
+// expected to be answered too late. With ByShare, it also reports whether the request
+// may not wait for that long, so that it does not wait in vain.
 func (s *Scheduler) missesDeadline(at clock.Time, w *waiting) bool {
+	if _, shared := s.policy.(ByShare); shared && at > w.Until {
+		return true
+	}
 	return w.Deadline != 0 && at.Add(s.estimate.service()) > w.Deadline
 }
 
--- a/internal/connection/backend/scheduler_test.go
+++ b/internal/connection/backend/scheduler_test.go
@@ -227,6 +227,28 @@
 	}
 }
 
+// The wait for a primary is shorter than the deadline. A request that cannot get its
+// slot within that is refused at once where workspaces are declared; elsewhere it
+// waits, as it always has.
+func TestRequestThatMayNotWaitLongEnoughIsRefused(t *testing.T) {
+	for _, p := range []Policy{ByArrival{}, ByShare{}} {
+		s := measuredScheduler(p, 20, 20)
+		for range 10 {
+			add(t, s, 1000, ofSite(1000, 0, "a"))
+		}
+		r := ofSite(1000, 0, "a")
+		r.Until = 1100
+		_, refused := s.Arrive(1000, r)
+		if p == (ByArrival{}) {
+			require.Empty(t, refused)
+			continue
+		}
+		require.Len(t, refused, 1)
+		require.Equal(t, DeadlineUnreachable, refused[0].Err.Reason)
+		require.GreaterOrEqual(t, refused[0].Err.Retry, 200*clock.Millisecond)
+	}
+}
+
 // Before anything is measured, an estimate would be a guess.
 func TestNothingIsRefusedByEstimateBeforeAMeasurement(t *testing.T) {
 	s := &Scheduler{policy: ByShare{}}
--- a/internal/connection/peer/messages.go
+++ b/internal/connection/peer/messages.go
@@ -40,6 +40,10 @@
 	TargetLatency clock.Duration     `json:"target"`
 	Priority      int                `json:"priority"`
 	MaxAge        clock.Duration     `json:"maxAge,omitempty"`
+	// AnswerWithin is how long the sender waits for the answer, if that is shorter than
+	// Timeout. A request that waits longer for a slot would occupy it in vain, since the
+	// sender has sent it elsewhere by then.
+	AnswerWithin clock.Duration `json:"answerWithin,omitempty"`
 
 	// Floor is the position of the session's last acknowledged commit. Values
 	// holds the session variables, which are sent unless the home already has them
--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -57,12 +57,14 @@
 		}
 		// A home that commits late still waits up to minConfirmWait for the
 		// confirmation.
-		run.Timeout = max(deadline.Sub(s.Clock.Now()), minConfirmWait)
-		limit := max(deadline.Sub(s.Clock.Now()), minConfirmWait) + forwardOverhead
+		left := deadline.Sub(s.Clock.Now())
+		run.Timeout = max(left, minConfirmWait)
+		limit := run.Timeout + forwardOverhead
 		if s.safeToRepeat(r) {
 			minTimeout := max(minHomeAttemptTimeout, s.route.TargetLatency+forwardOverhead)
 			limit = min(limit, s.Homes.AttemptTimeout(home, minTimeout, maxHomeAttemptTimeout))
 		}
+		run.AnswerWithin = s.forwardWithin(min(limit, left), run.Timeout)
 		run.Reserve = begins && s.Limits.Reserve(s.workspace)
 		response, err := s.Homes.Forward(home, run, limit)
 		if err == nil && response.NoGrant && s.mayUseReserve(run) {
@@ -98,6 +100,16 @@
 	return false
 }
 
+// forwardWithin returns the time to tell a home in which this proxy waits for the
+// answer, or zero if the home need not know: it is the timeout, or there are no
+// workspaces, where requests wait for slots briefly.
+func (s *Session) forwardWithin(wait, timeout clock.Duration) clock.Duration {
+	if s.workspace == "" || wait >= timeout {
+		return 0
+	}
+	return max(wait, 1)
+}
+
 // mayUseReserve reports whether a request that its home has refused, because no
 // accountant answers, may be sent again from this proxy's reserve.
 func (s *Session) mayUseReserve(run *peer.RunRequest) bool {
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -95,6 +95,7 @@
 		s.prepared[p.Name] = statement.Prepare{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
 	}
 	s.token = token{reserved: run.Reserve}
+	s.answerWithin = run.AnswerWithin
 	s.serve(r)
 	s.route = nil
 	if run.Begin != nil && s.limited != nil && s.tx != nil && s.tx.conn == nil {
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -92,7 +92,7 @@
 	request.Floor = floor
 	until := min(deadline, s.arrived.Add(s.route.TargetLatency))
 	policy := s.slotPolicy()
-	slotUntil := s.slotUntil(policy, until)
+	slotUntil := s.slotUntil(policy, deadline)
 	_, shared := policy.(backend.ByShare)
 	// noSlot is the error of the last database tried, noSlotAt, if it gave no slot.
 	// refused counts the databases that were excluded for that.
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -133,6 +133,9 @@
 	answer    statement.Answer
 	arrived   clock.Time
 	route     *routes.Route
+	// answerWithin is how long the proxy that has forwarded the request waits for the
+	// answer. It is zero if that is the route's timeout.
+	answerWithin clock.Duration
 	// workspace is the name of the workspace on whose behalf the request runs. It
 	// is empty on public routes and where no workspaces are declared.
 	workspace string
--- a/internal/connection/session/slot.go
+++ b/internal/connection/session/slot.go
@@ -43,13 +43,21 @@
 	return backend.ByShare{}
 }
 
-// slotUntil returns the time until which the request may wait for a slot. Where
-// workspaces are declared, this is its deadline; the scheduler refuses it sooner if
-// it cannot be answered by then. Elsewhere it is at most the given limit.
+// answerDeadline returns the time after which nobody waits for the answer.
+func (s *Session) answerDeadline() clock.Time {
+	if s.answerWithin > 0 {
+		return s.arrived.Add(min(s.answerWithin, s.route.Timeout))
+	}
+	return s.arrived.Add(s.route.Timeout)
+}
+
+// slotUntil returns the time until which the request may wait for a slot, at most
+// the given limit. Where workspaces are declared, it may wait until its deadline; the
+// scheduler refuses it once it cannot be answered by then.
 func (s *Session) slotUntil(p backend.Policy, limit clock.Time) clock.Time {
 	switch p.(type) {
 	case backend.ByShare:
-		return s.arrived.Add(s.route.Timeout)
+		return min(limit, s.answerDeadline())
 	default:
 		return min(limit, s.arrived.Add(clock.Duration(float64(s.route.TargetLatency)*maxQueueShare)))
 	}
@@ -61,7 +69,7 @@
 func (s *Session) slotRequest(until clock.Time) backend.Request {
 	r := backend.Request{
 		Class: s.route.Priority, Workspace: s.workspace,
-		Arrived: s.arrived, Target: s.arrived.Add(s.route.TargetLatency), Deadline: s.arrived.Add(s.route.Timeout), Until: until,
+		Arrived: s.arrived, Target: s.arrived.Add(s.route.TargetLatency), Deadline: s.answerDeadline(), Until: until,
 	}
 	w := s.workspaces()
 	if found := w.Find(s.workspace); found != nil {
--- a/internal/connection/session/slot_test.go
+++ b/internal/connection/session/slot_test.go
@@ -41,7 +41,8 @@
 	s := slotSession(t, w, zap.NewNop())
 	policy := s.slotPolicy()
 	require.Equal(t, backend.ByShare{}, policy)
-	until := s.slotUntil(policy, s.arrived.Add(600))
+	require.Equal(t, s.arrived.Add(600), s.slotUntil(policy, s.arrived.Add(600)))
+	until := s.slotUntil(policy, s.arrived.Add(2000))
 	require.Equal(t, backend.Request{
 		Class: 2, Workspace: "w", WorkspacePriority: 3, Weight: 40,
 		Arrived: s.arrived, Target: s.arrived.Add(100), Until: s.arrived.Add(1000), Deadline: s.arrived.Add(1000),
@@ -52,6 +53,21 @@
 	require.Equal(t, 1.0, s.slotRequest(until).Weight)
 }
 
+// A home must not give a slot to a request that its sender has sent elsewhere
+// meanwhile: at overload, each read would run several times.
+func TestForwardedRequestWaitsNoLongerThanItsSender(t *testing.T) {
+	s := slotSession(t, routes.NewWorkspaces(), zap.NewNop())
+	require.Equal(t, clock.Duration(300), s.forwardWithin(300, 3000))
+	require.Zero(t, s.forwardWithin(3000, 3000), "the sender waits until the timeout")
+	require.Equal(t, clock.Duration(1), s.forwardWithin(-5, 400), "the timeout is longer than what is left")
+	s.answerWithin = 300
+	until := s.slotUntil(s.slotPolicy(), s.arrived.Add(600))
+	require.Equal(t, s.arrived.Add(300), until)
+	require.Equal(t, s.arrived.Add(300), s.slotRequest(until).Deadline)
+	s.workspace = ""
+	require.Zero(t, s.forwardWithin(300, 3000), "deployments without workspaces send what they sent")
+}
+
 // recordedWaits counts the waits and refusals.
 type recordedWaits struct {
 	waits   int
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -132,7 +132,7 @@
 			cause = err
 			break
 		}
-		c, err := p.AcquireFor(max(min(until, deadline), slotUntil), s.workspace, s.valueTexts)
+		c, err := p.AcquireFor(min(until, deadline), s.workspace, s.valueTexts)
 		if err == nil && s.prepareConn(g, c, p, r) {
 			if s.takeToken() {
 				return m, p, c
