--- a/internal/connection/peer/messages.go
+++ b/internal/connection/peer/messages.go
@@ -77,6 +77,10 @@
 	TargetLatency clock.Duration     `json:"target" msg:"l,omitempty"`
 	Priority      int                `json:"priority" msg:"p,omitempty"`
 	MaxAge        clock.Duration     `json:"maxAge,omitempty" msg:"a,omitempty"`
+	// AnswerWithin is how long the sender waits for the answer, if that is shorter than
+	// Timeout. A request that waits longer for a slot would occupy it in vain, since the
+	// sender has sent it elsewhere by then.
+	AnswerWithin clock.Duration `json:"answerWithin,omitempty" msg:"z,omitempty"`
 
 	// Floor is the position of the session's last acknowledged commit. Values
 	// holds the session variables, which are sent unless the home already has them
--- a/internal/connection/peer/messages_gen.go
+++ b/internal/connection/peer/messages_gen.go
@@ -375,8 +375,8 @@
 func (z *RunRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(17)
-	var zb0001Mask uint32 /* 17 bits */
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
 	_ = zb0001Mask
 	if z.Session == "" {
 		zb0001Len--
@@ -426,26 +426,30 @@
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.Floor.IsZero() {
+	if z.AnswerWithin == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.Values == nil {
+	if z.Floor.IsZero() {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.Prepared == nil {
+	if z.Values == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
-	if z.ID == "" {
+	if z.Prepared == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Operation.IsZero() {
+	if z.ID == "" {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
+	if z.Operation.IsZero() {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -543,6 +547,11 @@
 			o = msgp.AppendInt64(o, int64(z.MaxAge))
 		}
 		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendInt64(o, int64(z.AnswerWithin))
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "f"
 			o = append(o, 0xa1, 0x66)
 			// array header, size 2
@@ -550,7 +559,7 @@
 			o = msgp.AppendUint64(o, z.Floor.Term)
 			o = msgp.AppendUint64(o, z.Floor.Offset)
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "e"
 			o = append(o, 0xa1, 0x65)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Values)))
@@ -562,7 +571,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "x"
 			o = append(o, 0xa1, 0x78)
 			if z.Prepared == nil {
@@ -607,12 +616,12 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "i"
 			o = append(o, 0xa1, 0x69)
 			o = msgp.AppendString(o, z.ID)
 		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// string "o"
 			o = append(o, 0xa1, 0x6f)
 			o, err = z.Operation.MarshalMsg(o)
@@ -779,15 +788,25 @@
 				}
 				z.MaxAge = clock.Duration(zb0006)
 			}
+		case "z":
+			{
+				var zb0007 int64
+				zb0007, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "AnswerWithin")
+					return
+				}
+				z.AnswerWithin = clock.Duration(zb0007)
+			}
 		case "f":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Floor")
 				return
 			}
-			if zb0007 != 2 {
-				err = msgp.ArrayError{Wanted: 2, Got: zb0007}
+			if zb0008 != 2 {
+				err = msgp.ArrayError{Wanted: 2, Got: zb0008}
 				return
 			}
 			z.Floor.Term, bts, err = msgp.ReadUint64Bytes(bts)
@@ -801,20 +820,20 @@
 				return
 			}
 		case "e":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Values")
 				return
 			}
-			if zb0008 > z2c18a699limitArrays {
+			if zb0009 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Values) >= int(zb0008) {
-				z.Values = (z.Values)[:zb0008]
+			if cap(z.Values) >= int(zb0009) {
+				z.Values = (z.Values)[:zb0009]
 			} else {
-				z.Values = make([]statement.Set, zb0008)
+				z.Values = make([]statement.Set, zb0009)
 			}
 			for za0001 := range z.Values {
 				bts, err = (*wireSet)(&z.Values[za0001]).UnmarshalMsg(bts)
@@ -834,18 +853,18 @@
 				if z.Prepared == nil {
 					z.Prepared = new(Prepared)
 				}
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Prepared")
 					return
 				}
-				if zb0009 > z2c18a699limitMaps {
+				if zb0010 > z2c18a699limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
+				for zb0010 > 0 {
+					zb0010--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Prepared")
@@ -911,7 +930,7 @@
 	} else {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Begin.ID) + 2 + msgp.BoolSize
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Workspace) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + 1 + msgp.Uint64Size + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.StringPrefixSize + len(z.Workspace) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + msgp.Uint64Size + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Values {
 		s += (*wireSet)(&z.Values[za0001]).Msgsize()
 	}
--- a/internal/connection/peer/messages_test.go
+++ b/internal/connection/peer/messages_test.go
@@ -19,6 +19,7 @@
 	r.Values = []statement.Set{{Name: "a", Text: "1"}, {Name: "b"}}
 	r.Prepared = &Prepared{Name: "p", Writes: true, Shape: "READ $1"}
 	r.Operation.Name = "p"
+	r.AnswerWithin = 700
 	return r
 }
 
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -85,6 +85,8 @@
 	Group    func(name string) *backend.GroupClient
 	Log      *zap.Logger
 	Recorder Recorder
+	// Waits records the waits for slots at databases, if it is not nil.
+	Waits WaitRecorder
 	// Self is the name of this instance.
 	Self string
 	// Homes forwards the requests of groups that home proxies serve. If it is
@@ -131,6 +133,9 @@
 	answer    statement.Answer
 	arrived   clock.Time
 	route     *routes.Route
+	// answerWithin is how long the proxy that has forwarded the request waits for the
+	// answer. It is zero if that is the route's timeout.
+	answerWithin clock.Duration
 	// workspace is the name of the workspace on whose behalf the request runs. It
 	// is empty on public routes and where no workspaces are declared.
 	workspace string
