Refuse reads in time that get no slot

Reads that got no slot within a quarter of their target latency were tried until all of it had passed. Ruled out: replicas that are taken for too far behind although they are not. Change: such a read is refused once it would not wait for a slot any more. TestReadWithoutASlotIsRefusedInTime failed before with 849 ms.

--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -104,6 +104,10 @@
 		if now >= deadline || tries > 0 && now >= until && (noSlot == nil || !shared) {
 			break
 		}
+		if noSlot != nil && now >= slotUntil {
+			// Another attempt would not wait for a slot either.
+			break
+		}
 		m, p := g.SelectForRead(s.workspace, exclude)
 		if p == nil {
 			if len(exclude) == 0 || shared && refused == len(exclude) {
