Probe a database that has returned before it gets its usual load

A database that had started, answered again, been promoted or come back from a drain got the whole limit of every process at once. In the model of 15 processes at twice the load, its queue of 32 was full within the first second and it refused up to 285 requests in 4 s.

Pace decides the limit of Limiter. The first limit after a return is the process's use before, which may be below 1; the limit doubles with each round of answers until the latency exceeds 1.25 times the baseline. GroupClient passes on new incarnations, failures, answers, promotions and drains that end.

limiter_test.go only names the fields at their new place.

--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -50,6 +50,10 @@
 	mu    sync.Mutex
 	pools map[string]*Pool
 	polls map[string]*statusPoll
+	// createdAt is when the process began to serve the group.
+	createdAt clock.Time
+	// primaryID is the ID of the last known primary, empty if none was known.
+	primaryID string
 	// discoveredAt is when all databases were last asked for a primary.
 	discoveredAt clock.Time
 }
@@ -68,6 +72,7 @@
 		Group: group.New(name), Zone: zone, dialer: d, settings: s, clock: c, onStatusRequest: onStatusRequest,
 		log:   log.With(zap.String("group", name)),
 		pools: make(map[string]*Pool), polls: make(map[string]*statusPoll),
+		createdAt: c.Now(),
 	}
 }
 
@@ -81,8 +86,10 @@
 		return
 	}
 	now := g.clock.Now()
+	last, known := g.LastEntry(e.ID)
 	added := g.ObserveEntry(now, e)
 	g.mu.Lock()
+	cause, hint := g.returnLocked(now, e, last, known)
 	old := g.pools[e.ID]
 	if added || old == nil {
 		to := Target{Group: g.Name, ID: e.ID, Address: e.Address}
@@ -91,10 +98,14 @@
 	} else {
 		old = nil
 	}
+	p := g.pools[e.ID]
 	g.mu.Unlock()
 	if old != nil {
 		old.Close()
 	}
+	if cause != "" {
+		p.Limiter.Return(now, cause, hint)
+	}
 	g.log.Info("database entry applied", zap.String("database", e.ID), zap.String("address", e.Address),
 		zap.Stringer("role", e.Role), zap.Bool("leaving", e.Leaving), zap.Bool("new", added))
 }
--- a/internal/connection/backend/limiter.go
+++ b/internal/connection/backend/limiter.go
@@ -3,8 +3,10 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
@@ -58,15 +60,17 @@
 // requests or its latency rises, and grows with answers while it is used.
 type Limiter struct {
 	mu       sync.Mutex
-	limit    float64
+	pace     Pace
 	inFlight int
 	// reserved is the number of slots whose request has not begun yet.
-	reserved           int
-	refusalDecreasedAt clock.Time
-	latencyDecreasedAt clock.Time
-	// latency is the smoothed latency, and baseline the estimated latency
-	// without queueing at the database, in ms.
-	latency, baseline float64
+	reserved int
+	// pause ends the current pause, in which no new work gets a slot. It is nil
+	// if there is none.
+	pause *time.Timer
+	// pauseWanted is set if new work has asked for a slot during the pause.
+	pauseWanted bool
+	// log is nil if changes of the pace's state are not logged.
+	log *zap.Logger
 	// waiting is in the order of arrival, and has not been empty since
 	// queuedSince.
 	waiting     []waiter
@@ -84,10 +88,9 @@
 
 // tryReserveLocked reserves a slot for new work if one is free.
 func (l *Limiter) tryReserveLocked() bool {
-	if l.limit == 0 {
-		l.limit = initialLimit
-	}
-	if float64(l.inFlight+l.reserved) >= max(l.limit, 1) {
+	l.pace.Begin()
+	if l.pause != nil || !l.pace.Allows(l.inFlight+l.reserved) {
+		l.pauseWanted = true
 		return false
 	}
 	l.reserved++
@@ -152,43 +155,12 @@
 func (l *Limiter) End(now clock.Time, took clock.Duration, busy bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !busy {
-		l.observeLocked(float64(took))
-	}
-	used := float64(l.inFlight + l.reserved)
+	used := l.inFlight + l.reserved
 	l.inFlight--
-	switch {
-	case l.limit == 0:
-		l.limit = initialLimit
-	case !busy && l.latency > maxLatencyRatio*l.baseline:
-		if now.Sub(l.latencyDecreasedAt) >= decreaseInterval {
-			l.latencyDecreasedAt = now
-			l.limit = max(min(l.limit, used)*latencyDecrease, 1)
-		}
-	case !busy && used < l.limit*minUtilization:
-	case !busy:
-		step := limitIncrease
-		if now.Sub(max(l.refusalDecreasedAt, l.latencyDecreasedAt)) >= stableAfter {
-			step = stableLimitIncrease
-		}
-		l.limit = min(l.limit+step/max(l.limit, 1), maxLimit)
-	case now.Sub(l.refusalDecreasedAt) >= decreaseInterval || l.refusalDecreasedAt == 0:
-		l.refusalDecreasedAt = now
-		l.limit = max(min(l.limit, used)*refusalDecrease, 1)
-	}
+	l.decideLocked(now, causeResponses, func() clock.Duration { return l.pace.End(now, took, used, busy) })
 	l.wakeLocked(now)
 }
 
-func (l *Limiter) observeLocked(took float64) {
-	if l.latency == 0 {
-		// The first answer may itself have waited in a queue.
-		l.latency, l.baseline = took, min(took, defaultLatency)
-	}
-	l.latency += latencyWeight * (took - l.latency)
-	l.baseline = min(l.baseline, l.latency)
-	l.baseline += baselineWeight * (l.latency - l.baseline)
-}
-
 func (l *Limiter) wakeLocked(now clock.Time) {
 	for len(l.waiting) > 0 && l.tryReserveLocked() {
 		i := nextWaiter(l.waiting, now.Sub(l.queuedSince) >= fifoPeriod)
@@ -215,12 +187,12 @@
 func (l *Limiter) RecentlyRefused(now clock.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.refusalDecreasedAt != 0 && now.Sub(l.refusalDecreasedAt) < stableAfter
+	return l.pace.RecentlyRefused(now)
 }
 
 // Saturated reports whether new work would have to wait.
 func (l *Limiter) Saturated() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.waiting) > 0 || l.limit > 0 && float64(l.inFlight+l.reserved) >= l.limit
+	return len(l.waiting) > 0 || l.pause != nil || l.pace.Saturated(l.inFlight+l.reserved)
 }
--- /dev/null
+++ b/internal/connection/backend/limiter_pace_test.go
@@ -0,0 +1,65 @@
+package backend
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// newPausedLimiter returns a limiter of a database that has just returned, whose
+// pause is several times as long as backlogPeriod.
+func newPausedLimiter(now clock.Time) *Limiter {
+	l := &Limiter{log: zap.NewNop(), pace: Pace{random: func() float64 { return 0.5 }}}
+	l.Return(now, causeStarted, PaceHint{Baseline: 20, Use: 0.02})
+	return l
+}
+
+// A request that waits for a slot at a returned database must get it when the
+// pause ends, without the end of another request.
+func TestPauseEndsForWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.NewSystem()
+		l := newPausedLimiter(c.Now())
+		require.True(t, l.Saturated(), "reads must prefer other databases")
+		require.NoError(t, l.Reserve(c.Now(), 5*clock.Second, 0))
+		require.Greater(t, c.Now(), clock.Time(backlogPeriod))
+	})
+}
+
+// Without requests that waited for the return, there is no reason to delay later
+// ones.
+func TestPauseEndsWithoutBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.NewSystem()
+		l := newPausedLimiter(c.Now())
+		Sleep(backlogPeriod + 1)
+		require.NoError(t, l.Reserve(c.Now(), 0, 0))
+	})
+}
+
+// A request that was refused during the first moments belongs to a backlog, so the
+// pause must go on for its callers.
+func TestPauseGoesOnWithBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.NewSystem()
+		l := newPausedLimiter(c.Now())
+		require.ErrorIs(t, l.Reserve(c.Now(), 0, 0), errTooManyWaiting)
+		Sleep(backlogPeriod + 1)
+		require.ErrorIs(t, l.Reserve(c.Now(), 0, 0), errTooManyWaiting)
+	})
+}
+
+// Statements of open transactions must pass during a pause.
+func TestTransactionsPassDuringPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.NewSystem()
+		l := newPausedLimiter(c.Now())
+		l.Begin(false)
+		l.End(c.Now(), 20, false)
+		require.Zero(t, l.inFlight)
+	})
+}
--- a/internal/connection/backend/limiter_test.go
+++ b/internal/connection/backend/limiter_test.go
@@ -180,11 +180,11 @@
 	for range 1000 {
 		serve(1)
 	}
-	require.LessOrEqual(t, limiter.limit, initialLimit)
+	require.LessOrEqual(t, limiter.pace.limit, initialLimit)
 	for range 50 {
-		serve(int(limiter.limit))
+		serve(int(limiter.pace.limit))
 	}
-	require.Greater(t, limiter.limit, 2*initialLimit)
+	require.Greater(t, limiter.pace.limit, 2*initialLimit)
 }
 
 func TestNewestGoFirstInAPersistentQueue(t *testing.T) {
@@ -211,13 +211,13 @@
 	}
 	serve(200, 10)
 	serve(20, 60)
-	require.Greater(t, limiter.latency, maxLatencyRatio*limiter.baseline)
+	require.Greater(t, limiter.pace.latency, maxLatencyRatio*limiter.pace.baseline)
 	serve(500, 60)
-	require.Less(t, limiter.latency, maxLatencyRatio*limiter.baseline)
+	require.Less(t, limiter.pace.latency, maxLatencyRatio*limiter.pace.baseline)
 }
 
 func TestLimiterPrefersUrgentWork(t *testing.T) {
-	limiter := &Limiter{limit: 1}
+	limiter := &Limiter{pace: Pace{limit: 1}}
 	require.NoError(t, limiter.Reserve(1000, clock.Second, 1))
 	limiter.Begin(true)
 	order := make(chan int, 2)
@@ -241,7 +241,7 @@
 }
 
 func TestLimiterRefusesAtOnceWithZeroTimeout(t *testing.T) {
-	limiter := &Limiter{limit: 1}
+	limiter := &Limiter{pace: Pace{limit: 1}}
 	require.True(t, limiter.TryReserve())
 	require.ErrorIs(t, limiter.Reserve(1000, 0, 1), errTooManyWaiting)
 	limiter.Cancel(1000)
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -154,6 +154,7 @@
 	return &Pool{
 		Target: to, settings: s, dialer: d, clock: c, log: log, onDial: onDial, idleTimeout: initialIdleTimeout,
 		openFor: make(map[string]int), dialingFor: make(map[string]int),
+		Limiter: Limiter{log: log.With(zap.String("database", to.ID))},
 	}
 }
 
--- a/internal/process/group/member.go
+++ b/internal/process/group/member.go
@@ -96,3 +96,15 @@
 func (m *Member) Releasable(term uint64) bool {
 	return m.Role == database.RoleReplica && m.FencedTerm > m.Term && m.FencedTerm <= term
 }
+
+// LastEntry returns the last entry of a database that is in the group or has
+// been removed from it.
+func (g *Group) LastEntry(id string) (Entry, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m, ok := g.members[id]; ok {
+		return m.Entry, true
+	}
+	e, ok := g.removed[id]
+	return e, ok
+}
