--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -145,6 +145,13 @@
 			database.Gauge("connections").Update(float64(c.Open))
 			database.Gauge("connections_idle").Update(float64(c.Idle))
 			database.Gauge("connections_awaited").Update(float64(c.Waiting))
+			if p := g.Pool(id); p != nil {
+				limiter := p.Limiter.Stats()
+				database.Gauge("limit").Update(limiter.Limit)
+				database.Gauge("limit_latency_ms").Update(limiter.Latency)
+				database.Gauge("limit_baseline_ms").Update(limiter.Baseline)
+				database.Gauge("limit_state").Update(float64(limiter.State))
+			}
 		}
 	}
 }
