Let callers wait less for a returned database, and overrun it less

With first limits of the process's use, 15 processes at 0.8 of the capacity served 787 requests in the first second after a return, 901 without probing. 300 served 1,440 instead of 1,709 in the next two seconds (TestServedBelowCapacityAfterReturn). At twice the load, up to 12 requests of 15 processes waited at the database.

The first limit is twice the use. A limit below 1 grows by a half with an answer, at least by 0.1, and after the first sign of a queue it follows the ratio of baseline to latency. A first answer that may be due to a queue changes nothing.

--- a/internal/connection/backend/pace.go
+++ b/internal/connection/backend/pace.go
@@ -8,6 +8,11 @@
 )
 
 const (
+	// firstShare multiplies a process's usual use of a database and gives its first
+	// limit after the return. With 1, 15 processes that send 80% of what the
+	// database can run served 13% less in the first second than without probing;
+	// with 2, 5%.
+	firstShare = 2.0
 	// minFirstLimit is the first limit of a process that has hardly used the
 	// database. With a lower one, its first request could wait for seconds.
 	minFirstLimit = 1.0 / 64
@@ -30,9 +35,19 @@
 	// which the limit grows only by slowIncrease in each round. The database may
 	// be very cold, or requests may have queued there from the first one on.
 	coldRatio = 2.0
-	// slowIncrease is the part by which the limit then grows in each round, and by
-	// which a limit below 1 grows after the probing.
+	// slowIncrease is the part by which the limit then grows in each round, and the
+	// most by which a limit below 1 grows after the probing.
 	slowIncrease = 0.25
+	// fractionIncrease is the part by which a limit below 1 grows with an answer
+	// during the probing, by minIncrease at least. Several processes that double
+	// it overload the database before one of them sees a queue. Without
+	// minIncrease, 300 processes that send 80% of what the database can run
+	// served 16% less in the second and third second than without probing.
+	fractionIncrease = 0.5
+	minIncrease      = 0.1
+	// targetRatio is the ratio of latency to the baseline at which a limit below 1
+	// stays as it is after the probing.
+	targetRatio = 1.4
 	// probingDecrease multiplies the limit, or its used part, at the end of the
 	// probing.
 	probingDecrease = 0.5
@@ -183,7 +198,7 @@
 	p.refusalDecreasedAt, p.latencyDecreasedAt = 0, 0
 	p.state = PaceProbing
 	p.beginRound(now)
-	p.limit = min(max(h.Use, minFirstLimit), initialLimit)
+	p.limit = min(max(h.Use*firstShare, minFirstLimit), initialLimit)
 	if p.float() < p.limit {
 		return 0
 	}
@@ -267,21 +282,28 @@
 	}
 	answers := float64(p.roundAnswers)
 	p.latency = p.roundTime / answers
-	if p.baseline == 0 {
+	first := p.baseline == 0
+	if first {
 		p.baseline = p.latency
 	}
 	p.baseline = min(p.baseline, p.latency)
+	cold := p.earlierBaseline > 0 && p.latency > coldRatio*p.earlierBaseline
 	switch {
+	case p.state == PaceIncreasing && p.limit < 1:
+		factor := min(max(targetRatio*usual/p.latency, probingDecrease), 1+slowIncrease)
+		p.limit = min(max(p.limit*factor, minFirstLimit), 1)
 	case queued:
 		p.decrease(now, used, max(min(latencyDecrease, queueRatio*usual/p.latency), probingDecrease))
 		return
 	case p.roundUsed < p.limit*minUtilization:
-	case p.state == PaceIncreasing && p.limit < 1:
-		p.limit = min(p.limit*(1+slowIncrease*p.jitter()), 1)
 	case p.state == PaceIncreasing:
 		p.limit += limitIncrease * answers / p.limit * p.jitter()
-	case p.earlierBaseline > 0 && p.latency > coldRatio*p.earlierBaseline:
+	case cold && first && p.limit < 1:
+		// The next answer tells whether requests of other processes queue.
+	case cold:
 		p.limit *= 1 + slowIncrease*p.jitter()
+	case p.limit < 1:
+		p.limit = min(p.limit+max(p.limit*fractionIncrease, minIncrease)*p.jitter(), 1)
 	default:
 		p.limit *= 1 + p.jitter()
 	}
--- a/internal/connection/backend/pace_test.go
+++ b/internal/connection/backend/pace_test.go
@@ -104,9 +104,9 @@
 	return m.peakTime()
 }
 
-func forEachReturn(t *testing.T, processes int, f func(*testing.T, modelDatabase, uint64)) {
+func forEachReturn(t *testing.T, processes int, seeds uint64, f func(*testing.T, modelDatabase, uint64)) {
 	for _, d := range modelDatabases {
-		for seed := range uint64(3) {
+		for seed := range seeds {
 			t.Run(fmt.Sprintf("%s/%d processes/seed %d", d.name, processes, seed), func(t *testing.T) {
 				t.Parallel()
 				f(t, d, seed)
@@ -119,7 +119,7 @@
 // with limits that stay as they were, and with new ones.
 func TestPeakIsReachedAfterReturn(t *testing.T) {
 	for _, processes := range []int{1, 15, 300} {
-		forEachReturn(t, processes, func(t *testing.T, d modelDatabase, seed uint64) {
+		forEachReturn(t, processes, 3, func(t *testing.T, d modelDatabase, seed uint64) {
 			figures := ""
 			for _, before := range []string{"limit kept", "new limit", "pace"} {
 				m := newUsedModel(d, processes, seed)
@@ -140,8 +140,8 @@
 
 // requireNoOverrun checks that a returned database is not overloaded: at most a
 // slot's queue waits there until the return ends.
-func requireNoOverrun(t *testing.T, processes int) {
-	forEachReturn(t, processes, func(t *testing.T, d modelDatabase, seed uint64) {
+func requireNoOverrun(t *testing.T, processes int, seeds uint64) {
+	forEachReturn(t, processes, seeds, func(t *testing.T, d modelDatabase, seed uint64) {
 		m := newUsedModel(d, processes, seed)
 		m.answer()
 		m.run(0, clock.Time(maxReturn))
@@ -149,15 +149,15 @@
 	})
 }
 
-func TestNoOverrunByOneProcess(t *testing.T)   { requireNoOverrun(t, 1) }
-func TestNoOverrunBy15Processes(t *testing.T)  { requireNoOverrun(t, 15) }
-func TestNoOverrunBy300Processes(t *testing.T) { requireNoOverrun(t, 300) }
+func TestNoOverrunByOneProcess(t *testing.T)   { requireNoOverrun(t, 1, 20) }
+func TestNoOverrunBy15Processes(t *testing.T)  { requireNoOverrun(t, 15, 20) }
+func TestNoOverrunBy300Processes(t *testing.T) { requireNoOverrun(t, 300, 3) }
 
 // The database must not refuse more than with limits that begin anew, with which
 // each process may send two requests at once.
 func TestFewerRefusalsThanWithNewLimits(t *testing.T) {
 	for _, processes := range []int{15, 300} {
-		forEachReturn(t, processes, func(t *testing.T, d modelDatabase, seed uint64) {
+		forEachReturn(t, processes, 3, func(t *testing.T, d modelDatabase, seed uint64) {
 			var refused [2]int
 			for i, before := range []string{"new limit", "pace"} {
 				m := newUsedModel(d, processes, seed)
@@ -174,7 +174,7 @@
 // from before the first failure.
 func TestPeakIsReachedAfterSecondFailure(t *testing.T) {
 	for _, processes := range []int{1, 15, 300} {
-		forEachReturn(t, processes, func(t *testing.T, d modelDatabase, seed uint64) {
+		forEachReturn(t, processes, 3, func(t *testing.T, d modelDatabase, seed uint64) {
 			m := newUsedModel(d, processes, seed)
 			m.answer()
 			m.run(0, 500)
