--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -40,6 +40,9 @@
 	MinIdleTime, MaxIdleTime clock.Duration
 	// MaxWaiting is how many requests may wait for a connection.
 	MaxWaiting int
+	// ProbeReturned is set if a database that has started, recovered, been promoted or
+	// returned from a drain is probed before it gets its usual load.
+	ProbeReturned bool
 }
 
 // DefaultSettings returns settings for databases with a few slots that are
@@ -154,6 +157,7 @@
 	return &Pool{
 		Target: to, settings: s, dialer: d, clock: c, log: log, onDial: onDial, idleTimeout: initialIdleTimeout,
 		openFor: make(map[string]int), dialingFor: make(map[string]int),
+		Limiter: Limiter{probes: s.ProbeReturned, log: log.With(zap.String("database", to.ID))},
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -289,7 +289,9 @@
 func (f *Front) groupLocked(name string) *groupState {
 	g, ok := f.groups[name]
 	if !ok {
-		client := backend.NewGroupClient(name, f.settings.Zone, backend.DefaultSettings(), f.platform.Dialer, f.clock, f.log, f.metrics.CountStatusQuery)
+		settings := backend.DefaultSettings()
+		settings.ProbeReturned = f.settings.ProbeReturned
+		client := backend.NewGroupClient(name, f.settings.Zone, settings, f.platform.Dialer, f.clock, f.log, f.metrics.CountStatusQuery)
 		client.DrainLimit = max(f.settings.DrainLimit-drainMargin, 0)
 		g = &groupState{GroupClient: client, replacement: newReplacement(f, client)}
 		g.replacement.beginEra(f.agreementEra, f.agreementEraAt)
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -40,6 +40,9 @@
 	// PlaceByCapacity is set if roles such as homes and relays go to instances by
 	// their capacity. Otherwise all instances count as equal.
 	PlaceByCapacity bool
+	// ProbeReturned is set if a database that has started or come back is probed before
+	// it gets its usual load.
+	ProbeReturned bool
 	// ShutdownGrace is the time from the stop signal until the process is
 	// killed.
 	ShutdownGrace clock.Duration
@@ -88,6 +91,7 @@
 	s.ProcessorShare = r.decimal("instance", "processorShare", 0)
 	s.ProcessorSpeed = r.decimal("instance", "processorSpeed", 1)
 	s.PlaceByCapacity = r.boolean("placement", "byCapacity")
+	s.ProbeReturned = r.boolean("databases", "probeReturned")
 	s.CallerAddress = r.address("listen", "callers")
 	s.ReadyAddress = r.address("listen", "ready")
 	s.MetricsAddress = r.address("listen", "metrics")
