--- a/cmd/oleanderflow-front/revocation_test.go
+++ b/cmd/oleanderflow-front/revocation_test.go
@@ -40,7 +40,7 @@
 }
 
 func (s *testSystem) setKeys(version int, keys ...string) {
-	s.platform.ConfigureWorkspace(version, 64, 60_000, keys, standardRoutes...)
+	s.platform.ConfigureWorkspaces(version, 64, 60_000, []standin.Workspace{{Name: "north", Keys: keys}}, standardRoutes...)
 }
 
 // While the store is down, keys work for 3 s and not beyond the limit, and again once it
