Soak: play with keys, revocation and limits

Keys are added, removed, moved and declared again while links are cut, processes are frozen and restarted, and the store goes back; a long fault (the store cut off from all, one process frozen, or both) outlasts the time for which a removed key may work. From what the databases saw, three checks follow: no statement runs for a workspace that did not hold the key, none that was sent more than 5 s after the acknowledgement of the removal, and no window of 5 s has more operations than (rate x 5 + burst) x 1.1 + 20. An operation counts if it was sent and arrived within the window.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -11,8 +12,8 @@
 )
 
 // check compares the outcomes of the callers' writes with the writes in the
-// databases. It also checks that the tokens of promotions never decrease and
-// that at least one write was acknowledged.
+// databases. It also checks that the tokens of promotions never decrease, that
+// at least one write was acknowledged, and the rules of workspaces.
 func (h *harness) check() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -39,15 +40,24 @@
 	if len(h.acknowledged) == 0 {
 		h.violations = append(h.violations, "no write was served")
 	}
+	if h.keys != nil {
+		h.violations = append(h.violations, h.keys.checkWorkspaces(h.group.Arrivals())...)
+	}
 }
 
 // report fails the test if there are violations. It then copies the run's logs
 // to a folder that outlives the test.
 func (h *harness) report() {
 	h.t.Logf("%d writes acknowledged, %d refused, %d promotions", len(h.acknowledged), len(h.refused), len(h.platform.Promotions()))
+	if h.keys != nil {
+		h.keys.report(h.t, h.group.Arrivals())
+	}
 	if len(h.violations) == 0 {
 		return
 	}
+	if h.keys != nil {
+		require.NoError(h.t, os.WriteFile(filepath.Join(h.dir, "arrivals.log"), h.keys.format(h.group.Arrivals()), 0o600))
+	}
 	logDir, err := os.MkdirTemp("", "soak")
 	require.NoError(h.t, err)
 	require.NoError(h.t, os.CopyFS(logDir, os.DirFS(h.dir)))
