Status of workspaces, keys and homes; refusals counted by reason

Cause: an operator saw of a workspace only two counters by proxy, with all refusals of its limit in one, and nothing of refusals for keys, old proofs and lack of capacity, of the keys in force, of connections held, or of the homes of a group. Change: /status on the metrics address answers these as JSON, and the metrics have the same figures under the same bounded names. Sessions report each operation that is sent and each refusal with its reason to one table, which keeps 8,192 workspaces by name at most. Each refusal writes one line with request, keyId, workspace, reason, count and limit or age; a second line "request failed" for it is gone. The line about a new configuration names the keyIds that it adds and removes. The test of the log fails with the key in place of its keyId and with a second line; the test of homes fails if they or the caller's proxy count twice.

--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -579,12 +579,12 @@
 	p.DiscardIdle()
 }
 
-// Stats are the connection counts of a pool.
-type Stats struct{ Open, Idle, Waiting int }
+// Stats are the connection counts of a pool. MaxOpen is how many may be open.
+type Stats struct{ Open, Idle, Waiting, MaxOpen int }
 
 // Stats returns the current connection counts of the pool.
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Stats{Open: p.open, Idle: len(p.idle), Waiting: len(p.waiting)}
+	return Stats{Open: p.open, Idle: len(p.idle), Waiting: len(p.waiting), MaxOpen: p.settings.MaxOpen}
 }
--- a/internal/connection/session/authorize.go
+++ b/internal/connection/session/authorize.go
@@ -27,7 +27,7 @@
 	if w := v.Workspaces.OfKey(s.key); w != nil {
 		return w.Name, nil
 	}
-	return "", s.refuseKey(route, v)
+	return "", s.refuseKey(route)
 }
 
 // authorizeStart returns the failure to report if no session may be opened on a route.
@@ -37,12 +37,15 @@
 	confirmed := s.confirmed(route)
 	v := s.Configuration.Load()
 	switch {
-	case v.Workspaces == nil || route.Public || v.Workspaces.OfKey(s.key) != nil:
+	case v.Workspaces == nil || route.Public:
+		return nil
+	case v.Workspaces.OfKey(s.key) != nil:
+		s.workspace = v.Workspaces.OfKey(s.key).Name
 		return nil
 	case !confirmed:
 		return s.refuseUnconfirmed(route, v)
 	default:
-		return s.refuseKey(route, v)
+		return s.refuseKey(route)
 	}
 }
 
@@ -75,18 +78,39 @@
 	now := s.Clock.Now()
 	age, retry := s.Freshness.Age(now), s.Freshness.RetryAfter(now)
 	s.Freshness.CountRefusal()
-	s.Log.Info("key not judged: configuration not confirmed", zap.Uint64("session", s.id), zap.String("keyId", routes.KeyID(s.key)),
-		zap.String("route", route.Name), zap.Uint64("version", v.Number), zap.Stringer("proofAge", age), zap.Stringer("retryAfter", retry))
+	// The key is of this workspace if it was not removed since.
+	workspace := s.workspace
+	if w := v.Workspaces.OfKey(s.key); w != nil {
+		workspace = w.Name
+	}
+	s.refused = true
+	s.countRefusal(workspace, ReasonProof)
+	fields := append(s.refusalFields(workspace, route, ReasonProof), s.proofFields()...)
+	s.Log.Info("key not judged: configuration not confirmed", append(fields, zap.Stringer("retryAfter", retry))...)
 	return &statement.Failure{Code: statement.CodeBusy, Text: fmt.Sprintf("configuration not confirmed for %d ms; retry after %d ms", age/clock.Millisecond, retry/clock.Millisecond)}
 }
 
 // refuseKey returns the failure for a key that no workspace holds.
-func (s *Session) refuseKey(route *routes.Route, v *routes.Version) *statement.Failure {
-	s.Log.Info("key refused: no workspace holds it", zap.Uint64("session", s.id), zap.String("keyId", routes.KeyID(s.key)),
-		zap.String("route", route.Name), zap.Uint64("version", v.Number))
+func (s *Session) refuseKey(route *routes.Route) *statement.Failure {
+	s.recordKeyRefusal()
+	s.Log.Info("key refused: no workspace holds it", append(s.refusalFields(s.workspace, route, ReasonKey), s.proofFields()...)...)
 	return &statement.Failure{Code: statement.CodeUnauthorized, Text: "no workspace holds the key"}
 }
 
+// refuseMovedKey returns the failure for a key that another workspace holds than the one
+// that began the transaction.
+func (s *Session) refuseMovedKey(route *routes.Route, holder string) *statement.Failure {
+	s.recordKeyRefusal()
+	fields := append(s.refusalFields(s.workspace, route, ReasonKey), s.proofFields()...)
+	s.Log.Info("key refused: it has moved to another workspace", append(fields, zap.String("holder", holder))...)
+	return &statement.Failure{Code: statement.CodeUnauthorized, Text: "the key has moved to another workspace"}
+}
+
+func (s *Session) recordKeyRefusal() {
+	s.refused = true
+	s.countRefusal(s.workspace, ReasonKey)
+}
+
 // admit sets the workspace of the current request: a BEGIN, a statement or a
 // COMMIT on the given route. It returns false, with the failure in the answer, if
 // the request must not run. An open transaction has failed then.
@@ -98,7 +122,7 @@
 	workspace, failure := s.authorize(route)
 	t := s.tx
 	if failure == nil && t != nil && t.workspace != workspace {
-		failure = &statement.Failure{Code: statement.CodeUnauthorized, Text: "the key has moved to another workspace"}
+		failure = s.refuseMovedKey(route, workspace)
 	}
 	if failure == nil {
 		s.workspace = workspace
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -34,7 +34,7 @@
 	p.Latency.Begin(sent)
 	p.Limiter.Begin(s.slotReserved)
 	s.slotReserved = false
-	s.useToken()
+	s.useToken(sent)
 	n, err := c.Exchange(limit, requests, answers)
 	now := s.Clock.Now()
 	s.answer = answers[last]
@@ -70,7 +70,10 @@
 // It returns an error if too many requests wait or none becomes free in time.
 func (s *Session) reserveSlot(p *backend.Pool, until clock.Time) error {
 	now := s.Clock.Now()
+	s.countWaiting(1)
+	defer s.countWaiting(-1)
 	if err := p.Limiter.Reserve(now, until.Sub(now), s.route.Priority); err != nil {
+		s.recordShortage(p)
 		return err
 	}
 	s.slotReserved = true
--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -177,6 +177,10 @@
 // applyRunResponse stores a home's response in s.answer and updates the session
 // and the transaction.
 func (s *Session) applyRunResponse(r *statement.Request, response *peer.RunResponse, home string) {
+	s.answeredBy = home
+	if response.NoGrant {
+		s.countRefusal(s.workspace, ReasonLimit)
+	}
 	s.answer.Reset()
 	s.answer.Rows = append(s.answer.Rows, response.Rows...)
 	s.answer.Signature = append(s.answer.Signature, response.Signature...)
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -102,8 +102,9 @@
 		s.tx = nil
 	}
 	if f := s.answer.Failure; f != nil && s.limited == nil {
-		h.deps.Log.Info("forwarded request failed", append(s.groupFields(run.Group), zap.String("request", r.ID),
-			zap.String("session", run.Session), zap.String("group", run.Group), zap.Stringer("code", f.Code), zap.String("cause", f.Text))...)
+		fields := append(s.callerFields(run.Workspace), s.groupFields(run.Group)...)
+		fields = append(fields, s.failureFields()...)
+		h.deps.Log.Info("forwarded request failed", append(fields, zap.String("group", run.Group), zap.Stringer("code", f.Code), zap.String("cause", f.Text))...)
 	}
 	t.usedAt = h.deps.Clock.Now()
 	if run.Transaction != 0 && s.tx == nil {
@@ -149,7 +150,7 @@
 // the request.
 func (h *Host) newSession(run *peer.RunRequest) *Session {
 	s := New(h.deps, 0, nil)
-	s.floor, s.workspace = run.Floor, run.Workspace
+	s.floor, s.workspace, s.origin = run.Floor, run.Workspace, run.Session
 	for _, v := range run.Values {
 		s.setValue(v)
 	}
--- a/internal/connection/session/limit.go
+++ b/internal/connection/session/limit.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 // Limits decides on the operations of workspaces.
@@ -79,9 +80,14 @@
 	if !errors.As(err, &e) {
 		return
 	}
-	s.limited = e
-	fields := []zap.Field{zap.String("request", s.requestID), zap.String("workspace", e.Workspace), zap.Int("count", e.Used),
-		zap.Float64("limit", e.Rate), zap.Stringer("retry", e.Retry), zap.Bool("accountantSilent", e.Silent)}
+	s.limited, s.refused = e, true
+	if !e.Silent || s.hostedRoute == nil {
+		// While accountants are silent, the proxy of the caller may still take the
+		// operation from its reserve, and counts it otherwise.
+		s.countRefusal(e.Workspace, ReasonLimit)
+	}
+	fields := append(s.refusalFields(e.Workspace, s.resolve(), ReasonLimit), zap.Int("count", e.Used),
+		zap.Float64("limit", e.Rate), zap.Stringer("retry", e.Retry), zap.Bool("accountantSilent", e.Silent))
 	if e.Age >= 0 {
 		fields = append(fields, zap.Stringer("shareAge", e.Age))
 	}
@@ -89,7 +95,10 @@
 }
 
 // useToken marks the token as used: the operation is sent now.
-func (s *Session) useToken() {
+func (s *Session) useToken(now clock.Time) {
+	if s.Usage != nil && (s.token.held || s.token.reserved) {
+		s.Usage.Admitted(s.workspace, now)
+	}
 	if s.token.held && s.hostedRoute == nil && s.Limits != nil {
 		s.Limits.Entered(s.workspace)
 	}
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -121,6 +121,7 @@
 		}
 		c, err := p.AcquireFor(s.Clock.Now().Add(timeout), s.workspace, s.valueTexts)
 		if err != nil {
+			s.recordShortage(p)
 			s.releaseSlot(p)
 			p.Latency.Avoid(now.Add(busyPause))
 			cause = m.ID + ": " + err.Error()
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -71,6 +71,8 @@
 	RetryAfter(now clock.Time) clock.Duration
 	// CountRefusal counts a request that was refused because the proof was too old.
 	CountRefusal()
+	// MaxAge is the age up to which the proof admits requests.
+	MaxAge() clock.Duration
 }
 
 // Dependencies holds what all sessions of a process share.
@@ -92,6 +94,8 @@
 	Homes *peer.Homes
 	// Limits limits the operations of workspaces. If it is nil, they have no limits.
 	Limits Limits
+	// Usage counts the requests of workspaces. If it is nil, they are not counted.
+	Usage Usage
 }
 
 // Session serves the requests of one caller, which may be connected to another
@@ -118,8 +122,9 @@
 	// transactionCount is the number of transactions begun in the session.
 	transactionCount uint64
 	// hostedRoute is the route of a session that is hosted for another proxy,
-	// and nil otherwise.
+	// and nil otherwise. origin names that proxy and its session.
 	hostedRoute *routes.Route
+	origin      string
 
 	// slotReserved is set while the session holds a slot that a database's Limiter
 	// has reserved for it and that no request has used yet.
@@ -131,13 +136,20 @@
 	answer    statement.Answer
 	arrived   clock.Time
 	route     *routes.Route
-	// workspace is the name of the workspace on whose behalf the request runs. It
-	// is empty on public routes and where no workspaces are declared.
+	// workspace is the name of the workspace on whose behalf the request runs, or the
+	// last one did if this one is refused. It is empty on public routes and where no
+	// workspaces are declared.
 	workspace string
 	// token is the token of the operation that the request begins. limited is the
 	// reason if the operation was refused for its workspace's limit.
 	token   token
 	limited *LimitError
+	// refused is set if this process has refused the request and has written a log line
+	// about it, shortOfCapacity if it was refused for lack of capacity. shortage is what
+	// was last lacking, and answeredBy the home that has answered the request.
+	refused, shortOfCapacity bool
+	shortage                 shortage
+	answeredBy               string
 
 	mu       sync.Mutex
 	waiting  bool
@@ -344,8 +356,10 @@
 // serve handles a request and stores the answer in s.answer.
 func (s *Session) serve(r *statement.Request) {
 	s.requestID, s.limited = r.ID, nil
+	s.refused, s.shortOfCapacity, s.shortage, s.answeredBy = false, false, shortage{}, ""
 	s.answer.Reset()
 	defer s.putBackToken()
+	defer s.countShortage()
 	switch o := r.Operation.(type) {
 	case statement.Begin:
 		s.beginTransaction(r.ID, o)
@@ -467,52 +481,3 @@
 	}
 	s.values = append(s.values, o)
 }
-
-// record reports the answer to the Recorder and logs failures and requests that
-// exceeded the target latency.
-func (s *Session) record(r *statement.Request) {
-	route := s.route
-	s.route = nil
-	if route == nil {
-		if f := s.answer.Failure; f != nil {
-			s.Log.Info("request failed", zap.String("request", r.ID), zap.Uint64("session", s.id),
-				zap.String("database", s.database), zap.Stringer("code", f.Code), zap.String("cause", f.Text),
-				zap.Uint64("version", versionNumber(s.Configuration.Load())))
-		}
-		return
-	}
-	took := s.Clock.Now().Sub(s.arrived)
-	s.Recorder.Answered(route, &s.answer, took)
-	f := s.answer.Failure
-	if f == nil && took <= route.TargetLatency {
-		return
-	}
-	fields := []zap.Field{zap.String("request", r.ID), zap.Uint64("session", s.id), zap.String("route", route.Name),
-		zap.String("group", route.Group), zap.Stringer("kind", route.Consistency), zap.Stringer("took", took),
-		zap.Uint64("version", versionNumber(s.Configuration.Load()))}
-	fields = append(fields, s.groupFields(route.Group)...)
-	if f == nil {
-		s.Log.Info("request exceeded its target latency", fields...)
-		return
-	}
-	s.Log.Info("request failed", append(fields, zap.Stringer("code", f.Code), zap.String("cause", f.Text))...)
-}
-
-// groupFields returns log fields with the state of a group that routing
-// decisions are based on.
-func (s *Session) groupFields(name string) []zap.Field {
-	g := s.Group(name)
-	if g == nil {
-		return []zap.Field{zap.String("primary", "")}
-	}
-	now := s.Clock.Now()
-	m, _ := g.Primary()
-	fields := []zap.Field{zap.String("primary", m.ID), zap.Uint64("term", g.Term()), zap.Stringer("floor", s.floor)}
-	if provenAt := g.PrimaryProvenAt(now); provenAt > 0 {
-		fields = append(fields, zap.Stringer("evidenceAge", now.Sub(provenAt)))
-	}
-	if at := g.SampledAt(); at > 0 {
-		fields = append(fields, zap.Stringer("sampleAge", now.Sub(at)))
-	}
-	return fields
-}
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -140,6 +140,7 @@
 		}
 		s.releaseSlot(p)
 		if err != nil {
+			s.recordShortage(p)
 			cause = err
 		}
 		if s.Clock.Now().Add(retryPause) >= until {
--- a/internal/front/allowances.go
+++ b/internal/front/allowances.go
@@ -26,6 +26,8 @@
 	maxAsks = 4096
 	// unknownRetry is stated for a workspace that this proxy does not know.
 	unknownRetry = 100 * clock.Millisecond
+	// unlimitedTime is how long an operation without a limit may take to be sent.
+	unlimitedTime = clock.Hour
 )
 
 // grantParams asks an accountant for tokens of several workspaces. Without asks, it asks
@@ -65,7 +67,6 @@
 	addresses, previousAddresses map[string]string
 	// arrived is closed, and replaced, when an answer has been taken in.
 	arrived chan struct{}
-	counts  map[string]*workspaceCount
 }
 
 func newAllowances(self string, q workspace.Quota, v *routes.Current, c timers, log *zap.Logger) *allowances {
@@ -76,7 +77,7 @@
 	return &allowances{
 		self: self, clock: c, log: log, versions: v, confirmed: func() bool { return true },
 		allowance: workspace.NewAllowance(self, q), accountant: workspace.NewAccountant(self, q, reach, c.Now()), reach: reach,
-		arrived: make(chan struct{}), counts: make(map[string]*workspaceCount),
+		arrived: make(chan struct{}),
 	}
 }
 
@@ -108,6 +109,16 @@
 	}
 }
 
+// accountantOf returns the accountant of a workspace, empty if there is none yet.
+func (a *allowances) accountantOf(name string) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ranked := workspace.RankAccountants(name, a.accountants); len(ranked) > 0 {
+		return ranked[0]
+	}
+	return ""
+}
+
 // addressOf returns the address of an accountant that may have left the members, or "" if
 // it is not known.
 func (a *allowances) addressOf(name string) string {
@@ -162,10 +173,8 @@
 	defer a.mu.Unlock()
 	switch d := decision.(type) {
 	case workspace.Granted:
-		a.countLocked(name).admitted++
 		return d, nil
 	case workspace.Refused:
-		a.countLocked(name).refused++
 		return workspace.Granted{}, &session.LimitError{Workspace: name, Rate: l.Rate, Refused: d}
 	default:
 		panic("unknown decision")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -86,6 +86,8 @@
 	host            *session.Host
 	relays          *relays
 	allowances      *allowances
+	counts          *workspaceCounts
+	keys            keysInForce
 	outage          outage
 	eras            *eraTracker
 	freshness       *freshnessDriver
@@ -155,7 +157,7 @@
 		settings: s, platform: p, clock: c, log: log, metrics: m,
 		groups: make(map[string]*groupState), groupOf: make(map[string]string),
 		roster: newRoster(), sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
-		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(),
+		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(), counts: newWorkspaceCounts(),
 	}
 	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Self: s.Name}
 	if f.freshness = newFreshnessDriver(s.RevocationLimit, c.Now()); f.freshness != nil {
@@ -179,8 +181,8 @@
 	f.startedAt = c.Now()
 	f.allowances = newAllowances(s.Name, s.Quota, &f.versions, systemTimers{c}, log)
 	f.allowances.confirmed = func() bool { return f.freshness == nil || f.freshness.proof.Admits(c.Now()) }
-	f.sessionDeps.Limits = f.allowances
-	f.metrics.workspaces = f.allowances.mostUsed
+	f.sessionDeps.Limits, f.sessionDeps.Usage = f.allowances, f.counts
+	f.metrics.workspaces = func() workspaceStatuses { return f.workspaceStatuses("") }
 	f.grace.Store(int64(s.ShutdownGrace))
 	f.registeredVersion.Store(&store.Version{})
 	f.self = proxy.Peer{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress}
--- a/internal/front/in_force.go
+++ b/internal/front/in_force.go
@@ -118,7 +118,24 @@
 	}
 	f.inForce = &row
 	f.setConnectionLimits(v)
-	f.log.Info("configuration in force", zap.Uint64("version", v.Number), zap.Int("routes", len(v.Routes)), zap.String("from", from))
+	fields := []zap.Field{zap.Uint64("version", v.Number), zap.Int("routes", len(v.Routes)), zap.String("from", from)}
+	f.log.Info("configuration in force", append(fields, f.keyFields(v)...)...)
+}
+
+// keyFields returns the log fields about the keys that a version has added or removed.
+func (f *Front) keyFields(v *routes.Version) []zap.Field {
+	added, removed := f.keys.update(v)
+	if v.Workspaces == nil && len(removed) == 0 {
+		return nil
+	}
+	fields := []zap.Field{zap.Int("workspaces", len(v.Workspaces.All())), zap.Int("keysAdded", len(added)), zap.Int("keysRemoved", len(removed))}
+	if len(added) > 0 {
+		fields = append(fields, zap.Strings("addedKeyIds", added[:min(len(added), maxLoggedKeys)]))
+	}
+	if len(removed) > 0 {
+		fields = append(fields, zap.Strings("removedKeyIds", removed[:min(len(removed), maxLoggedKeys)]))
+	}
+	return fields
 }
 
 // setConnectionLimits passes the connection limits of the groups to f.homes,
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -36,9 +36,8 @@
 	closer        io.Closer
 	text          *textReporter
 	statusQueries tally.Counter
-	// workspaces returns the counts of the workspaces that are shown, nil if there are
-	// none.
-	workspaces func() []namedCount
+	// workspaces returns the figures of the workspaces that are shown.
+	workspaces func() workspaceStatuses
 
 	mu         sync.Mutex
 	routes     map[routeKey]routeMetrics
@@ -154,7 +153,8 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	_, _ = w.Write(m.text.render())
 	if m.workspaces != nil {
-		_, _ = w.Write(renderWorkspaces(m.workspaces()))
+		list := m.workspaces()
+		_, _ = w.Write(list.render())
 	}
 }
 
--- a/internal/version/freshness/proof.go
+++ b/internal/version/freshness/proof.go
@@ -70,6 +70,9 @@
 	return s.At != 0 && c.Sub(s.At) <= p.maxAge
 }
 
+// MaxAge returns the age up to which statements are admitted.
+func (p *Proof) MaxAge() clock.Duration { return p.maxAge }
+
 // Age returns the age of the proof at a time, or the time since the creation of p if there
 // was none.
 func (p *Proof) Age(now clock.Time) clock.Duration {
--- a/internal/version/routes/workspaces.go
+++ b/internal/version/routes/workspaces.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -86,6 +88,15 @@
 	return w.byKey[key]
 }
 
+// Keys returns the keys with the workspaces that hold them, in no particular order. Keys
+// must not be logged.
+func (w *Workspaces) Keys() iter.Seq2[string, *Workspace] {
+	if w == nil {
+		return func(func(string, *Workspace) bool) {}
+	}
+	return maps.All(w.byKey)
+}
+
 // Find returns the workspace with a name, or nil if there is none.
 func (w *Workspaces) Find(name string) *Workspace {
 	if w == nil {
