Operators' pages on workspaces; explain tells why a request was refused

Cause: from a request's id an operator could not tell a refusal for a key, a limit, an old proof and a lack of capacity apart without knowing the code, and no page said how to declare, watch and change workspaces.

--- a/internal/front/explain.go
+++ b/internal/front/explain.go
@@ -15,7 +15,7 @@
 
 // ExplainOptions holds the arguments of the explain subcommand.
 type ExplainOptions struct {
-	ID    string        `arg:"positional,required" placeholder:"ID" help:"the request's id"`
+	ID    string        `arg:"positional,required" placeholder:"ID" help:"the id of a request, or the keyId of a key whose refusals are to be listed"`
 	Files []string      `arg:"positional,required" placeholder:"FILE" help:"log files of one or more instances"`
 	Span  time.Duration `arg:"--span" default:"3s" help:"how long before the request's first line to include lines about its group"`
 	JSON  bool          `arg:"--json" help:"print the lines as JSON"`
@@ -67,7 +67,8 @@
 // period that begins span before its first line and ends with its last one, it
 // also returns the lines that name the same group but no request, and the lines
 // that name neither a request nor a group, except for unrelatedMessages. These
-// lines show how the proxy's view of the group changed.
+// lines show how the proxy's view of the group changed. If no request has the id, it
+// returns the lines about the key that has it as keyId.
 func selectLines(lines []logLine, id string, span time.Duration) []logLine {
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.timestamp.Compare(b.timestamp) })
 	var first, last time.Time
@@ -87,8 +88,9 @@
 	var selected []logLine
 	for i := range lines {
 		l := &lines[i]
-		own := l.field("request") == id
-		related := l.field("request") == "" && (l.field("group") == group && group != "" || l.field("group") == "" && !unrelatedMessages[l.field("msg")])
+		own := l.field("request") == id || first.IsZero() && id != "" && l.field("keyId") == id
+		// A refusal without a request is that of another session at its start.
+		related := l.field("request") == "" && l.refusal() == "" && (l.field("group") == group && group != "" || l.field("group") == "" && !unrelatedMessages[l.field("msg")])
 		if own || related && !first.IsZero() && !l.timestamp.Before(first.Add(-span)) && !l.timestamp.After(last) {
 			selected = append(selected, *l)
 		}
@@ -113,7 +115,7 @@
 	}
 	selected := selectLines(lines, o.ID, o.Span)
 	if len(selected) == 0 {
-		fmt.Fprintf(os.Stderr, "oleanderflow-front: no log line of request %s found: requests that are served in time are not logged, and lines may have been dropped\n", o.ID)
+		fmt.Fprintf(os.Stderr, "oleanderflow-front: no log line of request or key %s found: requests that are served in time are not logged, and lines may have been dropped\n", o.ID)
 		return exitFailed
 	}
 	for i := range selected {
@@ -123,20 +125,32 @@
 		}
 		_, _ = fmt.Fprintln(out, selected[i].format(o.ID))
 	}
+	for i := range selected {
+		if l := &selected[i]; !o.JSON && l.concerns(o.ID) && l.refusal() != "" {
+			_, _ = fmt.Fprintln(out, "= "+l.refusal())
+		}
+	}
 	return exitOK
 }
 
-// format returns a human-readable form of the line. Lines of the request with
+// concerns reports whether the line is about the request or the key with an id.
+func (l *logLine) concerns(id string) bool { return l.field("request") == id || l.field("keyId") == id }
+
+// format returns a human-readable form of the line. Lines of the request or key with
 // the given id are marked with ">".
 func (l *logLine) format(id string) string {
 	prefix := "  "
-	if l.field("request") == id {
+	if l.concerns(id) {
 		prefix = "> "
 	}
 	names := make([]string, 0, len(l.fields))
 	for name := range l.fields {
 		switch name {
-		case "ts", "msg", "level", "instance", "request":
+		case "ts", "msg", "level", "instance":
+		case "request":
+			if l.field(name) != id {
+				names = append(names, name)
+			}
 		default:
 			names = append(names, name)
 		}
--- a/internal/front/operations_test.go
+++ b/internal/front/operations_test.go
@@ -4,10 +4,13 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/session"
 )
 
 // tableRows returns the cells of the table under a heading of docs/OPERATIONS.md,
@@ -77,3 +80,33 @@
 		}
 	}
 }
+
+// The table of refusals leads from a line to its reason, and workspaces.md to what to alarm
+// on: both must name what the program writes.
+func TestDocumentedRefusalsAndMetricsOfWorkspacesExist(t *testing.T) {
+	text := sources(t)
+	content, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	_, section, found := strings.Cut(string(content), "\n### Refused: key, limit, old proof or capacity\n")
+	require.True(t, found)
+	section, _, _ = strings.Cut(section, "\n### ")
+	reasons := make(map[string]bool)
+	for line := range strings.Lines(section) {
+		cells := strings.Split(line, "|")
+		if len(cells) < 3 || strings.HasPrefix(cells[1], "-") || strings.TrimSpace(cells[1]) == "reason" {
+			continue
+		}
+		reasons[strings.TrimSpace(cells[1])] = true
+		require.Contains(t, text, `"`+strings.TrimSpace(cells[2])+`"`)
+	}
+	for r := range session.ReasonCount {
+		require.True(t, reasons[r.String()], "reason %s", r)
+	}
+	content, err = os.ReadFile("../../docs/operators/workspaces.md")
+	require.NoError(t, err)
+	names := regexp.MustCompile(`oleanderflow_(workspace\w+)`).FindAllStringSubmatch(string(content), -1)
+	require.NotEmpty(t, names)
+	for _, name := range names {
+		require.Contains(t, text, `"`+name[1]+`"`)
+	}
+}
