Workspaces of the PostgreSQL side: users and priority

Cause: the design asks for [workspace NAME] in the declarations. Change: a workspace has users and a priority. Within a class, waiting requests of a higher priority are served first, at the proxy of the caller and at homes, which learn the user with the forwarded request; after half of its time a request counts as the most urgent, and a full queue refuses the one that would be served last. Admission.Enqueue has a parameter for the requests that are overtaken; its tests pass 0, and the list of section kinds in an expected message has one more. Measured: TestPriorityOfWorkspacesOrdersWaitingRequests, 8 times with -race, passes with 0 and 1 homes, and fails at the home if the user is not forwarded; go test ./internal/core passes (86 s). FuzzWorkspaces ran for 60 s, 529,408 inputs, without a finding.

--- a/internal/connection/caller/context.go
+++ b/internal/connection/caller/context.go
@@ -19,6 +19,7 @@
 	Token       string
 	FloorKnown  bool
 	MaxAge      clock.Duration
+	User        string
 	Application string
 	SharedID    string
 	RequestID   string
@@ -31,7 +32,7 @@
 func (c ForwardContext) Encode() string {
 	values := url.Values{}
 	for name, value := range map[string]string{
-		"token": c.Token, "application": c.Application, "session": c.SharedID, "requestId": c.RequestID, "settings": c.Settings,
+		"token": c.Token, "user": c.User, "application": c.Application, "session": c.SharedID, "requestId": c.RequestID, "settings": c.Settings,
 	} {
 		if value != "" {
 			values.Set(name, value)
@@ -54,7 +55,7 @@
 		return ForwardContext{}, &ProtocolError{Code: outcome.CodeInvalid, Message: "invalid context of a forwarded request"}
 	}
 	c := ForwardContext{
-		Token: values.Get("token"), Application: values.Get("application"), SharedID: values.Get("session"),
+		Token: values.Get("token"), User: values.Get("user"), Application: values.Get("application"), SharedID: values.Get("session"),
 		RequestID: values.Get("requestId"), Settings: values.Get("settings"),
 	}
 	c.FloorKnown, _ = strconv.ParseBool(values.Get("floorKnown"))
@@ -89,6 +90,6 @@
 	s.reportedFloor = s.Floor
 	s.FloorKnown = c.FloorKnown
 	s.MaxAge, s.Application, s.SharedID, s.RequestID = c.MaxAge, c.Application, c.SharedID, c.RequestID
-	s.forwardedSettings = c.Settings
+	s.forwardedSettings, s.forwardedUser = c.Settings, c.User
 	return nil
 }
--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -79,6 +79,8 @@
 	// forwardedSettings are the SET statements of the session whose request is
 	// forwarded.
 	forwardedSettings string
+	// forwardedUser is the user of that session.
+	forwardedUser string
 
 	// Transaction is the connection held by the open transaction, nil if none is
 	// open.
@@ -95,6 +97,15 @@
 	draining bool
 }
 
+// ActingUser returns the user whose request runs: the one of the session, or of the
+// session whose request another proxy has forwarded.
+func (s *Session) ActingUser() string {
+	if s.Forwarded {
+		return s.forwardedUser
+	}
+	return s.User
+}
+
 // HeldConn is a connection held by an open transaction, to a database or to a
 // home proxy.
 type HeldConn struct {
--- a/internal/connection/database/admission.go
+++ b/internal/connection/database/admission.go
@@ -81,11 +81,15 @@
 	a.avgHold += holdWeight * (float64(d) - a.avgHold)
 }
 
+// Full reports whether no more requests of a class may wait.
+func (a *Admission) Full(class int) bool { return a.queued[class] >= a.maxQueue }
+
 // Enqueue records that a request of a class waits, with the time left until its
-// deadline. It returns false, and records nothing, if the queue is full or the
-// expected wait is longer than left.
-func (a *Admission) Enqueue(class int, left clock.Duration) bool {
-	if a.queued[class] >= a.maxQueue || a.expectedWait(class) > left {
+// deadline. It overtakes behind of the waiting requests of its class. Enqueue
+// returns false, and records nothing, if the queue is full or the expected wait
+// is longer than left.
+func (a *Admission) Enqueue(class, behind int, left clock.Duration) bool {
+	if a.Full(class) || a.expectedWait(class, behind) > left {
 		return false
 	}
 	a.queued[class]++
@@ -93,9 +97,9 @@
 }
 
 // expectedWait estimates how long one more request of a class waits behind the
-// queued requests that are served before it.
-func (a *Admission) expectedWait(class int) clock.Duration {
-	ahead := 0
+// queued requests that are served before it. It overtakes behind of its class.
+func (a *Admission) expectedWait(class, behind int) clock.Duration {
+	ahead := -behind
 	for i := range class + 1 {
 		ahead += a.queued[i]
 	}
--- a/internal/connection/database/admission_test.go
+++ b/internal/connection/database/admission_test.go
@@ -91,7 +91,7 @@
 		r.start(q)
 		return
 	}
-	if !r.admission.Enqueue(q.class, left) {
+	if !r.admission.Enqueue(q.class, 0, left) {
 		r.refused[q.class]++
 		return
 	}
@@ -236,7 +236,7 @@
 		a.Release(0, 50)
 	}
 	queued := 0
-	for a.Enqueue(0, 500*clock.Millisecond) {
+	for a.Enqueue(0, 0, 500*clock.Millisecond) {
 		queued++
 	}
 	require.InDelta(t, 20, queued, 2, "two connections should serve 20 requests of 50 ms in 500 ms")
--- a/internal/connection/database/pool.go
+++ b/internal/connection/database/pool.go
@@ -35,13 +35,6 @@
 	since time.Time
 }
 
-// waiter is a request that waits for a connection. A nil connection on ready
-// permits the request to open one.
-type waiter struct {
-	class int
-	ready chan *Conn
-}
-
 // Pool holds connections to one database. A connection is used by one request
 // at a time.
 type Pool struct {
@@ -53,7 +46,7 @@
 	leased    map[*Conn]lease
 	// open counts idle and leased connections and those being opened.
 	open   int
-	queues [][]*waiter
+	queues []waitQueue
 	closed bool
 }
 
@@ -63,7 +56,7 @@
 	all := append(slices.Clone(classes), Class{Name: "other"})
 	return &Pool{
 		target: t, admission: NewAdmission(s.MaxConnections, s.MaxQueue, all),
-		leased: make(map[*Conn]lease), queues: make([][]*waiter, len(all)),
+		leased: make(map[*Conn]lease), queues: make([]waitQueue, len(all)),
 	}
 }
 
@@ -96,12 +89,21 @@
 	return p.open, len(p.idle), p.admission.Queued()
 }
 
-// Acquire returns a connection for a request of a class. The caller must give
-// the connection back with Release. Acquire returns an *outcome.Error of kind
-// Refused if the class's queue is full, or if no connection becomes free before
-// the context ends or is expected to. If it opens a connection, it returns the
-// errors of Dial.
+// Acquire returns a connection for a request of a class and of no workspace. The
+// caller must give the connection back with Release. Acquire returns an
+// *outcome.Error of kind Refused if the class's queue is full, or if no connection
+// becomes free before the context ends or is expected to. If it opens a
+// connection, it returns the errors of Dial.
 func (p *Pool) Acquire(ctx context.Context, class int) (*Conn, error) {
+	return p.AcquireFor(ctx, class, 0)
+}
+
+// AcquireFor is like Acquire, for a request of a workspace with the given
+// priority, which orders the requests of a class: 0 is the highest, and that of
+// requests of no workspace. A request that has waited for half of its time is
+// served like one of the highest. If the class's queue is full, the request
+// that would be served last is refused in place of one that overtakes it.
+func (p *Pool) AcquireFor(ctx context.Context, class, priority int) (*Conn, error) {
 	p.mu.Lock()
 	if class < 0 || class >= len(p.queues) {
 		class = len(p.queues) - 1
@@ -110,7 +112,8 @@
 		p.mu.Unlock()
 		return nil, errPoolClosed
 	}
-	if len(p.queues[class]) == 0 && p.admission.Admits(class) {
+	q := &p.queues[class]
+	if len(q.list) == 0 && p.admission.Admits(class) {
 		p.admission.Acquire(class)
 		c, dead := p.takeIdleLocked(class)
 		p.mu.Unlock()
@@ -122,16 +125,28 @@
 		}
 		return p.dial(ctx, class)
 	}
-	if !p.admission.Enqueue(class, timeLeft(ctx)) {
+	now, left := time.Now(), timeLeft(ctx)
+	if p.admission.Full(class) {
+		if last := q.displace(priority, now); last != nil {
+			p.admission.Dequeue(class)
+			last.displaced = true
+			close(last.ready)
+		}
+	}
+	if !p.admission.Enqueue(class, q.behind(priority, now), left) {
 		p.mu.Unlock()
-		return nil, outcome.NewRefused(outcome.CodeOverloaded, "too many requests wait for a connection to the database")
+		return nil, errTooManyWait()
 	}
-	w := &waiter{class: class, ready: make(chan *Conn, 1)}
-	p.queues[class] = append(p.queues[class], w)
+	w := &waiter{class: class, priority: priority, urgentAt: now.Add(left.Std() / 2), ready: make(chan *Conn, 1)}
+	q.push(w)
 	p.mu.Unlock()
 	return p.awaitConn(ctx, w)
 }
 
+func errTooManyWait() error {
+	return outcome.NewRefused(outcome.CodeOverloaded, "too many requests wait for a connection to the database")
+}
+
 // noDeadline is the time left of a request whose context has no deadline.
 const noDeadline = 24 * clock.Hour
 
@@ -179,6 +194,8 @@
 // connection permits it to open one; ok is false if the pool was closed.
 func (p *Pool) acceptConn(ctx context.Context, w *waiter, c *Conn, ok bool) (*Conn, error) {
 	switch {
+	case !ok && w.displaced:
+		return nil, errTooManyWait()
 	case !ok:
 		return nil, errPoolClosed
 	case c == nil:
@@ -203,11 +220,9 @@
 func (p *Pool) leaveQueue(w *waiter) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	i := slices.Index(p.queues[w.class], w)
-	if i < 0 {
+	if !p.queues[w.class].remove(w) {
 		return false
 	}
-	p.queues[w.class] = slices.Delete(p.queues[w.class], i, i+1)
 	p.admission.Dequeue(w.class)
 	return true
 }
@@ -243,8 +258,7 @@
 		if class < 0 || p.closed {
 			return
 		}
-		w := p.queues[class][0]
-		p.queues[class] = p.queues[class][1:]
+		w := p.queues[class].takeNext(time.Now())
 		p.admission.Dequeue(class)
 		p.admission.Acquire(class)
 		c, dead := p.takeIdleLocked(class)
@@ -314,11 +328,11 @@
 	p.mu.Lock()
 	p.closed = true
 	for class, queue := range p.queues {
-		for _, w := range queue {
+		for _, w := range queue.list {
 			p.admission.Dequeue(class)
 			close(w.ready)
 		}
-		p.queues[class] = nil
+		p.queues[class] = waitQueue{}
 	}
 	p.mu.Unlock()
 	p.CloseIdle()
--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -51,6 +51,7 @@
 		Router:       dbrequest.NewRouter(zones, p.instance.Zone, config.Reads.ReplicaWait),
 		Ages:         maxAgesForGroup(declared.Name, config),
 		Classes:      requestClasses,
+		Priorities:   prioritiesForConfig(config),
 		QueueTimeout: config.Limits.QueueTimeout,
 		Durability:   declared.Durability, CommitWait: declared.CommitWait, WriteWait: declared.WriteWait,
 	}
@@ -142,6 +143,17 @@
 	return requestClasses, poolClasses
 }
 
+// prioritiesForConfig returns the priorities of the workspaces' users.
+func prioritiesForConfig(config *operator.Configuration) map[string]int {
+	priorities := make(map[string]int)
+	for _, w := range config.Workspaces {
+		for _, user := range w.Users {
+			priorities[user] = w.Priority
+		}
+	}
+	return priorities
+}
+
 // sameGroupSettings reports whether two configurations agree in the settings that
 // are fixed when a group is opened.
 func sameGroupSettings(a, b *operator.Configuration) bool {
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -113,6 +113,7 @@
 	serving := *old.serving
 	serving.Ages = maxAgesForGroup(declared.Name, config)
 	serving.Classes, _ = classesForConfig(config)
+	serving.Priorities = prioritiesForConfig(config)
 	serving.QueueTimeout = config.Limits.QueueTimeout
 	serving.CommitWait, serving.WriteWait = declared.CommitWait, declared.WriteWait
 	updated.serving = &serving
--- a/internal/request/caller/forward.go
+++ b/internal/request/caller/forward.go
@@ -37,7 +37,7 @@
 // tryHome makes one attempt. It returns false if the request did not run and
 // another home proxy may be tried.
 func (w *worker) tryHome(r *request, home database.Home) (bool, error) {
-	conn, err := home.Pool.Acquire(r.ctx, connection.NoClass)
+	conn, err := home.Pool.AcquireFor(r.ctx, connection.NoClass, r.priority)
 	if err != nil {
 		var refused *outcome.Error
 		if errors.As(err, &refused) {
@@ -93,7 +93,7 @@
 func (w *worker) forwardContext(r *request) string {
 	s := w.session
 	c := caller.ForwardContext{
-		MaxAge: s.MaxAge, Application: s.Application, SharedID: s.SharedID, Settings: s.SettingsStatement(),
+		MaxAge: s.MaxAge, User: s.User, Application: s.Application, SharedID: s.SharedID, Settings: s.SettingsStatement(),
 	}
 	if s.FloorKnown || !s.Floor.IsZero() {
 		c.Token = s.Token()
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -46,6 +46,8 @@
 	// connection; if zero, only ctx does.
 	class    int
 	deadline clock.Duration
+	// priority is that of the workspace of the session's user.
+	priority int
 	// term is the primary's term when the request was last routed, and retries
 	// is the number of failed attempts.
 	term    uint64
@@ -60,11 +62,11 @@
 // class.
 func (r *request) acquire(pool *connection.Pool) (*connection.Conn, error) {
 	if r.deadline == 0 {
-		return pool.Acquire(r.ctx, r.class)
+		return pool.AcquireFor(r.ctx, r.class, r.priority)
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, r.deadline.Std())
 	defer cancel()
-	return pool.Acquire(ctx, r.class)
+	return pool.AcquireFor(ctx, r.class, r.priority)
 }
 
 // runOutsideTransaction routes a batch of a session without an open
@@ -78,7 +80,7 @@
 	defer cancel()
 	w.session.BeginWait(cancel)
 	defer w.session.EndWait()
-	r := &request{group: group, began: w.clock.Now(), ctx: ctx, class: connection.NoClass}
+	r := &request{group: group, began: w.clock.Now(), ctx: ctx, class: connection.NoClass, priority: group.Priorities[w.session.ActingUser()]}
 	r.read.Arrived = w.sequence.Next()
 	group.Retries.Deposit()
 	if group.Homes.Forwards() && !w.session.Forwarded {
--- a/internal/request/database/group.go
+++ b/internal/request/database/group.go
@@ -53,9 +53,12 @@
 	// Retries limits the retries of requests that did not run.
 	Retries *RetryBudget
 	// Homes are the home proxies to which requests are forwarded.
-	Homes      *Homes
-	Ages       []AgeRule
-	Classes    []Class
+	Homes   *Homes
+	Ages    []AgeRule
+	Classes []Class
+	// Priorities has the priorities of the workspaces' users. 0 is the highest, and
+	// that of users of no workspace.
+	Priorities map[string]int
 	Durability process.Durability
 	// QueueTimeout limits how long a request that matches no class waits for a
 	// connection.
--- a/internal/version/operator/check.go
+++ b/internal/version/operator/check.go
@@ -71,9 +71,13 @@
 	// databases are assigned to their groups after all sections are read, as
 	// a group may be declared after its databases.
 	databases []Database
+	// workspaces has the sections of the workspaces by name, and holders the workspace
+	// of each user.
+	workspaces map[string]Source
+	holders    map[string]string
 }
 
-var sectionKinds = []string{"site", "limits", "reads", "failover", "spread", "group", "database", "read", "class"}
+var sectionKinds = []string{"site", "limits", "reads", "failover", "spread", "group", "database", "read", "class", workspaceKind}
 
 func (c *checker) checkSection(s *Section) {
 	switch s.Kind() {
@@ -95,6 +99,8 @@
 		c.bindReadRule(s)
 	case "class":
 		c.bindClass(s)
+	case workspaceKind:
+		c.bindWorkspace(s)
 	default:
 		c.addProblem(s.Source, s.Name, "", "unknown section", "one of "+strings.Join(sectionKinds, ", "), nearest(s.Kind(), sectionKinds))
 	}
--- a/internal/version/operator/check_test.go
+++ b/internal/version/operator/check_test.go
@@ -36,7 +36,7 @@
 func TestProblemsNameFileLineKeyAndNearest(t *testing.T) {
 	for name, c := range map[string]struct{ base, overlay, expected string }{
 		"unknown key":         {strings.Replace(validBase, "customer", "costumer", 1), "", "base.ini:2: [group.shop1] costumer: unknown key; expected one of customer, durability, connections, homes, user, passwordFile, tls, commitWait, writeWait; did you mean customer?"},
-		"unknown section":     {strings.Replace(validBase, "[read.", "[raed.", 1), "", "base.ini:6: [raed.stock] unknown section; expected one of site, limits, reads, failover, spread, group, database, read, class; did you mean read?"},
+		"unknown section":     {strings.Replace(validBase, "[read.", "[raed.", 1), "", "base.ini:6: [raed.stock] unknown section; expected one of site, limits, reads, failover, spread, group, database, read, class, workspace; did you mean read?"},
 		"wrong unit":          {strings.Replace(validBase, "2s", "2 seconds", 1), "", `base.ini:9: [read.stock] maxAge: invalid value "2 seconds"; expected a time from 1ms to 24h`},
 		"out of range":        {strings.Replace(validBase, "2s", "48h", 1), "", `base.ini:9: [read.stock] maxAge: invalid value "48h"`},
 		"host name":           {strings.Replace(validBase, "127.0.0.1", "localhost", 1), "", `base.ini:4: [database.shop1.a] address: invalid value "localhost:5001"; expected an IP number and port`},
--- a/internal/version/operator/configuration.go
+++ b/internal/version/operator/configuration.go
@@ -70,6 +70,16 @@
 	Deadline clock.Duration
 }
 
+// Workspace is a customer's users, declared as [workspace NAME]. A user of no
+// workspace is served like those of a workspace with priority 0.
+type Workspace struct {
+	Declaration
+	// Users are roles that callers connect as. Each belongs to one workspace.
+	Users []string
+	// Priority orders waiting requests of the same class. 0 is the highest.
+	Priority int
+}
+
 // Limits bounds the sessions and queues of one proxy, declared as [limits].
 type Limits struct {
 	// Sessions is the maximum number of sessions.
@@ -127,6 +137,8 @@
 	Groups    []Group
 	ReadRules []ReadRule
 	Classes   []Class
+	// Workspaces is in the order of the files.
+	Workspaces []Workspace
 	// byName maps a group's name to its index in Groups.
 	byName map[string]int
 }
--- a/internal/version/operator/document.go
+++ b/internal/version/operator/document.go
@@ -38,19 +38,28 @@
 }
 
 // Kind returns the part of the section's name before the first dot, such as
-// "group", or the whole name if it has no dot.
+// "group", or the whole name if it has no dot. It returns "workspace" for a
+// section such as [workspace north].
 func (s *Section) Kind() string {
-	kind, _, _ := strings.Cut(s.Name, ".")
+	kind, _ := s.split()
 	return kind
 }
 
-// ObjectName returns the part of the section's name after the first dot, such
-// as "shop1", or "" if it has no dot.
+// ObjectName returns the part of the section's name after its kind, such as
+// "shop1", or "" if there is none.
 func (s *Section) ObjectName() string {
-	_, name, _ := strings.Cut(s.Name, ".")
+	_, name := s.split()
 	return name
 }
 
+func (s *Section) split() (kind, name string) {
+	if fields := strings.Fields(s.Name); len(fields) > 0 && fields[0] == workspaceKind {
+		return workspaceKind, strings.Join(fields[1:], " ")
+	}
+	kind, name, _ = strings.Cut(s.Name, ".")
+	return kind, name
+}
+
 func (s *Section) find(key string) *Value {
 	for i := range s.Values {
 		if s.Values[i].Key == key {
