Tests of displaced requests and of the expected wait by priority

Cause: the queue was tested by itself, but not what a displaced caller is told, nor that the estimate leaves out the requests that a new one overtakes. Change: two tests of the pool and of admission; no change of code. Measured: both pass with -race.

--- a/internal/connection/database/wait_queue_test.go
+++ b/internal/connection/database/wait_queue_test.go
@@ -1,11 +1,14 @@
 package database
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/pkg/outcome"
 )
 
 // A second is enough for no test of the order to reach it.
@@ -68,3 +71,45 @@
 	require.True(t, q.remove(list[0]))
 	require.False(t, q.remove(list[0]))
 }
+
+// A request that is displaced must be told at once that it was refused, so that its caller
+// may send it again, and not that the pool is closed. The others keep their places.
+func TestDisplacedRequestIsRefused(t *testing.T) {
+	p := NewPool(Target{}, PoolSettings{MaxConnections: 1, MaxQueue: 1})
+	p.admission.Acquire(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	wait := func(priority int) chan error {
+		done := make(chan error, 1)
+		go func() {
+			_, err := p.AcquireFor(ctx, NoClass, priority)
+			done <- err
+		}()
+		return done
+	}
+	low := wait(4)
+	require.Eventually(t, func() bool { _, _, n := p.Stats(); return n == 1 }, 5*time.Second, time.Millisecond)
+	var refused *outcome.Error
+	require.ErrorAs(t, <-wait(4), &refused, "an equal was displaced")
+	high := wait(1)
+	require.ErrorAs(t, <-low, &refused)
+	_, _, waiting := p.Stats()
+	require.Equal(t, 1, waiting)
+	p.Close()
+	require.ErrorIs(t, <-high, errPoolClosed)
+}
+
+// The expected wait of a request is not that of those it overtakes: it would be refused
+// although it is served in time.
+func TestExpectedWaitLeavesOutWhoIsOvertaken(t *testing.T) {
+	a := NewAdmission(2, 100, []Class{{Name: "other"}})
+	for range 200 {
+		a.Acquire(0)
+		a.Release(0, 50)
+	}
+	for range 15 {
+		require.True(t, a.Enqueue(0, 0, 500))
+	}
+	require.False(t, a.Enqueue(0, 0, 200))
+	require.True(t, a.Enqueue(0, 15, 200))
+}
