--- a/internal/connection/session/slot.go
+++ b/internal/connection/session/slot.go
@@ -83,6 +83,8 @@
 // returns a *backend.TooManyWaitingError if the request gets none.
 func (s *Session) reserveSlot(p *backend.Pool, policy backend.Policy, until clock.Time) error {
 	began := s.Clock.Now()
+	s.countWaiting(1)
+	defer s.countWaiting(-1)
 	err := p.Limiter.Reserve(began, policy, s.slotRequest(until))
 	if err == nil {
 		s.slotReserved = true
@@ -91,6 +93,7 @@
 		}
 		return nil
 	}
+	s.recordShortage(p)
 	var refused *backend.TooManyWaitingError
 	if errors.As(err, &refused) && s.Waits != nil {
 		s.Waits.Refused(s.route.Priority, refused.Reason)
