Put old tokens back, and ask an accountant again that answers its deputy

Now such an answer of a deputy has the accountant asked at once, and operations wait for that (40 ms at most, as for every grant). Besides, a token that has become too old during a wait for a slot was lost for its workspace; it is put back now.

--- a/internal/connection/session/limit.go
+++ b/internal/connection/session/limit.go
@@ -64,7 +64,9 @@
 	if s.token.held && s.Clock.Now() < s.token.Until {
 		return true
 	}
-	s.token.held = false
+	// A token that has become too old during a wait still counts against the workspace's
+	// limit, unless it is put back.
+	s.putBackToken()
 	granted, err := s.Limits.Take(s.workspace, s.hostedRoute != nil)
 	if err == nil {
 		s.token.Granted, s.token.held = granted, true
--- a/internal/process/workspace/allowance.go
+++ b/internal/process/workspace/allowance.go
@@ -197,6 +197,8 @@
 		return granted
 	}
 	switch target, _ := a.target(now, o.Workspace, s); {
+	case target == "" && a.expects(now, s):
+		return Wait{}
 	case target == "":
 		return s.takeReserve(a, now, o)
 	case target == s.emptyAt && now < s.emptyUntil:
--- a/internal/process/workspace/contact.go
+++ b/internal/process/workspace/contact.go
@@ -25,6 +25,9 @@
 	// silent is set since silentSince while the accountant does not answer in time.
 	silent      bool
 	silentSince clock.Time
+	// expectedUntil is set if a deputy grants nothing, since the accountant answers it. This
+	// proxy asks the accountant again then, and operations wait for that.
+	expectedUntil clock.Time
 }
 
 func (c *contact) markSilent(now clock.Time) {
@@ -36,7 +39,10 @@
 // due reports whether a silent accountant is to be asked for a sign of life.
 func (c *contact) due(now clock.Time) bool {
 	interval := silentRetry
-	if now.Sub(c.silentSince) >= longSilence {
+	switch {
+	case now < c.expectedUntil:
+		interval = minRetry
+	case now.Sub(c.silentSince) >= longSilence:
 		interval = longSilentRetry
 	}
 	return c.silent && !c.busy && now.Sub(c.sentAt) >= interval
@@ -203,6 +209,7 @@
 		if ask.Deputy {
 			// The accountant answers the deputy, or will have to answer it first.
 			s.noDeputyUntil = until
+			a.expectSilent(now, s, m.Accountant)
 			continue
 		}
 		s.refusals = append(s.refusals, refusal{name: m.Accountant, until: until})
@@ -214,6 +221,26 @@
 	}
 }
 
+// expectSilent has the silent accountants asked again that come before a deputy.
+func (a *Allowance) expectSilent(now clock.Time, s *share, deputy string) {
+	for _, name := range s.candidates {
+		if name == deputy {
+			return
+		}
+		if c := a.contact(name); c.silent {
+			c.expectedUntil = now.Add(AnswerTimeout)
+		}
+	}
+}
+
+// expects reports whether an accountant that was silent is expected to answer soon.
+func (a *Allowance) expects(now clock.Time, s *share) bool {
+	return slices.ContainsFunc(s.candidates, func(name string) bool {
+		c, ok := a.contacts[name]
+		return ok && c.silent && now < c.expectedUntil
+	})
+}
+
 func (s *share) apply(a *Allowance, now, sent clock.Time, from string, g Grant) {
 	s.answered, s.answeredAt, s.usual = true, now, g.Usual
 	s.reserve.stop(now)
--- a/internal/process/workspace/service_test.go
+++ b/internal/process/workspace/service_test.go
@@ -94,6 +94,33 @@
 	}
 }
 
+// A proxy that has found the accountant silent for a while must not go on asking its
+// deputy, which grants nothing, once both are reached again.
+func TestReunitedNetworkIsServed(t *testing.T) {
+	for _, askers := range []int{6, fleet} {
+		for seed := range uint64(5) {
+			w := settledWorld(seed, fleet)
+			ranked := RankAccountants(nameOf(300), ChooseAccountants(w.nodes[0].members))
+			w.load(nameOf(300), w.nodes[:askers], 300*usualDemand, 8*clock.Second)
+			for i, n := range w.nodes {
+				if i%3 == 0 && n.name != ranked[0] || n.name == ranked[1] {
+					n.part = 1
+				}
+			}
+			w.run(6 * clock.Second)
+			for _, n := range w.nodes {
+				n.part = 0
+			}
+			s := w.spaces[nameOf(300)]
+			before := *s
+			w.run(clock.Second)
+			offered, refused := s.offered-before.offered, s.refused-before.refused
+			t.Logf("%d asking proxies: %d of %d refused in the first second", askers, refused, offered)
+			require.LessOrEqual(t, float64(refused), 0.1*float64(offered))
+		}
+	}
+}
+
 // A part of the network without any accountant is still served to some extent.
 func TestReservesServeAPartWithoutAnyAccountant(t *testing.T) {
 	for seed := range uint64(3) {
