A proxy releases a workspace only if it may itself grant for it

Cause: a proxy that had just started beside a restored store answered every request to release a workspace, although it held back itself and could not answer for the accountant that the copy of the members table lacks. In the same situation a deputy of an accountant that held back granted at once, and an outgoing accountant went on with a bucket that it had filled as a deputy. Ruled out: to believe only proxies that have run for some time. A single accountant that restarts may answer for itself. Change: the answer states `released` if the proxy was the accountant before the last change and may grant at that time. Without the field, as from an earlier build, the new accountant waits for 2 x SpreadTime. A deputy holds back while the first accountant does, as far as the deputy sees; an outgoing accountant must have been entitled, and is drained by its deputy like the present one.

--- a/internal/process/workspace/accountant.go
+++ b/internal/process/workspace/accountant.go
@@ -10,8 +10,8 @@
 
 // SpreadTime is how far apart proxies learn of a change of the members. For so long the
 // previous accountant of a workspace goes on after it has learned of the change, unless the
-// new one releases it. If the new one cannot, it grants nothing for twice that time, since
-// the previous one may learn of the change so much later.
+// new one asks it to release the workspace. Until it has, the new one grants nothing, for
+// twice that time at most, since the previous one may learn of the change so much later.
 const SpreadTime = 2 * clock.Second
 
 const (
@@ -100,10 +100,12 @@
 // filledFrom returns since when the bucket of a workspace fills, of which this proxy is
 // the first accountant, and the accountant before it if that time is still to come.
 func (a *Accountant) filledFrom(now clock.Time, workspace string) (clock.Time, string) {
-	i := len(a.assignments) - 1
-	for i > 0 && first(RankAccountants(workspace, a.assignments[i-1].names)) == a.self {
-		i--
-	}
+	return a.filledFromAs(now, workspace, len(a.assignments)-1)
+}
+
+// filledFromAs is filledFrom as of the assignment with the index i.
+func (a *Accountant) filledFromAs(now clock.Time, workspace string, i int) (clock.Time, string) {
+	i = a.firstSince(workspace, i, a.self)
 	taken := a.assignments[i]
 	if taken.started {
 		return taken.at, ""
@@ -123,14 +125,51 @@
 	return from, before
 }
 
-// outgoing reports whether this proxy was the accountant of a workspace before the last
-// change and goes on until the new one releases it.
-func (a *Accountant) outgoing(now clock.Time, workspace string) bool {
+// firstSince returns the index of the earliest assignment from which on, up to that with
+// the index i, the named proxy is the first accountant of a workspace. It is the first
+// accountant as of i.
+func (a *Accountant) firstSince(workspace string, i int, name string) int {
+	for i > 0 && first(RankAccountants(workspace, a.assignments[i-1].names)) == name {
+		i--
+	}
+	return i
+}
+
+// outgoing returns since when the bucket of a workspace has filled whose accountant this
+// proxy was before the last change, and whether it goes on until the new one asks it to
+// release the workspace. It does not if it held back itself.
+func (a *Accountant) outgoing(now clock.Time, workspace string) (clock.Time, bool) {
 	i := len(a.assignments) - 1
 	if i < 1 || now.Sub(a.assignments[i].at) >= SpreadTime || a.handed[workspace] >= a.assignments[i].at {
-		return false
+		return 0, false
 	}
-	return first(RankAccountants(workspace, a.assignments[i-1].names)) == a.self
+	if first(RankAccountants(workspace, a.assignments[i-1].names)) != a.self {
+		return 0, false
+	}
+	from, _ := a.filledFromAs(now, workspace, i-1)
+	return from, from <= now
+}
+
+// release stops this proxy from granting tokens of a workspace as the outgoing accountant.
+// It returns false if it could not have granted any: it cannot answer for others then,
+// which may still grant.
+func (a *Accountant) release(now clock.Time, workspace string) bool {
+	if i := len(a.assignments) - 1; i >= 0 && a.handed[workspace] >= a.assignments[i].at {
+		// The answer to an earlier message was lost.
+		return true
+	}
+	_, outgoing := a.outgoing(now, workspace)
+	if outgoing {
+		a.handed[workspace] = now
+	}
+	return outgoing
+}
+
+// deputyHeld reports whether the first accountant of a workspace holds back, as this proxy
+// sees it. Its deputy must hold back as well then: the accountant of before may grant.
+func (a *Accountant) deputyHeld(now clock.Time, workspace, accountant string) bool {
+	taken := a.assignments[a.firstSince(workspace, len(a.assignments)-1, accountant)]
+	return !taken.started && now < taken.at.Add(2*SpreadTime)
 }
 
 // Grant answers an ask for a workspace with the given limit. confirmed tells whether this
@@ -145,23 +184,25 @@
 		return g
 	}
 	if ask.Release && rank != 0 {
-		a.handed[ask.Workspace] = now
+		g.Released = confirmed && a.release(now, ask.Workspace)
 		return hold(holdingRetry)
 	}
-	outgoing := rank != 0 && a.outgoing(now, ask.Workspace)
+	var from clock.Time
+	outgoing := false
+	if rank != 0 {
+		from, outgoing = a.outgoing(now, ask.Workspace)
+	}
 	if !confirmed || !outgoing && (rank < 0 || rank > 0 && !ask.Deputy) {
 		if rank != 0 {
 			g.Moved = first(ranked)
 		}
 		return hold(holdingRetry)
 	}
-	var from clock.Time
 	if outgoing {
-		b, ok := a.buckets[ask.Workspace]
-		if !ok {
+		if _, ok := a.buckets[ask.Workspace]; !ok {
 			return hold(holdingRetry)
 		}
-		from, rank = b.from, 0
+		rank = 0
 	} else if rank == 0 {
 		var before string
 		if from, before = a.filledFrom(now, ask.Workspace); now < from {
@@ -171,7 +212,7 @@
 	} else {
 		since, alone := a.silentSince(now, ranked[:rank])
 		a.reachNeeded = true
-		if !alone || !a.reach.CutOff(now).Known {
+		if !alone || !a.reach.CutOff(now).Known || a.deputyHeld(now, ask.Workspace, ranked[0]) {
 			return hold(checkRetry)
 		}
 		from = since
@@ -215,12 +256,16 @@
 // Drain empties the bucket of a workspace, for which a deputy has granted while this proxy
 // was silent.
 func (a *Accountant) Drain(now clock.Time, w string, l Limit) {
-	if first(a.ranked(w)) != a.self {
-		return
-	}
-	from, _ := a.filledFrom(now, w)
-	if now < from {
-		return
+	var from clock.Time
+	if first(a.ranked(w)) == a.self {
+		if from, _ = a.filledFrom(now, w); now < from {
+			return
+		}
+	} else {
+		var outgoing bool
+		if from, outgoing = a.outgoing(now, w); !outgoing {
+			return
+		}
 	}
 	b := a.bucket(now, from, w, l)
 	b.refill(a, now)
--- a/internal/process/workspace/deputy.go
+++ b/internal/process/workspace/deputy.go
@@ -113,7 +113,7 @@
 		}
 	}
 	for _, g := range grants {
-		if g.Holding && slices.ContainsFunc(m.Asks, func(ask Ask) bool { return ask.Workspace == g.Workspace }) {
+		if g.Released && slices.ContainsFunc(m.Asks, func(ask Ask) bool { return ask.Workspace == g.Workspace }) {
 			a.released[g.Workspace] = now
 		}
 	}
--- a/internal/process/workspace/messages.go
+++ b/internal/process/workspace/messages.go
@@ -34,6 +34,9 @@
 	// names the accountant then, if the answering proxy knows another one.
 	Holding bool   `json:"holding,omitempty"`
 	Moved   string `json:"moved,omitempty"`
+	// Released is set if the answering proxy could have granted tokens of the workspace
+	// itself, and grants none from now on, as it was asked to release the workspace.
+	Released bool `json:"released,omitempty"`
 }
 
 // Message is what a proxy asks an accountant, which may be the proxy itself. A message
--- a/internal/process/workspace/world_test.go
+++ b/internal/process/workspace/world_test.go
@@ -119,20 +119,25 @@
 	n.dead = true
 }
 
-// start starts the process of a proxy anew.
-func (n *node) start(members []proxy.Peer) {
+// start starts the process of a proxy anew, which was an accountant before if the members
+// make it one.
+func (n *node) start(members []proxy.Peer) { n.startFrom(members, true) }
+
+// startFrom starts the process of a proxy anew. alone is set if no other proxy can have
+// accounted for the workspaces that it accounts for.
+func (n *node) startFrom(members []proxy.Peer, alone bool) {
 	n.life++
 	n.dead = false
 	n.allowance = NewAllowance(n.name, n.world.quota)
 	n.reach = NewReach()
 	n.accountant = NewAccountant(n.name, n.world.quota, n.reach, n.world.now)
 	n.pending = nil
-	n.members = nil
-	n.setMembers(members)
+	n.assign(members, alone)
 }
 
-func (n *node) setMembers(members []proxy.Peer) {
-	first := n.members == nil
+func (n *node) setMembers(members []proxy.Peer) { n.assign(members, false) }
+
+func (n *node) assign(members []proxy.Peer, alone bool) {
 	n.members = members
 	names := n.world.chooseAccountants(members)
 	if slices.Contains(names, n.name) {
@@ -143,7 +148,7 @@
 		n.reach.SetMembers(n.name, all)
 	}
 	n.allowance.SetAccountants(names)
-	n.accountant.Assign(n.world.now, names, first)
+	n.accountant.Assign(n.world.now, names, alone)
 }
 
 // chooseAccountants chooses once for all proxies that are told the same members.
