A starting process takes itself for the accountant only if no restore brought its row back

Ruled out: the era of a row's version. The platform sends the numbers of rows and one era for each answer, so that all rows of a table have the era of the table, whenever they were written. To hold back in every era but the first: after one restore every restart would stop grants for 4 s, for good. To let all proxies write their rows again: one write for each proxy and restore. Change: a member row states the era of the store (`settledEra`) once its proxy is an accountant and has known the era for 10 s. By then proxies that the restore took from the table have written their rows again, were dropped, or grant nothing for lack of a proof. A process that starts believes its row if that states the era of the table. That is at most five writes for each restore, and none in the first era or without workspaces.

--- a/internal/front/allowances.go
+++ b/internal/front/allowances.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// isAccountant reports whether this proxy is an accountant.
+func (a *allowances) isAccountant() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Contains(a.accountants, a.self)
+}
+
 // accountantOf returns the accountant of a workspace, empty if there is none yet.
 func (a *allowances) accountantOf(name string) string {
 	a.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -110,9 +110,11 @@
 	groupOf  map[string]string
 	roster   *roster
 	sessions map[uint64]*session.Session
+	settled  settledEra
 	// membersApplied is set once the members table has been read, and membersPassed once
-	// its proxies were passed on. registeredAtStart is set if this proxy's row was there.
-	membersApplied, membersPassed, registeredAtStart bool
+	// its proxies were passed on. accountantAtStart is set if this proxy's row was there,
+	// and no restore can have brought it back.
+	membersApplied, membersPassed, accountantAtStart bool
 	// agreementEra is the era of the agreement table, zero until it has been read,
 	// and agreementEraAt is when this process first read it in that era.
 	agreementEra   uint64
@@ -156,7 +158,7 @@
 	f := &Front{
 		settings: s, platform: p, clock: c, log: log, metrics: m,
 		groups: make(map[string]*groupState), groupOf: make(map[string]string),
-		roster: newRoster(), sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
+		roster: newRoster(), settled: settledEra{self: s.Name}, sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
 		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(), counts: newWorkspaceCounts(),
 	}
 	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Waits: m, Self: s.Name}
@@ -403,6 +405,7 @@
 		}
 		f.host.Sweep(now)
 		f.expireMembers(now)
+		f.stateSettledEra(now)
 		if now.Sub(f.gaugesUpdatedAt) >= gaugeInterval {
 			f.gaugesUpdatedAt = now
 			f.updateGauges(now)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -26,12 +26,14 @@
 // proxy if it has no row or an outdated one.
 func (f *Front) applyMembers(changes store.Changes) {
 	f.mu.Lock()
-	found := f.roster.apply(f.clock.Now(), changes)
+	now := f.clock.Now()
+	found := f.roster.apply(now, changes)
+	f.settled.apply(now, changes)
 	list := f.roster.live()
 	// A row that this instance wrote before a restart is still valid.
 	registered := f.roster.listed[f.settings.Name] == f.self
 	if !f.membersApplied {
-		f.membersApplied, f.registeredAtStart = true, registered
+		f.membersApplied, f.accountantAtStart = true, registered && f.settled.shown()
 	}
 	f.mu.Unlock()
 	for _, key := range found.invalid {
@@ -61,10 +63,12 @@
 
 // accountsAlone reports whether no other proxy can have accounted for the workspaces that
 // this proxy accounts for now. When this process started, others had its row and asked it
-// already, or the whole system is starting and no proxy has granted much.
+// already, or the whole system is starting and no proxy has granted much. A row that a
+// restore of the store may have brought back shows nothing: the others may have members of
+// which the copy lacks some.
 func (f *Front) accountsAlone() bool {
 	f.mu.Lock()
-	first := f.registeredAtStart && !f.membersPassed
+	first := f.accountantAtStart && !f.membersPassed
 	f.membersPassed = true
 	f.mu.Unlock()
 	return first || f.settings.FirstStart && f.clock.Now().Sub(f.startedAt) < workspace.SpreadTime
--- a/internal/front/register.go
+++ b/internal/front/register.go
@@ -118,7 +118,7 @@
 
 // handleRegister writes the row of another proxy.
 func (r *registrar) handleRegister(params json.RawMessage) (any, error) {
-	var p proxy.Peer
+	var p memberContent
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, errors.Wrap(err, "decode member row")
 	}
@@ -153,13 +153,14 @@
 // register writes the row of this proxy and retries until the store has accepted
 // it or the instance stops.
 func (f *Front) register() {
-	value, err := json.Marshal(f.self)
-	if err != nil {
-		f.log.Error("encode own member row failed", logs.Error(err))
-		return
-	}
 	for !f.stopping.Load() {
-		version, err := f.registerThroughPeer()
+		row := f.ownRow()
+		value, err := json.Marshal(row)
+		if err != nil {
+			f.log.Error("encode own member row failed", logs.Error(err))
+			return
+		}
+		version, err := f.registerThroughPeer(row)
 		if err != nil {
 			version, err = f.putMembers(map[string][]byte{f.self.Name: value})
 		}
@@ -175,7 +176,7 @@
 var errNoRegistrar = errors.New("no other proxy is known")
 
 // registerThroughPeer asks a registrar to write the row of this proxy.
-func (f *Front) registerThroughPeer() (store.Version, error) {
+func (f *Front) registerThroughPeer(row memberContent) (store.Version, error) {
 	f.mu.Lock()
 	others := slices.DeleteFunc(f.roster.live(), func(p proxy.Peer) bool { return p.Name == f.self.Name })
 	f.mu.Unlock()
@@ -186,7 +187,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout.Std())
 	defer cancel()
 	var answer registration
-	err := f.peerConns.Call(ctx, registrars[0].Name, methodRegister, f.self, &answer)
+	err := f.peerConns.Call(ctx, registrars[0].Name, methodRegister, row, &answer)
 	if err != nil {
 		f.log.Info("registrar has not written own member row", zap.String("registrar", registrars[0].Name), logs.Error(err))
 	}
