--- a/internal/front/allowances.go
+++ b/internal/front/allowances.go
@@ -57,6 +57,8 @@
 	confirmed func() bool
 	// call sends a message to another proxy. It is set before the first operation.
 	call func(name string, limit clock.Duration, p grantParams) (grantResult, error)
+	// preview is set in a copy that decides on one operation and sends nothing.
+	preview bool
 
 	mu          sync.Mutex
 	allowance   *workspace.Allowance
@@ -153,13 +155,8 @@
 	}
 	o := workspace.Operation{Workspace: name, Limit: l, Hosted: hosted, Since: a.clock.Now()}
 	a.mu.Lock()
-	decision := a.allowance.Request(o.Since, o)
+	decision := a.requestLocked(o)
 	for {
-		a.askLocked(name)
-		// An answer of this proxy itself has been taken in already.
-		if _, wait := decision.(workspace.Wait); wait {
-			decision = a.allowance.Retry(a.clock.Now(), o)
-		}
 		if _, wait := decision.(workspace.Wait); !wait {
 			break
 		}
@@ -168,7 +165,7 @@
 		left := workspace.AnswerTimeout - a.clock.Now().Sub(o.Since)
 		a.clock.WaitOrTimeout(arrived, min(left, workspace.DeputyTimeout))
 		a.mu.Lock()
-		decision = a.allowance.Retry(a.clock.Now(), o)
+		decision = a.askLocked(o, a.allowance.Retry(a.clock.Now(), o))
 	}
 	defer a.mu.Unlock()
 	switch d := decision.(type) {
@@ -181,9 +178,24 @@
 	}
 }
 
-// askLocked sends the messages that are due because of a workspace. This proxy itself
+// requestLocked decides on an operation that needs a token.
+func (a *allowances) requestLocked(o workspace.Operation) workspace.Decision {
+	return a.askLocked(o, a.allowance.Request(o.Since, o))
+}
+
+// askLocked sends the messages that are due because of an operation, and decides again on
+// one that waits: an answer of this proxy itself has been taken in then.
+func (a *allowances) askLocked(o workspace.Operation, d workspace.Decision) workspace.Decision {
+	a.sendDueLocked(o.Workspace)
+	if _, wait := d.(workspace.Wait); wait {
+		return a.allowance.Retry(a.clock.Now(), o)
+	}
+	return d
+}
+
+// sendDueLocked sends the messages that are due because of a workspace. This proxy itself
 // answers at once, without a message.
-func (a *allowances) askLocked(name string) {
+func (a *allowances) sendDueLocked(name string) {
 	now := a.clock.Now()
 	for again := true; again; {
 		again = false
@@ -203,6 +215,9 @@
 
 // sendLocked sends a message to another accountant in the background.
 func (a *allowances) sendLocked(m workspace.Message) {
+	if a.preview {
+		return
+	}
 	sent := a.clock.Now()
 	go contain.Run(a.log, "ask of accountant", func() {
 		answer, err := a.call(m.Accountant, workspace.CallTimeout, grantParams{Asks: m.Asks})
@@ -297,7 +312,7 @@
 		}
 		result.Grants = append(result.Grants, a.accountant.Grant(now, ask, l, confirmed))
 	}
-	if len(asks) > 0 {
+	if len(asks) > 0 && !a.preview {
 		a.checkLocked(now)
 	}
 	return result
