Answer where a request would go: explain-route

Cause: docs/design/recovery.md, section 7.

Ruled out: quoting wrong values or unknown names of parameters in errors, and the URL in those of the HTTP client: they may be keys given by mistake.

Change: the metrics address answers GET /explain-route with JSON, and the subcommand explain-route prints it as tables with the decision first, or as JSON. Wrong parameters give 400, unknown databases and workspaces 404, a process without a configuration 503. Exit codes are 2 for wrong arguments and 1 otherwise. Documented in OPERATIONS.md, operators/workspaces.md and the glossary.

Tests: TestExplanationIsWhereRequestsGo with five whole proxies, of which three are homes (reads at the replica that was named, writes at the primary, forwarded to the home that was named, a workspace over its limit, unknown database, missing key); TestExplainRouteNamesWrongParameters, TestExplainRouteCommand, TestExplainRouteDecisions, TestExplainRouteFindsKeysInArguments, FuzzExplainRoute.

--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -33,7 +33,7 @@
 	return nil
 }
 
-// StartHTTP serves readiness, metrics and the status in the background. It returns an error
+// StartHTTP serves readiness, metrics, the status and explanations of routes in the background. It returns an error
 // if one of the addresses cannot be used.
 func (f *Front) StartHTTP() error {
 	if err := f.listenHTTP(f.settings.ReadyAddress, http.HandlerFunc(f.serveReady)); err != nil {
@@ -42,5 +42,6 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", f.metrics)
 	mux.HandleFunc("/status", f.serveStatus)
+	mux.HandleFunc("GET "+explainRoutePath, f.serveExplainRoute)
 	return f.listenHTTP(f.settings.MetricsAddress, mux)
 }
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -24,7 +24,8 @@
 
 // Options holds the command-line arguments and environment variables.
 type Options struct {
-	Explain *ExplainOptions `arg:"subcommand:explain" help:"print what log files say of one request"`
+	Explain      *ExplainOptions      `arg:"subcommand:explain" help:"print what log files say of one request"`
+	ExplainRoute *ExplainRouteOptions `arg:"subcommand:explain-route" help:"ask a running proxy where a request would go now, and why"`
 
 	Settings string `arg:"--settings,env:OLEANDERFLOW_SETTINGS" placeholder:"FILE" help:"settings file; by default the one that the platform names"`
 	Check    bool   `arg:"--check" help:"check the settings file and exit"`
@@ -63,11 +64,18 @@
 	// Signals that arrive during the start must not end the process.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if namesKey(os.Args[1:]) {
+		fmt.Fprintln(os.Stderr, "oleanderflow-front:", errKeyParameter)
+		return exitUsage
+	}
 	var o Options
 	arg.MustParse(&o)
 	if o.Explain != nil {
 		return explain(o.Explain, os.Stdout)
 	}
+	if o.ExplainRoute != nil {
+		return explainRoute(o.ExplainRoute, os.Stdout, os.Stderr)
+	}
 	if o.Settings == "" {
 		o.Settings = defaultSettings
 	}
