A workspace is released to one proxy, which holds back no longer than the one before

Cause: the accountant of before released a workspace to whichever proxy asked. A process with the members of a restored copy and the next accountant could both be released to. Besides, each new accountant held back for the whole 4 s if the one before it held back itself: with frequent changes of the members nothing was granted for many seconds. Ruled out: to let a proxy that holds back release at once, which is the fault that was mended. Change: the request names its sender (`successor`), and only the accountant that the previous one knows as the next is answered. If the previous one held back, it states for how long it would have (`heldMillis`), stops, and the new one holds back for that time, 4 s at most. An answer counts only if it comes from the accountant before and the members have not changed since it was asked for. An earlier build that asks takes any answer for a release, so that the proxy stops, as before.

--- a/internal/process/workspace/accountant.go
+++ b/internal/process/workspace/accountant.go
@@ -44,14 +44,19 @@
 	sweptAt clock.Time
 	// released has the workspaces whose previous accountant has stopped for this one, and
 	// handed those that this one has been released from, with the times of that.
-	released, handed map[string]clock.Time
-	others           map[string]*colleague
+	released map[string]release
+	handed   map[string]clock.Time
+	others   map[string]*colleague
 	// reach tells which share of the proxies this one does not reach. reachNeeded is set
 	// if that has to be known.
 	reach       *Reach
 	reachNeeded bool
 }
 
+// release is the answer of a previous accountant that has stopped: it was asked at askedAt,
+// and the new one may grant from then on.
+type release struct{ askedAt, from clock.Time }
+
 // assignment has the accountants since a time.
 type assignment struct {
 	at    clock.Time
@@ -65,7 +70,7 @@
 func NewAccountant(self string, q Quota, r *Reach, now clock.Time) *Accountant {
 	return &Accountant{
 		self: self, quota: q, reach: r, slot: (q.Life(Limit{})+q.SendTime())/(slotCount-2) + 1, sweptAt: now,
-		ranks: make(map[string][]string), buckets: make(map[string]*bucket), released: make(map[string]clock.Time), handed: make(map[string]clock.Time), others: make(map[string]*colleague),
+		ranks: make(map[string][]string), buckets: make(map[string]*bucket), released: make(map[string]release), handed: make(map[string]clock.Time), others: make(map[string]*colleague),
 	}
 }
 
@@ -81,7 +86,7 @@
 	}
 	clear(a.ranks)
 	old := func(_ string, at clock.Time) bool { return now.Sub(at) > assignmentTime }
-	maps.DeleteFunc(a.released, old)
+	maps.DeleteFunc(a.released, func(w string, r release) bool { return old(w, r.askedAt) })
 	maps.DeleteFunc(a.handed, old)
 	maps.DeleteFunc(a.others, func(name string, c *colleague) bool {
 		return !slices.Contains(names, name) && !c.busy && now.Sub(c.sentAt) > assignmentTime
@@ -110,10 +115,10 @@
 	if taken.started {
 		return taken.at, ""
 	}
-	if at, ok := a.released[workspace]; ok && at >= taken.at {
-		return at, ""
-	}
 	from := taken.at.Add(2 * SpreadTime)
+	if r, ok := a.released[workspace]; ok && r.askedAt >= taken.at {
+		return min(r.from, from), ""
+	}
 	if i == 0 || now >= from {
 		return from, ""
 	}
@@ -150,19 +155,23 @@
 	return from, from <= now
 }
 
-// release stops this proxy from granting tokens of a workspace as the outgoing accountant.
-// It returns false if it could not have granted any: it cannot answer for others then,
-// which may still grant.
-func (a *Accountant) release(now clock.Time, workspace string) bool {
-	if i := len(a.assignments) - 1; i >= 0 && a.handed[workspace] >= a.assignments[i].at {
-		// The answer to an earlier message was lost.
-		return true
+// release stops this proxy from granting tokens of a workspace, for the accountant after it.
+// It returns false if it was not the accountant before the last change: it cannot answer
+// for others then, which may still grant. If it held back itself, it returns for how long
+// it would have held back.
+func (a *Accountant) release(now clock.Time, workspace string) (bool, clock.Duration) {
+	i := len(a.assignments) - 1
+	if i < 1 || first(RankAccountants(workspace, a.assignments[i-1].names)) != a.self {
+		return false, 0
 	}
-	_, outgoing := a.outgoing(now, workspace)
-	if outgoing {
+	if a.handed[workspace] < a.assignments[i].at {
+		if now.Sub(a.assignments[i].at) >= SpreadTime {
+			return false, 0
+		}
 		a.handed[workspace] = now
 	}
-	return outgoing
+	from, _ := a.filledFromAs(now, workspace, i-1)
+	return from <= now, max(from.Sub(now), 0)
 }
 
 // deputyHeld reports whether the first accountant of a workspace holds back, as this proxy
@@ -184,7 +193,14 @@
 		return g
 	}
 	if ask.Release && rank != 0 {
-		g.Released = confirmed && a.release(now, ask.Workspace)
+		switch {
+		case ask.Successor == "":
+			// An earlier build takes any answer for a release.
+			a.handed[ask.Workspace] = now
+		case confirmed && ask.Successor == first(ranked):
+			// Others with different members may take themselves for the next accountant.
+			g.Released, g.HeldMillis = a.release(now, ask.Workspace)
+		}
 		return hold(holdingRetry)
 	}
 	var from clock.Time
@@ -206,7 +222,7 @@
 	} else if rank == 0 {
 		var before string
 		if from, before = a.filledFrom(now, ask.Workspace); now < from {
-			a.check(before, Ask{Workspace: ask.Workspace, Release: true})
+			a.check(before, Ask{Workspace: ask.Workspace, Release: true, Successor: a.self})
 			return hold(min(from.Sub(now), checkRetry))
 		}
 	} else {
--- a/internal/process/workspace/deputy.go
+++ b/internal/process/workspace/deputy.go
@@ -113,12 +113,29 @@
 		}
 	}
 	for _, g := range grants {
-		if g.Released && slices.ContainsFunc(m.Asks, func(ask Ask) bool { return ask.Workspace == g.Workspace }) {
-			a.released[g.Workspace] = now
+		asked := slices.ContainsFunc(m.Asks, func(ask Ask) bool { return ask.Release && ask.Workspace == g.Workspace })
+		if asked && (g.Released || g.HeldMillis > 0) {
+			a.recordRelease(now, c.sentAt, m.Accountant, g)
 		}
 	}
 }
 
+// recordRelease takes in that a proxy has stopped for this one, unless the members have
+// changed since it was asked.
+func (a *Accountant) recordRelease(now, askedAt clock.Time, from string, g Grant) {
+	if first(a.ranked(g.Workspace)) != a.self {
+		return
+	}
+	if _, before := a.filledFrom(now, g.Workspace); before != from {
+		return
+	}
+	held := min(max(g.HeldMillis, 0), 2*SpreadTime)
+	if g.Released {
+		held = 0
+	}
+	a.released[g.Workspace] = release{askedAt: askedAt, from: now.Add(held)}
+}
+
 // Unanswered records that a message to another accountant was not answered.
 func (a *Accountant) Unanswered(now clock.Time, m Message) {
 	c, ok := a.others[m.Accountant]
--- a/internal/process/workspace/messages.go
+++ b/internal/process/workspace/messages.go
@@ -10,8 +10,10 @@
 	Want   int `json:"want"`
 	Unused int `json:"unused,omitempty"`
 	// Release is set by a proxy that has become accountant of the workspace. The previous
-	// one grants nothing from then on.
-	Release bool `json:"release,omitempty"`
+	// one grants nothing from then on. Successor is the name of the proxy that asks, empty
+	// if that is of an earlier build.
+	Release   bool   `json:"release,omitempty"`
+	Successor string `json:"successor,omitempty"`
 	// Deputy is set if the proxy that is asked is not the first accountant, as far as the
 	// asking one knows. Usual is the usual demand of the workspace over all proxies, in
 	// operations a second, as its accountant has told. A deputy does not know it.
@@ -37,6 +39,10 @@
 	// Released is set if the answering proxy could have granted tokens of the workspace
 	// itself, and grants none from now on, as it was asked to release the workspace.
 	Released bool `json:"released,omitempty"`
+	// HeldMillis is set in place of Released if the answering proxy held back itself: it
+	// would have granted tokens after that time, and grants none. The new accountant need
+	// not hold back for longer.
+	HeldMillis clock.Duration `json:"heldMillis,omitempty"`
 }
 
 // Message is what a proxy asks an accountant, which may be the proxy itself. A message
