--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -16,10 +16,11 @@
 const (
 	// membersTable has one row for each live proxy.
 	membersTable = "oleanderflowMembers"
-	// maxMembersPollInterval is the upper bound of the poll interval for the
-	// members table. It is long because the table changes often while a system
-	// starts.
-	maxMembersPollInterval = 4 * clock.Second
+	// maxMembersPollInterval is the upper bound of the poll interval for the members
+	// table. It is long because the table changes often while a system starts, but 4 s
+	// were longer than workspace.SpreadTime: proxies have to learn of a change within it,
+	// also if they read the table as a whole after a restore.
+	maxMembersPollInterval = maxPollInterval
 )
 
 // applyMembers applies changed rows of the members table, and registers this
--- a/internal/front/settled_era_test.go
+++ b/internal/front/settled_era_test.go
@@ -152,6 +152,12 @@
 	require.False(t, f.grants(t))
 }
 
+// Proxies that read the members table from the store learned of a change up to 4 s apart
+// while it changed often. An accountant counts on the others having learned of it earlier.
+func TestMembersAreReadWithinSpreadTime(t *testing.T) {
+	require.Less(t, maxMembersPollInterval+minPollInterval+startRetryDelay, workspace.SpreadTime)
+}
+
 // A running accountant goes on granting while the store goes back, and states the new era
 // later.
 func TestRunningAccountantGrantsAcrossARestore(t *testing.T) {
