Fewer allocations and copies in choosing a database

Cause: a statement copied and sorted all members of its group up to four times, twice of them only for the zone of the primary; each exchange built the name under which a panic would be logged and a closure; each wait for a change of the group made a timer; each status made the fields of a debug line that is not written. Change: members are kept sorted and copied to the stack, the zone is looked up by itself, contain.Recover is deferred without a closure, timers of WaitOrTimeout and exchanges of status requests are reused, and the fields are made only for a line that is written. Ruled out: reusing the timers of waits for slots, which tests run in bubbles of synctest.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -68,11 +68,8 @@
 // Exchange sends requests as Conn.Exchange does. If it panics, for example over
 // an answer that nobody expected, the connection counts as broken.
 func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
-	err = contain.Call(c.pool.log, "exchange with database "+c.pool.ID, func() (err error) {
-		n, err = c.Conn.Exchange(limit, requests, answers)
-		return err
-	})
-	return n, err
+	defer contain.Recover(c.pool.log, c.pool.exchangePart, &err)
+	return c.Conn.Exchange(limit, requests, answers)
 }
 
 // MarkReset records that the connection's session state has been reset.
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -222,25 +222,38 @@
 	}
 	g.onStatusRequest()
 	sent := g.clock.Now()
-	var answers [1]statement.Answer
-	if _, err := c.Exchange(limit, []statement.Request{{Operation: op}}, answers[:]); err != nil {
+	x := exchanges.Get().(*exchange)
+	defer exchanges.Put(x)
+	x.requests[0] = statement.Request{Operation: op}
+	x.answers[0].Reset()
+	if _, err := c.Exchange(limit, x.requests[:], x.answers[:]); err != nil {
 		c.Discard()
 		g.RecordConnectionLoss(id, sent)
 		return database.Status{}, err
 	}
 	now := g.clock.Now()
-	status, err := c.DecodeStatus(&answers[0])
+	status, err := c.DecodeStatus(&x.answers[0])
 	c.Release()
 	if err != nil {
 		g.MarkAnswered(id, now)
 		return status, err
 	}
 	g.ObserveStatus(id, sent, now, status)
-	g.log.Debug("status", zap.String("database", id), zap.Stringer("role", status.Role), zap.Uint64("term", status.Term),
-		zap.Uint64("held", status.Fenced), zap.Stringer("received", status.Received), zap.Stringer("applied", status.Applied))
+	if line := g.log.Check(zap.DebugLevel, "status"); line != nil {
+		line.Write(zap.String("database", id), zap.Stringer("role", status.Role), zap.Uint64("term", status.Term),
+			zap.Uint64("held", status.Fenced), zap.Stringer("received", status.Received), zap.Stringer("applied", status.Applied))
+	}
 	return status, nil
 }
 
+// exchange holds the request and the answer of one Command.
+type exchange struct {
+	requests [1]statement.Request
+	answers  [1]statement.Answer
+}
+
+var exchanges = sync.Pool{New: func() any { return new(exchange) }}
+
 // MayBeDead reports whether an unused connection may be dead because another
 // one was lost recently and this one has not been used since.
 func (g *GroupClient) MayBeDead(c *PooledConn) bool {
@@ -332,14 +345,15 @@
 // the lowest expected latency, as many as are required to confirm the primary's
 // leadership.
 func (g *GroupClient) FastestReplicas() []string {
-	members := g.Members()
 	now := g.clock.Now()
 	type candidate struct {
 		id   string
 		cost float64
 	}
-	var candidates []candidate
-	for _, m := range members {
+	var room [usualMembers]group.Member
+	var candidateRoom [usualMembers]candidate
+	candidates := candidateRoom[:0]
+	for _, m := range g.AppendMembers(room[:0]) {
 		p := g.Pool(m.ID)
 		if p == nil || m.Role == database.RolePrimary {
 			continue
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -119,6 +119,8 @@
 	clock    clock.Clock
 	log      *zap.Logger
 	onDial   func(statement.Answer, clock.Time, error)
+	// exchangePart names an exchange with the database in logs of a contained panic.
+	exchangePart string
 
 	mu      sync.Mutex
 	idle    []*PooledConn
@@ -156,7 +158,7 @@
 func NewPool(to Target, s Settings, d Dialer, c clock.Clock, log *zap.Logger, onDial func(statement.Answer, clock.Time, error)) *Pool {
 	return &Pool{
 		Target: to, settings: s, dialer: d, clock: c, log: log, onDial: onDial, idleTimeout: initialIdleTimeout,
-		openFor: make(map[string]int), dialingFor: make(map[string]int),
+		openFor: make(map[string]int), dialingFor: make(map[string]int), exchangePart: "exchange with database " + to.ID,
 		Limiter: Limiter{probes: s.ProbeReturned, log: log.With(zap.String("database", to.ID))},
 	}
 }
--- a/internal/connection/backend/selection.go
+++ b/internal/connection/backend/selection.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
@@ -30,6 +31,8 @@
 	// costJitter is the share by which costs are randomly increased, so that
 	// proxies do not all choose the same database.
 	costJitter = 0.3
+	// usualMembers is for how many databases of a group a choice needs no allocation.
+	usualMembers = 5
 )
 
 // SelectForRead returns the database with the lowest expected latency for a
@@ -49,7 +52,8 @@
 	var best group.Member
 	var bestPool *Pool
 	lowest := 0.0
-	for _, m := range g.Members() {
+	var room [usualMembers]group.Member
+	for _, m := range g.AppendMembers(room[:0]) {
 		p := g.Pool(m.ID)
 		if p == nil || !m.Usable() || slices.Contains(exclude, m.ID) || !includeLagging && p.Latency.IsLagging(now) {
 			continue
@@ -94,8 +98,13 @@
 // WaitOrTimeout waits until ch is closed or receives a value, or d has passed.
 // It reports whether ch was first.
 func WaitOrTimeout(ch <-chan struct{}, d clock.Duration) bool {
-	timer := time.NewTimer(max(d, 0).Std())
-	defer timer.Stop()
+	timer := idleTimers.Get().(*time.Timer)
+	timer.Reset(max(d, 0).Std())
+	// A stopped timer sends no value that it has not sent yet.
+	defer func() {
+		timer.Stop()
+		idleTimers.Put(timer)
+	}()
 	select {
 	case <-ch:
 		return true
@@ -104,5 +113,8 @@
 	}
 }
 
+// idleTimers has stopped timers of WaitOrTimeout, which each write calls.
+var idleTimers = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
+
 // Sleep pauses the calling goroutine for d.
 func Sleep(d clock.Duration) { time.Sleep(d.Std()) }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,7 +16,6 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
 	"github.com/oleanderflow/oleanderflow/internal/connection/session"
 	"github.com/oleanderflow/oleanderflow/internal/process/contain"
-	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/promotion"
@@ -310,15 +309,7 @@
 	if g == nil {
 		return ""
 	}
-	if m, ok := g.Primary(); ok {
-		return m.Zone
-	}
-	for _, m := range g.Members() {
-		if m.Role == database.RolePrimary {
-			return m.Zone
-		}
-	}
-	return ""
+	return g.PrimaryZone()
 }
 
 func (f *Front) allGroups() []*groupState {
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
@@ -20,6 +19,8 @@
 
 	mu      sync.Mutex
 	members map[string]*Member
+	// sorted has the members in the order of their IDs.
+	sorted []*Member
 	// removed has the last entries of databases that have been removed, by ID.
 	removed map[string]Entry
 	// term is the highest term seen.
@@ -104,6 +105,7 @@
 	if !known || m.Incarnation != e.Incarnation || m.Address != e.Address {
 		m = &Member{Entry: e, AnsweredAt: now}
 		g.members[e.ID] = m
+		g.sortLocked()
 		known = false
 	}
 	if e.Role != m.Role {
@@ -148,6 +150,9 @@
 		}
 	}
 	changed := len(removed) > 0
+	if changed {
+		g.sortLocked()
+	}
 	for _, m := range g.members {
 		expired := m.LeavingAt != 0 && g.DrainLimit > 0 && now.Sub(m.LeavingAt) >= g.DrainLimit
 		changed = changed || expired != m.DrainExpired
@@ -281,20 +286,7 @@
 }
 
 // Members returns what is known about each database, sorted by ID.
-func (g *Group) Members() []Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.membersLocked()
-}
-
-func (g *Group) membersLocked() []Member {
-	list := make([]Member, 0, len(g.members))
-	for _, m := range g.members {
-		list = append(list, *m)
-	}
-	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
-	return list
-}
+func (g *Group) Members() []Member { return g.AppendMembers(nil) }
 
 // Term returns the highest term seen.
 func (g *Group) Term() uint64 {
--- a/internal/process/group/member.go
+++ b/internal/process/group/member.go
@@ -6,6 +6,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -108,3 +110,40 @@
 	e, ok := g.removed[id]
 	return e, ok
 }
+
+// sortLocked sets sorted after a change of the members.
+func (g *Group) sortLocked() {
+	g.sorted = g.sorted[:0]
+	for _, m := range g.members {
+		g.sorted = append(g.sorted, m)
+	}
+	slices.SortFunc(g.sorted, func(a, b *Member) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// AppendMembers appends what Members returns to list. With room in list, which is made
+// for each statement, it allocates nothing.
+func (g *Group) AppendMembers(list []Member) []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list = slices.Grow(list, len(g.sorted))
+	for _, m := range g.sorted {
+		list = append(list, *m)
+	}
+	return list
+}
+
+// PrimaryZone returns the availability zone of the primary, or else of the first database
+// whose entry says that it is the primary. It is empty if there is none.
+func (g *Group) PrimaryZone() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.primaryLocked(); m != nil {
+		return m.Zone
+	}
+	for _, m := range g.sorted {
+		if m.Role == database.RolePrimary {
+			return m.Zone
+		}
+	}
+	return ""
+}
