--- a/internal/connection/backend/selection.go
+++ b/internal/connection/backend/selection.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
@@ -30,6 +31,8 @@
 	// CostJitter is the share by which costs are randomly increased, so that
 	// proxies do not all choose the same database.
 	CostJitter = 0.3
+	// usualMembers is for how many databases of a group a choice needs no allocation.
+	usualMembers = 5
 )
 
 // Obstacle is why a database gets no reads.
@@ -202,8 +205,13 @@
 // WaitOrTimeout waits until ch is closed or receives a value, or d has passed.
 // It reports whether ch was first.
 func WaitOrTimeout(ch <-chan struct{}, d clock.Duration) bool {
-	timer := time.NewTimer(max(d, 0).Std())
-	defer timer.Stop()
+	timer := idleTimers.Get().(*time.Timer)
+	timer.Reset(max(d, 0).Std())
+	// A stopped timer sends no value that it has not sent yet.
+	defer func() {
+		timer.Stop()
+		idleTimers.Put(timer)
+	}()
 	select {
 	case <-ch:
 		return true
@@ -212,5 +220,8 @@
 	}
 }
 
+// idleTimers has stopped timers of WaitOrTimeout, which each write calls.
+var idleTimers = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
+
 // Sleep pauses the calling goroutine for d.
 func Sleep(d clock.Duration) { time.Sleep(d.Std()) }
