An accountant that held back begins to grant only with a recent proof

Cause: a process that starts with the members of a restored copy holds back for 4 s and granted after that, also if it had been frozen and had missed another restore. Ruled out: to grant only while the proof is less than 4 s old. Proxies have to serve for 3 s without the store, and proofs are up to 1.9 s old when it is lost. Change: a hold that no release has ended ends once the proof of freshness is of SpreadTime before its end or later. Without proofs, as where [revocation] is not set, nothing changes.

--- a/internal/front/allowances.go
+++ b/internal/front/allowances.go
@@ -116,6 +116,13 @@
 	return slices.Contains(a.accountants, a.self)
 }
 
+// setProof records until when this proxy's configuration is proved to be the newest.
+func (a *allowances) setProof(at clock.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.accountant.SetProof(a.clock.Now(), at)
+}
+
 // accountantOf returns the accountant of a workspace, empty if there is none yet.
 func (a *allowances) accountantOf(name string) string {
 	a.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -406,6 +406,9 @@
 		f.host.Sweep(now)
 		f.expireMembers(now)
 		f.stateSettledEra(now)
+		if f.freshness != nil {
+			f.allowances.setProof(f.freshness.proof.State().At)
+		}
 		if now.Sub(f.gaugesUpdatedAt) >= gaugeInterval {
 			f.gaugesUpdatedAt = now
 			f.updateGauges(now)
--- a/internal/process/workspace/accountant.go
+++ b/internal/process/workspace/accountant.go
@@ -51,11 +51,15 @@
 	// if that has to be known.
 	reach       *Reach
 	reachNeeded bool
+	proofs      proofs
 }
 
 // release is the answer of a previous accountant that has stopped: it was asked at askedAt,
-// and the new one may grant from then on.
-type release struct{ askedAt, from clock.Time }
+// and the new one may grant from then on. held is set if the previous one held back itself.
+type release struct {
+	askedAt, from clock.Time
+	held          bool
+}
 
 // assignment has the accountants since a time.
 type assignment struct {
@@ -116,11 +120,15 @@
 		return taken.at, ""
 	}
 	from := taken.at.Add(2 * SpreadTime)
-	if r, ok := a.released[workspace]; ok && r.askedAt >= taken.at {
-		return min(r.from, from), ""
+	r, released := a.released[workspace]
+	if released = released && r.askedAt >= taken.at; released {
+		from = min(r.from, from)
 	}
-	if i == 0 || now >= from {
+	switch {
+	case released && !r.held:
 		return from, ""
+	case released || i == 0 || now >= from:
+		return a.proofs.endOfHold(now, from), ""
 	}
 	before := first(RankAccountants(workspace, a.assignments[i-1].names))
 	if c, ok := a.others[before]; ok && c.silent && c.silentSince.Add(2*SpreadTime) <= now && now.Sub(c.failedAt) < silenceTime {
@@ -178,7 +186,7 @@
 // sees it. Its deputy must hold back as well then: the accountant of before may grant.
 func (a *Accountant) deputyHeld(now clock.Time, workspace, accountant string) bool {
 	taken := a.assignments[a.firstSince(workspace, len(a.assignments)-1, accountant)]
-	return !taken.started && now < taken.at.Add(2*SpreadTime)
+	return !taken.started && now < a.proofs.endOfHold(now, taken.at.Add(2*SpreadTime))
 }
 
 // Grant answers an ask for a workspace with the given limit. confirmed tells whether this
--- a/internal/process/workspace/deputy.go
+++ b/internal/process/workspace/deputy.go
@@ -133,7 +133,7 @@
 	if g.Released {
 		held = 0
 	}
-	a.released[g.Workspace] = release{askedAt: askedAt, from: now.Add(held)}
+	a.released[g.Workspace] = release{askedAt: askedAt, from: now.Add(held), held: held > 0}
 }
 
 // Unanswered records that a message to another accountant was not answered.
