Poll the members table faster only where workspaces are declared

Cause: the bound of 1.2 s instead of 4 s is needed for accountants of workspaces, and cost the other deployments calls to the store while their members change often. Ruled out: one bound for all, which would change what deployments without workspaces pay. The bound is asked for with each call now. TestMembersAreReadWithinSpreadTime covers both.

--- a/internal/front/era_test.go
+++ b/internal/front/era_test.go
@@ -155,7 +155,7 @@
 	defer close(f.done)
 	applied := make(chan store.Version, 9)
 	for _, table := range []string{"op", "servers"} {
-		go f.follow(table, maxPollInterval, func(changes store.Changes) { applied <- changes.Version })
+		go f.follow(table, every(maxPollInterval), func(changes store.Changes) { applied <- changes.Version })
 	}
 	for range 2 {
 		require.Equal(t, at(5), <-applied)
@@ -210,7 +210,7 @@
 	s := &goneStore{version: 1000}
 	f := New(Settings{}, Platform{Store: s, ConfigurationTable: "op"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
 	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"op"}, systemTimers{f.clock}, f.log)
-	go f.follow("op", maxPollInterval, func(store.Changes) {})
+	go f.follow("op", every(maxPollInterval), func(store.Changes) {})
 	time.Sleep((3 * clock.Second).Std())
 	close(f.done)
 	s.mu.Lock()
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -171,9 +171,13 @@
 	}
 }
 
+// every returns a function for an interval that never changes.
+func every(d clock.Duration) func() clock.Duration { return func() clock.Duration { return d } }
+
 // follow reads a table and then its changes, and hands them to apply, until the
-// instance has stopped.
-func (f *Front) follow(table string, maxInterval clock.Duration, apply func(store.Changes)) {
+// instance has stopped. While changes keep arriving, the time between two calls to the
+// store doubles up to maxInterval.
+func (f *Front) follow(table string, maxInterval func() clock.Duration, apply func(store.Changes)) {
 	log := f.log.With(zap.String("table", table))
 	known, lost := false, false
 	// rereads counts the reads of the whole table since the last changes.
@@ -247,7 +251,7 @@
 		if took < interval {
 			backend.Sleep(interval - took)
 		}
-		interval = min(2*interval, maxInterval)
+		interval = min(2*interval, maxInterval())
 	}
 }
 
--- a/internal/front/follow_test.go
+++ b/internal/front/follow_test.go
@@ -73,7 +73,7 @@
 	f.relays = newRelays(proxy.Peer{Name: "self"}, tables, systemTimers{f.clock}, f.log)
 	defer close(f.done)
 	for _, table := range tables {
-		go f.follow(table, maxPollInterval, func(store.Changes) {})
+		go f.follow(table, every(maxPollInterval), func(store.Changes) {})
 	}
 	allAsked := func() bool {
 		s.mu.Lock()
@@ -223,7 +223,7 @@
 	defer close(f.done)
 	began := f.clock.Now()
 	for _, table := range []string{"op", "servers"} {
-		go f.follow(table, maxPollInterval, func(store.Changes) {})
+		go f.follow(table, every(maxPollInterval), func(store.Changes) {})
 	}
 	require.Eventually(t, func() bool {
 		s.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -255,19 +255,19 @@
 // followTables follows all tables, the members table first.
 func (f *Front) followTables() {
 	backend.Sleep(firstReadDelay(&f.settings))
-	go f.follow(membersTable, maxMembersPollInterval, f.applyMembers)
+	go f.follow(membersTable, f.membersPollInterval, f.applyMembers)
 	select {
 	case <-f.membersRead:
 	case <-f.done:
 		return
 	}
 	backend.WaitOrTimeout(f.membersKnown, membersTimeout)
-	go f.follow(f.platform.ConfigurationTable, maxPollInterval, f.applyVersions)
+	go f.follow(f.platform.ConfigurationTable, every(maxPollInterval), f.applyVersions)
 	if f.freshness != nil {
 		go f.runFreshness()
 	}
-	go f.follow(f.platform.RegistryTable, maxPollInterval, f.applyEntries)
-	go f.follow(agreementTable, maxAgreementPollInterval, f.applyAgreement)
+	go f.follow(f.platform.RegistryTable, every(maxPollInterval), f.applyEntries)
+	go f.follow(agreementTable, every(maxAgreementPollInterval), f.applyAgreement)
 }
 
 // Address returns the address that callers connect to.
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -17,12 +17,21 @@
 	// membersTable has one row for each live proxy.
 	membersTable = "oleanderflowMembers"
 	// maxMembersPollInterval is the upper bound of the poll interval for the members
-	// table. It is long because the table changes often while a system starts, but 4 s
-	// were longer than workspace.SpreadTime: proxies have to learn of a change within it,
-	// also if they read the table as a whole after a restore.
-	maxMembersPollInterval = maxPollInterval
+	// table where no workspaces are declared. It is long because the table changes often
+	// while a system starts.
+	maxMembersPollInterval = 4 * clock.Second
 )
 
+// membersPollInterval returns the upper bound of the poll interval for the members table.
+// Where there are accountants of workspaces, proxies have to learn of a change within
+// workspace.SpreadTime, also if they read the table as a whole after a restore.
+func (f *Front) membersPollInterval() clock.Duration {
+	if v := f.versions.Load(); v != nil && v.Workspaces != nil {
+		return maxPollInterval
+	}
+	return maxMembersPollInterval
+}
+
 // applyMembers applies changed rows of the members table, and registers this
 // proxy if it has no row or an outdated one.
 func (f *Front) applyMembers(changes store.Changes) {
--- a/internal/front/settled_era_test.go
+++ b/internal/front/settled_era_test.go
@@ -155,7 +155,10 @@
 // Proxies that read the members table from the store learned of a change up to 4 s apart
 // while it changed often. An accountant counts on the others having learned of it earlier.
 func TestMembersAreReadWithinSpreadTime(t *testing.T) {
-	require.Less(t, maxMembersPollInterval+minPollInterval+startRetryDelay, workspace.SpreadTime)
+	f := New(Settings{Name: "self"}, Platform{}, newManualClock(), zap.NewNop(), NewMetrics())
+	require.Equal(t, maxMembersPollInterval, f.membersPollInterval(), "no workspaces are declared")
+	require.True(t, f.versions.Accept(&routes.Version{Number: 1, Workspaces: &routes.Workspaces{}}))
+	require.Less(t, f.membersPollInterval()+minPollInterval+startRetryDelay, workspace.SpreadTime)
 }
 
 // A running accountant goes on granting while the store goes back, and states the new era
