Relays: encode and decode large values in pieces and without a lock

Cause: a relay compressed and compared a configuration, and a follower unpacked it, in one piece and under the lock of its copy of the table. With 3,800 routes that is some milliseconds of a core, a whole period of the share that small machines have. Checksums were made again at each poll, and a value was compressed even if a patch of a few hundred bytes was sent.

Ruled out: a lock that statements need. None of these is held by them; what delays them is the processor.

Change: background.Schedule decides how long work rests between its pieces, and Pacer hands out the pauses. A process that serves nobody yet makes no rests. Values are encoded once, without the lock of the cache, and checksums are kept.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
 	"github.com/oleanderflow/oleanderflow/internal/connection/session"
+	"github.com/oleanderflow/oleanderflow/internal/process/background"
 	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/group"
@@ -66,6 +67,9 @@
 	DecodeEntry func(store.Row) (group.Entry, error)
 	// ConfigurationTable and RegistryTable are table names in the store.
 	ConfigurationTable, RegistryTable string
+	// Pacer hands out the pauses of long work, also to Store and DecodeVersion. It is nil
+	// if that makes none.
+	Pacer *background.Pacer
 }
 
 // Front is one instance of the proxy. Its lock is taken before the lock of a
@@ -213,7 +217,7 @@
 // startPeers listens for other proxies.
 func (f *Front) startPeers(address string) error {
 	tables := []string{membersTable, f.platform.ConfigurationTable, f.platform.RegistryTable, agreementTable}
-	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log)
+	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log, store.WithPacer(f.platform.Pacer))
 	f.relays.followRoots = f.freshness != nil
 	handler := &peerHandler{
 		relays: f.relays, host: f.host, registrar: &registrar{clock: systemTimers{f.clock}, put: f.putMembers},
@@ -401,6 +405,9 @@
 			f.log.Info("processor time shortage changed", zap.Bool("short", overloaded))
 			f.host.SetOverloaded(overloaded)
 		}
+		if f.Ready() {
+			f.platform.Pacer.SetServing()
+		}
 		f.host.Sweep(now)
 		f.expireMembers(now)
 		if now.Sub(f.gaugesUpdatedAt) >= gaugeInterval {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -133,10 +133,10 @@
 	sourceContactAt clock.Time
 }
 
-func newRelays(self proxy.Peer, tables []string, c timers, log *zap.Logger) *relays {
+func newRelays(self proxy.Peer, tables []string, c timers, log *zap.Logger, options ...store.CacheOption) *relays {
 	r := &relays{self: self, clock: c, log: log, copies: make(map[string]*store.Cache), avoidUntil: make(map[string]clock.Time)}
 	for _, t := range tables {
-		r.copies[t] = store.NewCache()
+		r.copies[t] = store.NewCache(options...)
 	}
 	return r
 }
--- a/internal/process/patch/patch.go
+++ b/internal/process/patch/patch.go
@@ -7,6 +7,8 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderflow/oleanderflow/internal/process/background"
 )
 
 // Patch turns one value into a later one. It consists of parts of the
@@ -49,12 +51,25 @@
 
 // Make returns a patch that turns before into after. Its time and memory are
 // proportional to the lengths of both.
-func Make(before, after []byte) Patch {
+func Make(before, after []byte) Patch { return MakeInPieces(before, after, background.None) }
+
+// pieceSize is the number of bytes that are compared between two pauses, which takes
+// about 0.1 ms.
+const pieceSize = 32 << 10
+
+// MakeInPieces returns the same as Make, and calls pause after each piece of the work.
+func MakeInPieces(before, after []byte, pause background.Pause) Patch {
 	prefix, suffix := commonEnds(before, after)
 	end := len(before) - suffix
-	offsets := segmentOffsets(before, prefix, end)
+	total := end - prefix + len(after) - suffix - prefix
+	offsets := segmentOffsets(before, prefix, end, func(done int) { pause(pieceSize, done, total) })
 	p := Patch{Parts: []Part{{Length: prefix}}}
+	paused := len(after)
 	for rest := after[prefix : len(after)-suffix]; len(rest) > 0; {
+		if paused-len(rest) >= pieceSize {
+			paused = len(rest)
+			pause(pieceSize, total-len(rest), total)
+		}
 		segment := rest[:nextSegment(rest)]
 		rest = rest[len(segment):]
 		last := &p.Parts[len(p.Parts)-1]
@@ -89,10 +104,15 @@
 }
 
 // segmentOffsets returns where each segment between from and to begins, by its
-// hash.
-func segmentOffsets(value []byte, from, to int) map[uint64]int {
+// hash. It calls pause after each piece with what is done.
+func segmentOffsets(value []byte, from, to int, pause func(done int)) map[uint64]int {
 	offsets := make(map[uint64]int)
+	paused := from
 	for at := from; at < to; {
+		if at-paused >= pieceSize {
+			paused = at
+			pause(at - from)
+		}
 		n := nextSegment(value[at:to])
 		hash := xxhash.Sum64(value[at : at+n])
 		if _, repeated := offsets[hash]; !repeated {
--- a/internal/process/platform/store/cache.go
+++ b/internal/process/platform/store/cache.go
@@ -2,13 +2,12 @@
 
 import (
 	"bytes"
-	"fmt"
 	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/oleanderflow/oleanderflow/internal/process/patch"
+	"github.com/oleanderflow/oleanderflow/internal/process/background"
 )
 
 // maxTombstones is the maximum number of deleted rows that a cache keeps. A
@@ -26,8 +25,9 @@
 	previous map[string][]previousValue
 	// patches has the patches made since the last change of a row, and packed the
 	// compressed values, by key.
-	patches map[patchKey]*patch.Patch
-	packed  map[string][]byte
+	patches map[patchKey]*lazyPatch
+	packed  map[string]*lazyPacked
+	pacer   *background.Pacer
 	// span is what is known of the present era, and prior what was known of the era
 	// before, which is zero if nothing was.
 	span, prior span
@@ -46,6 +46,17 @@
 type cachedRow struct {
 	Row
 	since Version
+	// sum is the checksum of a large value, otherwise zero.
+	sum uint64
+}
+
+// newCachedRow returns a row that has its content since a version.
+func newCachedRow(r Row, since Version) cachedRow {
+	c := cachedRow{Row: r, since: since}
+	if len(r.Value) >= minPatchedLength {
+		c.sum = xxhash.Sum64(r.Value)
+	}
+	return c
 }
 
 const (
@@ -71,7 +82,19 @@
 
 // NewCache returns an empty cache, which is unusable until its first Apply of a
 // whole table.
-func NewCache() *Cache { return &Cache{rows: make(map[string]cachedRow), changed: make(chan struct{})} }
+func NewCache(options ...CacheOption) *Cache {
+	c := &Cache{rows: make(map[string]cachedRow), changed: make(chan struct{})}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// CacheOption configures a Cache.
+type CacheOption func(*Cache)
+
+// WithPacer sets whose pauses the cache makes while it encodes and decodes large values.
+func WithPacer(p *background.Pacer) CacheOption { return func(c *Cache) { c.pacer = p } }
 
 // Changes are the rows of a table that have changed since an earlier version.
 type Changes struct {
@@ -112,8 +135,8 @@
 		case restored:
 			c.replaceRestoredLocked(old, r, changes.Version)
 		case !ok || old.Before(r.Version):
-			c.keepPreviousLocked(old.Row)
-			c.rows[r.Key] = cachedRow{Row: r, since: r.Version}
+			c.keepPreviousLocked(old)
+			c.rows[r.Key] = newCachedRow(r, r.Version)
 			updated = true
 		case r.Before(old.Version):
 			c.dropped++
@@ -144,11 +167,11 @@
 // table. The versions of the two rows cannot be compared, but their contents can:
 // followers that have the old row need not be sent an equal one.
 func (c *Cache) replaceRestoredLocked(old cachedRow, r Row, version Version) {
-	next := cachedRow{Row: r, since: version}
+	next := newCachedRow(r, version)
 	if old.Key != "" && old.Deleted == r.Deleted && bytes.Equal(old.Value, r.Value) {
 		next.since = old.since
 	} else {
-		c.keepPreviousLocked(old.Row)
+		c.keepPreviousLocked(old)
 	}
 	c.rows[r.Key] = next
 }
@@ -162,16 +185,16 @@
 	case !keep:
 		c.previous, c.patches, c.packed = nil, nil, nil
 	case c.previous == nil:
-		c.previous, c.patches, c.packed = make(map[string][]previousValue), make(map[patchKey]*patch.Patch), make(map[string][]byte)
+		c.previous, c.patches, c.packed = make(map[string][]previousValue), make(map[patchKey]*lazyPatch), make(map[string]*lazyPacked)
 	}
 }
 
 // keepPreviousLocked keeps a row that is about to be replaced.
-func (c *Cache) keepPreviousLocked(old Row) {
+func (c *Cache) keepPreviousLocked(old cachedRow) {
 	if c.previous == nil || len(old.Value) < minPatchedLength {
 		return
 	}
-	list := append(c.previous[old.Key], previousValue{sum: xxhash.Sum64(old.Value), value: old.Value})
+	list := append(c.previous[old.Key], previousValue{sum: old.sum, value: old.Value})
 	c.previous[old.Key] = slices.Clone(list[max(len(list)-maxPrevious, 0):])
 	delete(c.packed, old.Key)
 	for k := range c.patches {
@@ -192,121 +215,12 @@
 			if sums == nil {
 				sums = make(map[string]uint64)
 			}
-			sums[key] = xxhash.Sum64(r.Value)
+			sums[key] = r.sum
 		}
 	}
 	return sums
 }
 
-// Compact replaces the values of large rows in the result of Since by patches, where
-// sums, the result of the follower's Sums, allows it, or by compressed values.
-// The follower must expand them.
-func (c *Cache) Compact(changes *Changes, sums map[string]uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i, r := range changes.Rows {
-		// A row that has changed since is sent as it is.
-		if c.rows[r.Key].Version == r.Version {
-			changes.Rows[i] = c.encodeLocked(r, sums[r.Key])
-		}
-	}
-}
-
-// encodeLocked returns a row in the form that is sent to a follower that has a
-// value with the given checksum, or 0 for none: as it is if it is short, or with a
-// patch or the compressed value in place of its value, whichever is shorter.
-func (c *Cache) encodeLocked(r Row, baseSum uint64) Row {
-	if c.previous == nil || len(r.Value) < minPatchedLength {
-		return r
-	}
-	packed := c.packedLocked(r)
-	if p := c.patchLocked(r, baseSum); p != nil && (packed == nil || p.Size() < len(packed)) {
-		return Row{Key: r.Key, Version: r.Version, Patch: p, BaseSum: baseSum}
-	}
-	if packed != nil {
-		return Row{Key: r.Key, Version: r.Version, Packed: packed}
-	}
-	return r
-}
-
-// patchLocked returns the patch from an earlier value of a row, or nil if that
-// value is not known.
-func (c *Cache) patchLocked(r Row, baseSum uint64) *patch.Patch {
-	k := patchKey{r.Key, baseSum}
-	if p, made := c.patches[k]; made {
-		return p
-	}
-	// A follower of an earlier era may have the same value.
-	bases := append(slices.Clone(c.previous[r.Key]), previousValue{sum: xxhash.Sum64(r.Value), value: r.Value})
-	i := slices.IndexFunc(bases, func(old previousValue) bool { return old.sum == baseSum })
-	if i < 0 {
-		return nil
-	}
-	p := patch.Make(bases[i].value, r.Value)
-	c.patches[k] = &p
-	return &p
-}
-
-// packedLocked returns the compressed value of a row, or nil if it cannot be
-// compressed to less than its length.
-func (c *Cache) packedLocked(r Row) []byte {
-	packed, made := c.packed[r.Key]
-	if !made {
-		var err error
-		if packed, err = pack(r.Value); err != nil || len(packed) >= len(r.Value) {
-			// Writing to memory does not fail; the value is sent as it is.
-			packed = nil
-		}
-		c.packed[r.Key] = packed
-	}
-	return packed
-}
-
-// BaseError reports a patch for a value that the cache does not have.
-type BaseError struct {
-	Key string
-	// BaseSum is the checksum of the value that the patch applies to, and KnownSum
-	// that of the value in the cache.
-	BaseSum, KnownSum uint64
-}
-
-func (e *BaseError) Error() string {
-	return fmt.Sprintf("patch of row %q applies to the value with checksum %x, but the one with %x is known", e.Key, e.BaseSum, e.KnownSum)
-}
-
-// Expand replaces patches and compressed values in changes by the values that they
-// stand for. It returns a *BaseError or a *patch.Error if the cache does not have
-// the values that the patches apply to, and another error for a value that cannot
-// be uncompressed. It leaves changes unusable then.
-func (c *Cache) Expand(changes *Changes) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i := range changes.Rows {
-		r := &changes.Rows[i]
-		if r.Packed != nil {
-			value, err := unpack(r.Packed)
-			if err != nil {
-				return err
-			}
-			r.Value, r.Packed = value, nil
-			continue
-		}
-		if r.Patch == nil {
-			continue
-		}
-		known := c.rows[r.Key].Value
-		if sum := xxhash.Sum64(known); sum != r.BaseSum {
-			return &BaseError{Key: r.Key, BaseSum: r.BaseSum, KnownSum: sum}
-		}
-		value, err := r.Patch.Apply(known)
-		if err != nil {
-			return err
-		}
-		r.Value, r.Patch, r.BaseSum = value, nil, 0
-	}
-	return nil
-}
-
 // Dropped returns how many rows were ignored because a newer one was known.
 func (c *Cache) Dropped() uint64 {
 	c.mu.Lock()
@@ -332,7 +246,7 @@
 	updated := false
 	for key, r := range c.rows {
 		if _, ok := present[key]; !ok && !r.Deleted && (restored || !changes.Before(r.Version)) {
-			c.keepPreviousLocked(r.Row)
+			c.keepPreviousLocked(r)
 			c.rows[key] = cachedRow{Row: Row{Key: key, Version: changes.Version, Deleted: true}, since: changes.Version}
 			updated = true
 		}
--- a/internal/process/platform/store/patch_test.go
+++ b/internal/process/platform/store/patch_test.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/background"
 	"github.com/oleanderflow/oleanderflow/internal/process/patch"
 )
 
@@ -93,17 +94,17 @@
 
 // A compressed value comes from another process and may be anything.
 func FuzzUnpack(f *testing.F) {
-	packed, err := pack([]byte("configuration"))
+	packed, err := pack([]byte("configuration"), background.None)
 	require.NoError(f, err)
 	f.Add(packed)
 	f.Add([]byte{})
-	f.Fuzz(func(_ *testing.T, packed []byte) { _, _ = unpack(packed) })
+	f.Fuzz(func(_ *testing.T, packed []byte) { _, _ = unpack(packed, background.None) })
 }
 
 func TestUnpackBoundsItsResult(t *testing.T) {
-	packed, err := pack(make([]byte, maxUnpackedLength+1))
+	packed, err := pack(make([]byte, maxUnpackedLength+1), background.None)
 	require.NoError(t, err)
-	_, err = unpack(packed)
+	_, err = unpack(packed, background.None)
 	var long *LengthError
 	require.ErrorAs(t, err, &long)
 	changes := Changes{Rows: []Row{{Key: "config", Packed: []byte("no flate"), Version: at(1)}}, Whole: true}
