Homes: choose them again only for groups whose limits have changed

Cause: each configuration dropped the homes of all groups and the order of homes of all workspaces, and the statements that came next chose them again under the lock of all groups.

Change: a group keeps its homes if its connection limit is the same, and the orders are kept as long as the workspaces and their rates are.

Test: TestHomesAreChosenAgainOnlyAfterAChange.

--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -184,12 +185,17 @@
 }
 
 // SetConnectionLimits sets, by group name, how many connections each database
-// of the group accepts from all proxies together.
+// of the group accepts from all proxies together. Groups whose limit is the same keep
+// their homes: choosing them again would delay the next requests of all groups.
 func (h *Homes) SetConnectionLimits(limits map[string]int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	maps.DeleteFunc(h.assignments, func(group string, _ assignment) bool {
+		before, had := h.connectionLimits[group]
+		now, has := limits[group]
+		return had != has || before != now
+	})
 	h.connectionLimits = limits
-	clear(h.assignments)
 }
 
 // assignmentLocked returns the assignment of a group. All proxies that know the
--- a/internal/connection/peer/placement.go
+++ b/internal/connection/peer/placement.go
@@ -42,12 +42,27 @@
 type placementKey struct{ workspace, primaryZone string }
 
 // SetWorkspaces replaces the workspaces of the configuration in force, nil if it
-// declares none.
+// declares none. As long as their rates are the same, the order of homes is.
 func (h *Homes) SetWorkspaces(w *routes.Workspaces) {
+	h.mu.Lock()
+	before := h.workspaces
+	h.mu.Unlock()
+	// The comparison takes as long as there are workspaces.
+	unchanged := sameRates(before, w)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !unchanged || h.workspaces != before {
+		clear(h.assignments)
+	}
 	h.workspaces = w
-	clear(h.assignments)
+}
+
+// sameRates reports whether two versions declare the same workspaces with the same rates,
+// on which the placement depends.
+func sameRates(a, b *routes.Workspaces) bool {
+	return (a == nil) == (b == nil) && slices.EqualFunc(a.All(), b.All(), func(a, b *routes.Workspace) bool {
+		return a.Name == b.Name && a.Rate == b.Rate
+	})
 }
 
 // ServesWorkspace reports whether this proxy serves the requests of a workspace to
--- a/internal/connection/peer/placement_test.go
+++ b/internal/connection/peer/placement_test.go
@@ -97,3 +97,48 @@
 	require.Less(t, served, len(w.All()))
 	require.True(t, h.ServesWorkspace("shop", ""))
 }
+
+// A configuration that changes neither limits nor rates had all homes chosen and placed
+// again, by the statements that came next. One that changes them must still do so.
+func TestHomesAreChosenAgainOnlyAfterAChange(t *testing.T) {
+	zone := "a"
+	h, w := newPlacedHomes(t, "proxy-0", &zone)
+	limits := map[string]int{"shop": 112, "other": 112}
+	choose := func(workspaces *routes.Workspaces) {
+		h.SetConnectionLimits(limits)
+		h.SetWorkspaces(workspaces)
+		h.ServesLocally("shop")
+		h.ServesLocally("other")
+		h.ServesWorkspace("shop", "w00")
+	}
+	choose(w)
+	shop, other := h.assignments["shop"], h.assignments["other"]
+	require.Len(t, shop.placements, 1)
+	copied := routes.NewWorkspaces()
+	for _, ws := range w.All() {
+		require.NoError(t, copied.Add(*ws, []string{"key of " + ws.Name}))
+	}
+	limits = map[string]int{"shop": 112, "other": 60, "more": 10}
+	h.SetConnectionLimits(limits)
+	h.SetWorkspaces(copied)
+	require.Equal(t, shop, h.assignments["shop"])
+	require.NotContains(t, h.assignments, "other", "its limit has changed")
+	choose(copied)
+	require.NotEqual(t, other.plan, h.assignments["other"].plan)
+	limits = map[string]int{"shop": 112}
+	h.SetConnectionLimits(limits)
+	local, _ := h.ServesLocally("other")
+	require.False(t, local, "it is no longer declared")
+
+	raised := routes.NewWorkspaces()
+	for _, ws := range w.All() {
+		changed := *ws
+		changed.Rate++
+		require.NoError(t, raised.Add(changed, nil))
+	}
+	for _, next := range []*routes.Workspaces{raised, nil, w} {
+		h.SetWorkspaces(next)
+		require.Empty(t, h.assignments)
+		choose(next)
+	}
+}
