Relays: make no patch of a value that has grown too much for one

Cause: a relay with 0.134 of a core used up its share of 100 ms while it compared and compressed a configuration with 2,400 more routes for its followers and decoded it for itself.

Ruled out: longer rests alone, which delay all followers.

Change: if more bytes were added than the compressed value has, no patch is made. The pauses of one value may take 150 ms in place of 100.

--- a/internal/process/platform/store/encode.go
+++ b/internal/process/platform/store/encode.go
@@ -16,10 +16,13 @@
 	// encodeLimit is how long the pauses may take that are made while one value is packed,
 	// unpacked or compared. A configuration passes up to three tiers, and each of them
 	// unpacks and packs it.
-	encodeLimit = 100 * clock.Millisecond
+	encodeLimit = 150 * clock.Millisecond
 	// smallPatchShare is the part of a value that a patch may take to be sent without
 	// comparing it to the compressed value. Configurations are compressed to a fifteenth.
 	smallPatchShare = 20
+	// largeGrowthShare is the part of a value from which on its growth is compared to the
+	// compressed value before a patch is made.
+	largeGrowthShare = 8
 )
 
 // lazyPacked is a compressed value, made by the first follower that needs it without the
@@ -102,6 +105,12 @@
 // encode returns a row with a patch or the compressed value in place of its value,
 // whichever is shorter.
 func (c *Cache) encode(r Row, e encoding, baseSum uint64) Row {
+	// A patch has all that was added, which is mostly new text.
+	if growth := len(r.Value) - len(e.base); e.patch != nil && growth > len(r.Value)/largeGrowthShare {
+		if packed := e.packed.get(r.Value, c.pacer.Begin(encodeLimit)); packed != nil && len(packed) <= growth {
+			return Row{Key: r.Key, Version: r.Version, Packed: packed}
+		}
+	}
 	var p *patch.Patch
 	if e.patch != nil {
 		p = e.patch.get(e.base, r.Value, c.pacer.Begin(encodeLimit))
--- a/internal/process/platform/store/encode_test.go
+++ b/internal/process/platform/store/encode_test.go
@@ -67,3 +67,25 @@
 	}
 	return true
 }
+
+// A relay compared a configuration with the one before although so much was added that the
+// compressed value is shorter than any patch.
+func TestGrownValueIsNotCompared(t *testing.T) {
+	source, follower := NewCache(), NewCache()
+	source.KeepHistory(true)
+	timeout := func(int) int { return 7 }
+	for version, routes := range []int{150, 400, 401} {
+		value := configurationOf(routes, timeout)
+		source.Apply(Changes{Rows: []Row{{Key: "config", Value: value, Version: at(uint64(version + 1))}}, Whole: version == 0, Version: at(uint64(version + 1))})
+		changes := source.Since(follower.known, follower.Version())
+		source.Compact(&changes, follower.Sums())
+		require.Len(t, changes.Rows, 1)
+		require.Equal(t, routes == 401, changes.Rows[0].Patch != nil)
+		for _, p := range source.patches {
+			require.Equal(t, routes == 401, len(p.made.Parts) > 0, "a patch was made")
+		}
+		require.NoError(t, follower.Expand(&changes))
+		require.Equal(t, value, changes.Rows[0].Value)
+		follower.Apply(changes)
+	}
+}
