Scheduler: a request is late if three mean deviations do not fit before its target

Cause: at 4 times the load, urgent requests get their slot just before they count as late. Two mean deviations above the mean latency cover about 95% of them; the others were answered late, and the slots they took were lost.

Ruled out: the policy ByArrival, which does not use this value.

--- a/internal/connection/backend/wait_estimate.go
+++ b/internal/connection/backend/wait_estimate.go
@@ -96,11 +96,13 @@
 	return clock.Duration(e.took.mean)
 }
 
-// longService is the time within which most requests are answered: in a normal
-// distribution, two mean deviations above the mean cover 94%.
+// longService is the time within which nearly all requests are answered: in a normal
+// distribution, three mean deviations above the mean cover 99%. At 4 times the load,
+// urgent requests get their slot just before they count as late; with two mean
+// deviations, 5% of them were late then.
 func (e *waitEstimate) longService() clock.Duration {
 	if e.took.n < minMeasurements {
 		return 0
 	}
-	return clock.Duration(e.took.mean + 2*e.deviation)
+	return clock.Duration(e.took.mean + 3*e.deviation)
 }
