In-flight limit under ByShare follows the shortest target latency

Ruled out (trials, docs/design/room.md): the lowest latency as the baseline, with and without cuts to measure it, since homes that begin in an overload never see it; a cut without effect as the sign of a slow database, which left slots idle.

Change: where workspaces are declared, requests spend at most 0.4 of the shortest target latency at the database on average, but a process keeps 1.75 requests in flight for each slot of its part. The registry declares the slots, and the number of homes divides them. Waiting requests of the most urgent class exceed the limit by one while the latency is below 0.65 of the target. Nothing changes under ByArrival (TestSteadyLimitIsUnchanged, TestLimitByArrivalIsUnchanged).

--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// SetProcesses sets how many processes share the databases' slots.
+func (g *GroupClient) SetProcesses(n int) {
+	for _, m := range g.Members() {
+		if p := g.Pool(m.ID); p != nil {
+			p.Limiter.SetSlots(m.Slots, n)
+		}
+	}
+}
+
 // Sweep closes connections that have been unused for too long. With warm set, a
 // few are kept open to each usable database.
 func (g *GroupClient) Sweep(now clock.Time, warm bool) {
--- a/internal/connection/backend/limiter.go
+++ b/internal/connection/backend/limiter.go
@@ -70,6 +70,14 @@
 	results   map[uint64]chan error
 }
 
+// SetSlots sets the number of the database's slots, zero if unknown, and the number of
+// processes that share them.
+func (l *Limiter) SetSlots(slots, processes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pace.setSlots(slots, processes)
+}
+
 // tryReserveLocked reserves a slot for new work if one is free.
 func (l *Limiter) tryReserveLocked() bool {
 	l.pace.Begin()
@@ -114,6 +122,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.scheduler.SetPolicy(p)
+	_, shared := p.(ByShare)
+	l.pace.Arrive(now, shared, r.Target.Sub(r.Arrived))
 	l.wakeLocked(now)
 	if l.scheduler.Len() == 0 && l.tryReserveLocked() {
 		return nil
@@ -125,6 +135,7 @@
 	w := &waiter{id: id, result: make(chan error, 1), limit: l.scheduler.WaitLimit(now, r)}
 	l.results[id] = w.result
 	l.refuseLocked(refused)
+	l.wakeUrgentLocked(now)
 	return w
 }
 
@@ -188,9 +199,20 @@
 		id, _ := l.scheduler.Next(now)
 		l.resolveLocked(id, nil)
 	}
+	l.wakeUrgentLocked(now)
 	l.refuseLocked(l.scheduler.Refuse(now))
 }
 
+// wakeUrgentLocked gives slots beyond the limit to waiting requests of the most urgent
+// class, as far as the pace allows it.
+func (l *Limiter) wakeUrgentLocked(now clock.Time) {
+	for l.pace.AllowsUrgent(l.inFlight+l.reserved) && l.scheduler.NextIsUrgent(now) {
+		l.reserved++
+		id, _ := l.scheduler.Next(now)
+		l.resolveLocked(id, nil)
+	}
+}
+
 // RecentlyRefused reports whether the database has recently refused requests
 // because of load. Such a database is alive, but its answers take long.
 func (l *Limiter) RecentlyRefused(now clock.Time) bool {
--- a/internal/connection/backend/pace.go
+++ b/internal/connection/backend/pace.go
@@ -139,6 +139,8 @@
 	roundAnswers int
 	roundTime    float64
 	roundUsed    float64
+	// shared is used where workspaces are declared.
+	shared sharedPace
 	// random replaces rand.Float64 in tests.
 	random func() float64
 }
@@ -183,7 +185,12 @@
 
 // Allows reports whether new work may be sent while used requests are in
 // flight, apart from any pause.
-func (p *Pace) Allows(used int) bool { return float64(used) < max(p.limit, 1) }
+func (p *Pace) Allows(used int) bool {
+	if p.shared.on && p.limit > 1 && p.limit < 2 {
+		return used == 0 || used == 1 && p.shared.dither < p.limit-1
+	}
+	return float64(used) < max(p.limit, 1)
+}
 
 // Saturated reports whether used requests in flight leave no room for others.
 func (p *Pace) Saturated(used int) bool {
@@ -262,6 +269,9 @@
 	if p.state == PaceSteady || p.state == PaceUnreachable {
 		p.observe(float64(took), busy)
 		p.recordUse(now, float64(took))
+		if p.shared.target > 0 {
+			return p.adjustShared(now, float64(took), float64(used), busy)
+		}
 		p.adjust(now, float64(used), busy)
 		return 0
 	}
--- a/internal/connection/backend/scheduler.go
+++ b/internal/connection/backend/scheduler.go
@@ -257,6 +257,18 @@
 	return next.id, true
 }
 
+// NextIsUrgent reports whether the next request is of the most urgent class, can meet
+// its target, and is of a workspace that is not ahead of its share. It is false with
+// ByArrival.
+func (s *Scheduler) NextIsUrgent(now clock.Time) bool {
+	if _, shared := s.policy.(ByShare); !shared || len(s.waiting) == 0 {
+		return false
+	}
+	s.sort(now)
+	next := s.waiting[0]
+	return next.Class == s.classes[0] && !next.late && !next.ahead
+}
+
 // Refuse removes and returns the requests that can no longer meet their deadline.
 func (s *Scheduler) Refuse(now clock.Time) []Refusal { return s.refuseHopeless(now) }
 
--- a/internal/connection/backend/scheduler_limiter_test.go
+++ b/internal/connection/backend/scheduler_limiter_test.go
@@ -12,6 +12,7 @@
 
 // limitedCall is a request that a Limiter has admitted or that waits for that.
 type limitedCall struct {
+	home                *limitedHome
 	class               int
 	wait                *waiter
 	arrived, sent, ends clock.Time
--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -230,6 +230,16 @@
 	return true, max(a.plan.Connections, 1)
 }
 
+// Processes returns how many proxies serve a group themselves.
+func (h *Homes) Processes(group string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n := len(h.assignmentLocked(group).homes); n > 0 {
+		return n
+	}
+	return max(len(h.members), 1)
+}
+
 // Homes returns the homes of a group, none if all proxies serve it.
 func (h *Homes) Homes(group string) []proxy.Peer {
 	h.mu.Lock()
--- a/internal/connection/peer/homes_test.go
+++ b/internal/connection/peer/homes_test.go
@@ -102,6 +102,21 @@
 	require.Equal(t, 2, connections)
 }
 
+// The slots of a database are divided among the proxies that send to it. Counting others
+// would leave slots idle.
+func TestProcessesAreThoseThatServeAGroup(t *testing.T) {
+	peers, err := proxy.NewPeers("127.0.0.1:0", nil, zap.NewNop())
+	require.NoError(t, err)
+	defer peers.Close()
+	h := NewHomes("self", "a", peers, clock.NewBoot())
+	h.SetMembers(testMembers(61))
+	h.SetConnectionLimits(map[string]int{"few": 40, "many": 4000})
+	require.Equal(t, len(h.Homes("few")), h.Processes("few"))
+	require.Less(t, h.Processes("few"), 61)
+	require.Empty(t, h.Homes("many"))
+	require.Equal(t, 61, h.Processes("many"))
+}
+
 // testMembers returns n proxies in one availability zone. The first is named
 // self.
 func testMembers(n int) []proxy.Peer {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -417,6 +417,7 @@
 func (f *Front) tickGroup(g *groupState, now clock.Time) {
 	local, connections := f.homes.ServesLocally(g.Name)
 	g.SetMaxOpen(connections)
+	g.SetProcesses(f.homes.Processes(g.Name))
 	g.RemoveExpired()
 	g.Sweep(now, local)
 	if !local {
