--- a/cmd/oleanderflow-front/statement_bench_test.go
+++ b/cmd/oleanderflow-front/statement_bench_test.go
@@ -50,7 +50,9 @@
 	for _, step := range steps {
 		b.Run(step.name, func(b *testing.B) {
 			direct := measure(b, step, s.group.Databases()[0].Address(), "shop")
+			s.requireEntry(b)
 			total := measure(b, step, s.entry.Address(), step.database)
+			s.requireEntry(b)
 			n := float64(b.N)
 			b.ReportMetric(micros(total.processor-direct.processor)/n, "cpu-us/op")
 			b.ReportMetric(float64(total.mallocs-direct.mallocs)/n, "mallocs/op")
@@ -70,6 +72,18 @@
 type benchmarkSystem struct {
 	group *standin.Group
 	entry *front.Front
+	// status is the address at which the entry tells its status.
+	status string
+}
+
+// requireEntry fails the benchmark if the entry has become a home, as it does if it has
+// lost sight of another proxy on a busy machine.
+func (s *benchmarkSystem) requireEntry(b *testing.B) {
+	b.Helper()
+	r, _ := readStatus(b, s.status)
+	require.Len(b, r.Groups, 1)
+	require.False(b, r.Groups[0].Local, "the entry is a home")
+	require.Len(b, r.Groups[0].Homes, 3)
 }
 
 func startHomes(b *testing.B) *benchmarkSystem {
@@ -86,13 +100,13 @@
 	output, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
 	require.NoError(b, err)
 	b.Cleanup(func() { _ = output.Close() })
-	fronts := make(map[string]*front.Front)
+	fronts, addresses := make(map[string]*front.Front), make(map[string]string)
 	var peers []proxy.Peer
 	for i := range 4 {
 		name := fmt.Sprintf("front-%d", i)
 		settings := front.Settings{
 			Name: name, Zone: "a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-			StoreAddress: platform.Address(), PromotionAddress: platform.Address(), ShutdownGrace: clock.Second,
+			ReadyAddress: freeAddress(b), MetricsAddress: freeAddress(b), StoreAddress: platform.Address(), PromotionAddress: platform.Address(), ShutdownGrace: clock.Second,
 			RevocationLimit: 5 * clock.Second, Quota: workspace.DefaultQuota(),
 		}
 		log, err := front.NewLog(front.NewLogWriter(output), "info", name)
@@ -100,7 +114,8 @@
 		f := front.New(settings, connect(settings), clock.NewBoot(), log, front.NewMetrics())
 		require.NoError(b, f.Start())
 		b.Cleanup(f.Stop)
-		fronts[name] = f
+		require.NoError(b, f.StartHTTP())
+		fronts[name], addresses[name] = f, settings.MetricsAddress
 		peers = append(peers, proxy.Peer{Name: name, Zone: "a"})
 	}
 	for _, f := range fronts {
@@ -110,7 +125,7 @@
 	homes := proxy.Choose("home/shop", peers, 3)
 	for _, p := range peers {
 		if !proxy.ContainsPeer(homes, p.Name) {
-			s.entry = fronts[p.Name]
+			s.entry, s.status = fronts[p.Name], addresses[p.Name]
 		}
 	}
 	// Accountants hold back their first grants, and the members have to know each other.
--- a/cmd/oleanderflow-front/status_test.go
+++ b/cmd/oleanderflow-front/status_test.go
@@ -42,7 +42,7 @@
 
 // freeAddress returns an address of a loopback address that nobody else uses: a port that
 // was free on a shared one may be taken by an outgoing connection.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	ip := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
 	l, err := net.Listen("tcp4", ip)
 	require.NoError(t, err)
@@ -72,10 +72,11 @@
 	Groups []struct {
 		Name  string
 		Homes []string
+		Local bool
 	}
 }
 
-func readStatus(t *testing.T, address string) (reported, string) {
+func readStatus(t testing.TB, address string) (reported, string) {
 	response, err := http.Get("http://" + address + "/status")
 	require.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
@@ -26,7 +28,10 @@
 // session's state, and stores its answer in s.answer.
 func (s *Session) exchange(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, r *statement.Request, limit clock.Duration) exchangeOutcome {
 	requests := append(s.stateRequests(c, r), s.withSharedName(r))
-	answers := make([]statement.Answer, len(requests))
+	answers := slices.Grow(s.answers[:0], len(requests))[:len(requests)]
+	s.requests, s.answers = requests, answers
+	// No buffer may be used by two answers of a later exchange.
+	defer clear(answers)
 	last := len(requests) - 1
 	s.answer.Reset()
 	answers[last] = s.answer
--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -164,8 +164,11 @@
 	if !ok {
 		return nil, false
 	}
+	if s.forwardedAs == "" {
+		s.forwardedAs = s.Self + "/" + strconv.FormatUint(s.id, 10)
+	}
 	run := &peer.RunRequest{
-		Session:   s.Self + "/" + strconv.FormatUint(s.id, 10),
+		Session:   s.forwardedAs,
 		Workspace: s.workspace, Route: route.Name, Group: route.Group, Consistency: route.Consistency, Timeout: route.Timeout,
 		TargetLatency: route.TargetLatency, Priority: route.Priority, MaxAge: route.MaxAge,
 		Floor: peer.Position(s.floor), ID: r.ID, Operation: operation,
@@ -195,8 +198,7 @@
 		s.countRefusal(s.workspace, ReasonLimit)
 	}
 	s.answer.Reset()
-	s.answer.Rows = append(s.answer.Rows, response.Rows...)
-	s.answer.Signature = append(s.answer.Signature, response.Signature...)
+	s.answer.Rows, s.answer.Signature = response.Rows, response.Signature
 	s.answer.Position = position.Position(response.Position)
 	if response.Failed {
 		s.answer.Failure = &statement.Failure{Code: response.Code, Text: response.Text}
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -91,15 +91,21 @@
 
 // run serves a request, in its hosted transaction if it belongs to one.
 func (h *Host) run(run *peer.RunRequest, r *statement.Request) *peer.RunResponse {
+	var key string
+	if run.Transaction != 0 {
+		key = run.Session + "/" + strconv.FormatUint(run.Transaction, 10)
+	}
 	h.mu.Lock()
-	key := run.Session + "/" + strconv.FormatUint(run.Transaction, 10)
-	t := h.transactions[key]
+	var t *hostedTx
+	if run.Transaction != 0 {
+		t = h.transactions[key]
+	}
 	if t == nil && (h.stopped || h.overloaded || run.Transaction != 0 && run.Begin == nil) {
 		h.mu.Unlock()
 		return notRunResponse(run)
 	}
 	if t == nil {
-		t = &hostedTx{session: h.newSession(run)}
+		t = h.newHostedTx(run)
 		if run.Transaction != 0 {
 			h.transactions[key] = t
 		}
@@ -117,7 +123,7 @@
 		s.tx = &transaction{route: s.hostedRoute, id: run.Begin.ID, workspace: run.Workspace, readOnly: run.Begin.ReadOnly, arrived: s.arrived, begun: true}
 	}
 	if p := run.Prepared; p != nil {
-		s.prepared[p.Name] = statement.Prepare{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
+		s.prepare(statement.Prepare{Name: p.Name, Writes: p.Writes, Shape: p.Shape})
 	}
 	s.token = token{reserved: run.Reserve}
 	s.answerWithin = run.AnswerWithin
@@ -138,7 +144,7 @@
 		delete(h.transactions, key)
 		h.mu.Unlock()
 	}
-	response := newRunResponse(s)
+	response := newRunResponse(s, run.Transaction == 0)
 	if h.deps.Homes != nil {
 		response.Unreachable = h.deps.Homes.Unreachable(run.Group)
 	}
@@ -162,9 +168,14 @@
 	return &peer.RunResponse{Failed: true, Code: statement.CodeAborted, Text: "the transaction was rolled back at its home", State: statement.Failed}
 }
 
-func newRunResponse(s *Session) *peer.RunResponse {
+// newRunResponse returns the response with the answer of a session. last is set if the
+// session serves no other request, which would reuse the buffers of the answer.
+func newRunResponse(s *Session, last bool) *peer.RunResponse {
 	a := &s.answer
-	response := &peer.RunResponse{Rows: slices.Clone(a.Rows), Signature: slices.Clone(a.Signature), State: a.State, Position: peer.Position(a.Position), Floor: peer.Position(s.floor)}
+	response := &peer.RunResponse{Rows: a.Rows, Signature: a.Signature, State: a.State, Position: peer.Position(a.Position), Floor: peer.Position(s.floor)}
+	if !last {
+		response.Rows, response.Signature = slices.Clone(a.Rows), slices.Clone(a.Signature)
+	}
 	response.NoGrant = s.limited != nil && s.limited.Silent
 	if f := a.Failure; f != nil {
 		response.Failed, response.Code, response.Text = true, f.Code, f.Text
@@ -172,19 +183,27 @@
 	return response
 }
 
-// newSession returns a session with the state and the route that were sent with
+// newHostedTx returns a session with the state and the route that were sent with
 // the request.
-func (h *Host) newSession(run *peer.RunRequest) *Session {
-	s := New(h.deps, 0, nil)
+func (h *Host) newHostedTx(run *peer.RunRequest) *hostedTx {
+	// One allocation for all.
+	var hosted struct {
+		hostedTx
+		served Session
+		route  routes.Route
+	}
+	s := &hosted.served
+	hosted.session, s.Dependencies = s, h.deps
 	s.floor, s.workspace, s.origin = position.Position(run.Floor), run.Workspace, run.Session
 	for _, v := range run.Values {
 		s.setValue(v)
 	}
-	s.hostedRoute = &routes.Route{
+	s.hostedRoute = &hosted.route
+	hosted.route = routes.Route{
 		Name: run.Route, Group: run.Group, Consistency: run.Consistency, Timeout: run.Timeout,
 		TargetLatency: run.TargetLatency, Priority: run.Priority, MaxAge: run.MaxAge,
 	}
-	return s
+	return &hosted.hostedTx
 }
 
 // hostedIdleTimeout is how long a hosted transaction may be idle. The caller's
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -113,11 +113,18 @@
 
 	// values holds the session variables and prepared the prepared statements by
 	// name; both together are the session's state. valueTexts maps the names in
-	// values to their statement texts.
+	// values to their statement texts. The maps are nil while they are empty: most
+	// sessions hosted for other proxies serve one statement without state.
 	values     []statement.Set
 	valueTexts map[string]string
 	prepared   map[string]statement.Prepare
 
+	// requests and answers are those of the current exchange, kept for reuse.
+	requests []statement.Request
+	answers  []statement.Answer
+	// forwardedAs is the name of the session at homes, empty until it is needed.
+	forwardedAs string
+
 	// floor is the position of the session's last acknowledged commit.
 	floor position.Position
 	tx    *transaction
@@ -167,7 +174,7 @@
 // New returns the session of a caller. The id must be unique in this process,
 // except that a session hosted for another proxy has id zero and a nil Caller.
 func New(deps *Dependencies, id uint64, c Caller) *Session {
-	return &Session{Dependencies: deps, id: id, caller: c, prepared: make(map[string]statement.Prepare), valueTexts: make(map[string]string)}
+	return &Session{Dependencies: deps, id: id, caller: c}
 }
 
 // Run serves the session until it ends, then closes the caller's connection.
@@ -470,13 +477,23 @@
 	case statement.Set:
 		s.setValue(o)
 	case statement.Prepare:
-		s.prepared[o.Name] = o
+		s.prepare(o)
 	case statement.Deallocate:
 		delete(s.prepared, o.Name)
 	}
 }
 
+func (s *Session) prepare(o statement.Prepare) {
+	if s.prepared == nil {
+		s.prepared = make(map[string]statement.Prepare)
+	}
+	s.prepared[o.Name] = o
+}
+
 func (s *Session) setValue(o statement.Set) {
+	if s.valueTexts == nil {
+		s.valueTexts = make(map[string]string)
+	}
 	s.valueTexts[o.Name] = o.Text
 	for i := range s.values {
 		if s.values[i].Name == o.Name {
--- a/internal/connection/session/state.go
+++ b/internal/connection/session/state.go
@@ -17,7 +17,8 @@
 // had succeeded. A connection in a transaction already has the session's
 // variables.
 func (s *Session) stateRequests(c *backend.PooledConn, r *statement.Request) []statement.Request {
-	var requests []statement.Request
+	clear(s.requests)
+	requests := s.requests[:0]
 	if !c.CanAdopt(s.valueTexts) || len(c.Prepared) > maxPrepared {
 		requests = append(requests, statement.Request{Operation: statement.Reset{}})
 		c.MarkReset()
