Write forwarded requests from the goroutine that sends them

Cause: each request that found no write in progress started a goroutine for the write, since the sender must not wait for longer than its time limit. Change: the sender makes one attempt that does not wait, and starts the goroutine only for what is left. The other goroutines still run first, so that frames of several requests go out together. Ruled out: a blocking write with a deadline, which costs a timer for each request.

--- a/internal/process/proxy/outgoing.go
+++ b/internal/process/proxy/outgoing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -66,8 +67,8 @@
 	stream
 	name string
 	log  *zap.Logger
-	// flushQueue is the method value of flush, which costs an allocation.
-	flushQueue func()
+	// now writes without waiting, nil if conn cannot.
+	now *immediateWriter
 	// greeted is closed when the peer's opening has arrived.
 	greeted chan struct{}
 	// refused is called if the peer has closed the connection without its opening.
@@ -91,7 +92,7 @@
 		stream: stream{conn: conn}, name: name, log: log, greeted: make(chan struct{}), refused: refused,
 		pending: make(map[uint64]*call),
 	}
-	o.flushQueue = o.flush
+	o.now = newImmediateWriter(conn)
 	o.queued = queues.Get().(*queue)
 	o.queued.bytes = append(o.queued.bytes, opening[:]...)
 	return o
@@ -115,11 +116,14 @@
 func (o *outgoing) run(ctx context.Context, request msgp.Marshaler, response msgp.Unmarshaler, deadline time.Time) error {
 	c := calls.Get().(*call)
 	c.response, c.deadline = response, deadline
-	number, err := o.send(c, request)
+	number, start, err := o.send(c, request)
 	if err != nil {
 		c.release()
 		return err
 	}
+	if start {
+		o.flushWithoutWaiting()
+	}
 	if ctx.Done() == nil {
 		err = <-c.done
 	} else {
@@ -137,29 +141,60 @@
 	return err
 }
 
-// send queues a request and returns its stream number.
-func (o *outgoing) send(c *call, request msgp.Marshaler) (uint64, error) {
+// send queues a request and returns its stream number. The caller has to write what is
+// queued if start is set.
+func (o *outgoing) send(c *call, request msgp.Marshaler) (number uint64, start bool, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closeIfFullLocked()
 	if o.err != nil {
-		return 0, errNotSent
+		return 0, false, errNotSent
 	}
-	number := o.number + 1
+	number = o.number + 1
 	if err := o.enqueueLocked(number, frameRequest, request); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	o.number = number
 	o.pending[number] = c
 	if o.expiry.IsZero() || c.deadline.Before(o.expiry) {
 		o.setTimerLocked(c.deadline, time.Until(c.deadline))
 	}
-	if !o.writing {
-		o.writing = true
-		// Not in this goroutine, which must not wait for longer than its time limit.
-		go o.flushQueue()
+	start = !o.writing
+	o.writing = true
+	return number, start, nil
+}
+
+// flushWithoutWaiting writes what is queued as flush does. Once a write would have to wait,
+// another goroutine continues: this one must not wait for longer than its time limit.
+func (o *outgoing) flushWithoutWaiting() {
+	runtime.Gosched() // as in flush
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for o.queued != nil && o.err == nil {
+		q := o.queued
+		o.queued = nil
+		o.writes++
+		o.mu.Unlock()
+		n := o.now.write(q.bytes)
+		if n < len(q.bytes) {
+			go o.flushRest(q, n)
+			o.mu.Lock()
+			return
+		}
+		q.release()
+		o.mu.Lock()
+	}
+	o.writing = false
+}
+
+// flushRest writes a queue from its nth byte on, and then what is queued.
+func (o *outgoing) flushRest(q *queue, n int) {
+	_, err := o.conn.Write(q.bytes[n:])
+	q.release()
+	if err != nil {
+		o.close(err)
 	}
-	return number, nil
+	o.flush()
 }
 
 // forget removes a call. It returns false if the call is being answered.
--- a/internal/process/proxy/stream.go
+++ b/internal/process/proxy/stream.go
@@ -25,6 +25,14 @@
 // write, so that idle connections need no memory for it.
 var queues = sync.Pool{New: func() any { return &queue{bytes: make([]byte, 0, 1<<10)} }}
 
+// release keeps a queue that has been written for reuse.
+func (q *queue) release() {
+	if cap(q.bytes) <= maxIdleBuffer {
+		q.bytes = q.bytes[:0]
+		queues.Put(q)
+	}
+}
+
 // stream is one end of a connection with frames. The frames that are queued while a
 // write is in progress are written together by the next one.
 type stream struct {
@@ -84,10 +92,7 @@
 		s.writes++
 		s.mu.Unlock()
 		_, err := s.conn.Write(q.bytes)
-		if cap(q.bytes) <= maxIdleBuffer {
-			q.bytes = q.bytes[:0]
-			queues.Put(q)
-		}
+		q.release()
 		s.mu.Lock()
 		if err != nil {
 			s.closeLocked(err)
