Make the error of a missing primary once

Cause: each statement for a primary made the error that it would report without one, with the stack of its place. Change: it is a variable.

--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -105,6 +105,9 @@
 	busyPause = 50 * clock.Millisecond
 )
 
+// errNoPrimary is made once, since it records where that was.
+var errNoPrimary = errors.New("no primary is known")
+
 // acquirePrimary waits for the primary and for a connection to it that is
 // prepared for r. If there is none in time, the returned connection is nil and
 // the answer fails with CodeBusy: nothing ran.
@@ -112,7 +115,7 @@
 	until := s.arrived.Add(clock.Duration(float64(s.route.Timeout) * primaryWaitShare))
 	policy := s.slotPolicy()
 	slotUntil := s.slotUntil(policy, until)
-	var cause error = errors.New("no primary is known")
+	cause := errNoPrimary
 	for {
 		m, ok := s.awaitPrimary(g, until)
 		if !ok {
