--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -105,12 +105,15 @@
 	busyPause = 50 * clock.Millisecond
 )
 
+// errNoPrimary is made once, since it records where that was.
+var errNoPrimary = errors.New("no primary is known")
+
 // acquirePrimary waits for the primary and for a connection to it that is
 // prepared for r. If there is none in time, the returned connection is nil and
 // the answer fails with CodeBusy: nothing ran.
 func (s *Session) acquirePrimary(g *backend.GroupClient, r *statement.Request, deadline clock.Time) (group.Member, *backend.Pool, *backend.PooledConn) {
 	until, policy, slotUntil := s.primarySlot()
-	var cause error = errors.New("no primary is known")
+	cause := errNoPrimary
 	for {
 		m, ok := s.awaitPrimary(g, until)
 		if !ok {
