--- a/internal/connection/backend/preview.go
+++ b/internal/connection/backend/preview.go
@@ -32,10 +32,16 @@
 	v.LimiterStats = LimiterStats{Limit: pace.limit, Latency: pace.latency, Baseline: pace.baseline, State: pace.state}
 	pace.Begin()
 	s.SetPolicy(policy)
+	_, shared := policy.(ByShare)
+	pace.Arrive(now, shared, r.Target.Sub(r.Arrived))
 	for s.Len() > 0 && l.allowsLocked(&pace, used) {
 		s.Next(now)
 		used++
 	}
+	for pace.AllowsUrgent(used) && s.NextIsUrgent(now) {
+		s.Next(now)
+		used++
+	}
 	s.Refuse(now)
 	if s.Len() == 0 && l.allowsLocked(&pace, used) {
 		v.Free = true
@@ -48,6 +54,11 @@
 			v.Refused = refused[i].Err
 		}
 	}
+	for pace.AllowsUrgent(used) && s.NextIsUrgent(now) {
+		next, _ := s.Next(now)
+		v.Free = v.Free || next == id
+		used++
+	}
 	return v
 }
 
