--- a/cmd/oleanderflow-front/apply_test.go
+++ b/cmd/oleanderflow-front/apply_test.go
@@ -17,7 +17,6 @@
 	"time"
 	"unsafe"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -415,11 +414,11 @@
 		if longest > maxStatementTime && busy > maxBusy && stops == 0 {
 			continue
 		}
-		assert.LessOrEqual(t, longest, maxStatementTime, step.name)
-		assert.LessOrEqual(t, inForce, maxApplyTime, step.name)
+		require.LessOrEqual(t, longest, maxStatementTime, step.name)
+		require.LessOrEqual(t, inForce, maxApplyTime, step.name)
 		return
 	}
-	assert.Fail(t, "the machine was busy in each attempt", step.name)
+	require.Fail(t, "the machine was busy in each attempt", step.name)
 }
 
 // startRelay starts a proxy that is a relay, and returns the name of one that follows it.
--- a/internal/connection/backend/homes_limit_test.go
+++ b/internal/connection/backend/homes_limit_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"testing"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -48,13 +47,13 @@
 		}
 		for _, load := range []float64{0.7, 0.9} {
 			// On a calm day, 7% of class 1 of site A may be late.
-			assert.GreaterOrEqual(t, results[load].share(0), 0.93, "load %g", load)
+			require.GreaterOrEqual(t, results[load].share(0), 0.93, "load %g", load)
 		}
 		for _, load := range []float64{2, 4} {
 			r := results[load]
-			assert.GreaterOrEqual(t, r.goodput(), 0.95*peak, "load %g", load)
-			assert.Greater(t, r.share(0), r.share(1), "load %g: class 0 goes first", load)
-			assert.GreaterOrEqual(t, r.share(1), r.share(2), "load %g: class 1 goes before class 2", load)
+			require.GreaterOrEqual(t, r.goodput(), 0.95*peak, "load %g", load)
+			require.Greater(t, r.share(0), r.share(1), "load %g: class 0 goes first", load)
+			require.GreaterOrEqual(t, r.share(1), r.share(2), "load %g: class 1 goes before class 2", load)
 		}
 	})
 }
@@ -64,7 +63,7 @@
 func TestNothingIsRefusedWhileADatabaseSlotIsIdle(t *testing.T) {
 	forEachSharing(t, func(t *testing.T, m homesModel) {
 		for _, load := range []float64{0.9, 2, 4} {
-			assert.Zero(t, m.simulateLoad(t, load).refusedIdle, "load %g", load)
+			require.Zero(t, m.simulateLoad(t, load).refusedIdle, "load %g", load)
 		}
 	})
 }
@@ -78,7 +77,7 @@
 				t.Parallel()
 				m := homesModel{seed: 1, homes: 1, slots: slots, service: service, warmUp: 3000, measured: 10_000}
 				for _, load := range []float64{2, 4} {
-					assert.Zero(t, m.simulateLoad(t, load).refusedIdle, "load %g", load)
+					require.Zero(t, m.simulateLoad(t, load).refusedIdle, "load %g", load)
 				}
 			})
 		}
@@ -90,7 +89,7 @@
 func TestSoleHomeKeepsSlotsBusyAtASlowerDatabase(t *testing.T) {
 	m := homesModel{seed: 1, homes: 1, slots: 4, service: 18, slower: 3, slowFrom: 5000, warmUp: 3000, measured: 10_000}
 	for _, load := range []float64{2, 4} {
-		assert.Zero(t, m.simulateLoad(t, load).refusedIdle, "load %g", load)
+		require.Zero(t, m.simulateLoad(t, load).refusedIdle, "load %g", load)
 	}
 }
 
--- a/internal/connection/backend/pace_test.go
+++ b/internal/connection/backend/pace_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"testing"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -185,7 +184,7 @@
 			m.run(0, 3000)
 			t.Logf("%d processes, seed %d: peak after %d ms, %.0f%% of 3 s", processes, seed, m.peakTime(),
 				100*float64(m.goodput(0, 3000))*float64(cold)/(3000*modelSlots))
-			assert.LessOrEqual(t, m.peakTime(), fullKnowledge(d, seed)+reachTime, "%d processes, seed %d", processes, seed)
+			require.LessOrEqual(t, m.peakTime(), fullKnowledge(d, seed)+reachTime, "%d processes, seed %d", processes, seed)
 		}
 	}
 }
--- a/internal/connection/backend/scheduler_limiter_test.go
+++ b/internal/connection/backend/scheduler_limiter_test.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"testing"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -111,6 +110,6 @@
 		peak = max(peak, goodput[load])
 	}
 	for _, load := range []float64{2, 4} {
-		assert.GreaterOrEqual(t, goodput[load], 0.95*peak, "load %g", load)
+		require.GreaterOrEqual(t, goodput[load], 0.95*peak, "load %g", load)
 	}
 }
--- a/internal/connection/backend/scheduler_load_test.go
+++ b/internal/connection/backend/scheduler_load_test.go
@@ -5,7 +5,6 @@
 	"slices"
 	"testing"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -132,7 +131,7 @@
 			kept := beside[name] / usual[name]
 			t.Logf("%s, %d homes, usual load %.1f: workspace %s gets %.3f of its usual credit of %.0f", c.name, c.homes, c.load, name, kept, usual[name])
 			if name != "a" {
-				assert.GreaterOrEqual(t, kept, 0.95, "%s, %d homes, usual load %g, workspace %s", c.name, c.homes, c.load, name)
+				require.GreaterOrEqual(t, kept, 0.95, "%s, %d homes, usual load %g, workspace %s", c.name, c.homes, c.load, name)
 			}
 		}
 	}
