Close the listener before a proxy counts as leaving

Ruled out: a slow test, since the order in Shutdown allows it at any load. Change: the listener is closed first.

--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -362,13 +362,14 @@
 // interrupted at the limit.
 func (p *Proxy) Shutdown(limit clock.Duration) bool {
 	p.members.announceLeaving()
+	// A caller that is accepted once the proxy counts as leaving has its first request refused.
+	_ = p.listener.Close()
 	p.mu.Lock()
 	p.leaving = true
 	for _, s := range p.sessions {
 		s.Drain()
 	}
 	p.mu.Unlock()
-	_ = p.listener.Close()
 	finished := p.awaitSessions(limit)
 	p.members.announceLeft()
 	p.Close()
