--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -56,6 +56,8 @@
 type Bounds struct {
 	GraceSeconds, DrainMillis, MemoryMB, FileDescriptors int
 	ProcessorShare                                       float64
+	// StartDelay is the time between the starts of two proxies.
+	StartDelay time.Duration
 }
 
 // Fleet is the proxies of a case.
@@ -120,6 +122,7 @@
 		if err := p.Start(); err != nil {
 			return nil, err
 		}
+		time.Sleep(b.StartDelay)
 	}
 	return f, nil
 }
