--- a/review/1/main.go
+++ b/review/1/main.go
@@ -6,9 +6,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderflow/oleanderflow/platform/standin"
@@ -18,19 +21,13 @@
 const (
 	proxyCount      = 27
 	killedCount     = 4 // 0.16 of 27 machines
-	callersPerProxy = 5
-	connectionLimit = 47
-	idleMillis      = 3000
+	callersPerProxy = 6
 	// restartDelay is how long the platform takes to start a killed process again.
 	restartDelay = 300 * time.Millisecond
 )
 
-// attempt is one attempt of a client at its operation, a transaction with one write.
-type attempt struct {
-	value, proxy string
-	askedCommit  bool
-	answer       string
-}
+// hosts are the database names of the two services.
+var hosts = []string{"kafi500", "daka41cu10"}
 
 func main() { os.Exit(run()) }
 
@@ -48,23 +45,29 @@
 
 func play(record *kit.Record) (int, string) {
 	zones := []string{"mvd-centro", "mvd-cerro", "mvd-carrasco"}
-	g, err := standin.NewGroup("dispatch-db", zones, 0)
-	if err != nil {
-		return kit.NotRun, err.Error()
-	}
-	defer g.Close()
-	g.ConnectionLimit = connectionLimit
-	platform := standin.NewPlatform(g)
+	platform := standin.NewPlatform()
 	defer platform.Close()
-	platform.Configure(1, connectionLimit, idleMillis, standin.Route{
-		Name: "r-booking", Database: "kafi500", Prefix: "/", Kind: standin.Primary, Group: "dispatch-db", Timeout: 1000, Target: 250, Priority: 1,
-	})
+	var services []*kit.Service
+	var routes []standin.Route
+	for i, host := range hosts {
+		s, err := kit.NewService(record, platform, fmt.Sprintf("dispatch-db-%d", i+1), zones)
+		if err != nil {
+			return kit.NotRun, err.Error()
+		}
+		defer s.Close()
+		s.Allows = func(owner string) bool { return strings.HasSuffix(owner, "@"+host) }
+		services = append(services, s)
+		routes = append(routes, standin.Route{Name: "r-" + host, Database: host, Prefix: "/", Kind: standin.Primary, Group: s.Name, Timeout: 1000, Target: 250, Priority: 1})
+	}
+	promotions := kit.Promotions(record, services...)
+	defer promotions.Close()
+	kit.Configure(platform, 1, 3000, services, routes...)
 	var fleetZones []string
 	for i := range proxyCount {
 		fleetZones = append(fleetZones, zones[i%len(zones)])
 	}
 	bounds := kit.Bounds{GraceSeconds: 6, DrainMillis: 10000, MemoryMB: 433, FileDescriptors: 8192, ProcessorShare: 0.496}
-	fleet, err := kit.NewFleet(record, bounds, fleetZones, platform.Address(), platform.Address())
+	fleet, err := kit.NewFleet(record, bounds, fleetZones, platform.Address(), promotions.Listener.Addr().String())
 	if err != nil {
 		return kit.NotRun, err.Error()
 	}
@@ -76,15 +79,14 @@
 
 	killed := fleet.Proxies[:killedCount]
 	clients := killedCount * callersPerProxy
-	first, second := make([]*attempt, clients), make([]*attempt, clients)
-	callers := make([]*standin.Caller, clients)
+	// The first attempts of all clients: BEGIN and a write, then a pause.
+	first := make([]*kit.Client, clients)
 	for i := range clients {
-		p := killed[i%killedCount]
-		first[i] = &attempt{value: fmt.Sprintf("client%d.attempt1", i), proxy: p.Name}
-		if callers[i], err = begin(record, first[i], p, i); err != nil {
+		if first[i], err = begin(record, killed[i%killedCount], i, 1); err != nil {
 			return kit.NotRun, "first attempt: " + err.Error()
 		}
 	}
+	var committed atomic.Int64
 	if kit.Trouble() {
 		for _, p := range killed {
 			p.Kill()
@@ -103,75 +105,59 @@
 		}
 	} else {
 		time.Sleep(restartDelay)
-		for i, c := range callers {
-			commit(record, first[i], c)
+		for _, c := range first {
+			commit(record, c, &committed)
 		}
 	}
-	for _, c := range callers {
+	for _, c := range first {
 		c.Close()
 	}
-	// The clients whose attempts were broken off try again, with new ids. Retries reach
-	// other machines.
+	// The clients try again, with new ids, through other machines.
 	var wg sync.WaitGroup
 	for i := range clients {
-		p := killed[(i+1)%killedCount]
-		second[i] = &attempt{value: fmt.Sprintf("client%d.attempt2", i), proxy: p.Name}
 		wg.Go(func() {
-			c, err := begin(record, second[i], p, i)
+			c, err := begin(record, killed[(i+1)%killedCount], i, 2)
 			if err != nil {
-				record.Add("%s: %v", second[i].value, err)
 				return
 			}
-			commit(record, second[i], c)
+			commit(record, c, &committed)
 			c.Close()
 		})
 	}
 	wg.Wait()
-	time.Sleep(6 * time.Second)
+	time.Sleep(time.Second)
 
-	committed := make(map[string]bool)
-	for i := range clients {
-		for _, value := range g.Writes(fmt.Sprintf("item%d", i)) {
-			committed[value] = true
-			record.Add("committed at the primary: item%d = %s", i, value)
-		}
-	}
-	unasked, acknowledged, missing := 0, 0, 0
-	for _, a := range append(first, second...) {
-		if committed[a.value] && !a.askedCommit {
-			unasked++
-			record.Add("BROKEN: %s (through %s) was committed; its client never sent COMMIT", a.value, a.proxy)
-		}
-		if a.answer == "ok" {
-			acknowledged++
-			if !committed[a.value] {
-				missing++
-				record.Add("BROKEN: %s (through %s) was acknowledged and is not in the log", a.value, a.proxy)
-			}
+	broken := make(map[string]int)
+	for _, s := range services {
+		for rule, n := range s.Broken() {
+			broken[rule] += n
 		}
 	}
-	summary := fmt.Sprintf("%d attempts, %d acknowledged, %d committed without being asked for, %d acknowledged and missing", 2*clients, acknowledged, unasked, missing)
+	summary := fmt.Sprintf("%d clients, %d commits acknowledged; broken at the databases: PINNED %d times, UNASKED %d, ROUTE %d",
+		clients, committed.Load(), broken["PINNED"], broken["UNASKED"], broken["ROUTE"])
 	switch {
-	case acknowledged == 0:
-		return kit.NotRun, "no transaction was acknowledged: " + summary
-	case unasked > 0:
-		return kit.Broken, "UNASKED broken: " + summary
+	case committed.Load() == 0:
+		return kit.NotRun, summary
+	case len(broken) > 0:
+		return kit.Broken, summary
 	default:
 		return kit.Held, "held: " + summary
 	}
 }
 
 // begin opens a session, begins a transaction and writes.
-func begin(record *kit.Record, a *attempt, p *kit.Proxy, client int) (*standin.Caller, error) {
-	c, err := standin.Open(p.Callers, "kafi500")
+func begin(record *kit.Record, p *kit.Proxy, client, attempt int) (*kit.Client, error) {
+	host := hosts[client%3%len(hosts)]
+	c, err := kit.Connect(p.Callers, host, fmt.Sprintf("client%d-attempt%d@%s", client, attempt, host))
 	if err != nil {
+		record.Add("client%d-attempt%d through %s: CONNECT -> %v", client, attempt, p.Name, err)
 		return nil, err
 	}
-	for _, text := range []string{"BEGIN", fmt.Sprintf("WRITE item%d %s", client, a.value)} {
+	for _, text := range []string{"BEGIN", fmt.Sprintf("WRITE item%d client%d-attempt%d", client, client, attempt)} {
 		reply, err := c.Query(text)
-		record.Add("%s through %s: %s -> %s %s state %s %v", a.value, a.proxy, text, reply.Signature, reply.Error, reply.State, err)
+		record.Add("%s through %s: %s -> %s %s state %s %v", c.Owner, p.Name, text, reply.Signature, reply.Error, reply.State, err)
 		if err == nil && reply.Error != "" {
-			err = fmt.Errorf("%s: %s", text, reply.Error)
+			err = errors.New(reply.Error)
 		}
 		if err != nil {
 			c.Close()
@@ -181,13 +167,11 @@
 	return c, nil
 }
 
-// commit commits the open transaction of an attempt.
-func commit(record *kit.Record, a *attempt, c *standin.Caller) {
-	a.askedCommit = true
+// commit commits the open transaction of a client.
+func commit(record *kit.Record, c *kit.Client, committed *atomic.Int64) {
 	reply, err := c.Query("COMMIT")
-	record.Add("%s through %s: COMMIT -> %s %s state %s %v", a.value, a.proxy, reply.Signature, reply.Error, reply.State, err)
-	a.answer = "failed"
+	record.Add("%s: COMMIT -> %s %s state %s %v", c.Owner, reply.Signature, reply.Error, reply.State, err)
 	if err == nil && reply.Error == "" {
-		a.answer = "ok"
+		committed.Add(1)
 	}
 }
--- a/review/kit/database.go
+++ b/review/kit/database.go
@@ -33,6 +33,8 @@
 	position Position
 	item     string
 	data     string
+	// owner is the client that has sent the write.
+	owner string
 	// applyAt is when the database that holds the entry applies it.
 	applyAt time.Time
 }
@@ -52,6 +54,9 @@
 	mu       sync.Mutex
 	term     uint64
 	closed   chan struct{}
+	// Allows tells whether the configuration lets a client's statements run at this service,
+	// nil for all clients.
+	Allows func(owner string) bool
 	// acknowledged has the session values by owner, as Acknowledge has set them.
 	acknowledged map[string]map[string]string
 	// runs has the log position that each delivered signature stands for.
@@ -226,13 +231,6 @@
 	return Position{}, false
 }
 
-// Primary returns the database that leads the newest term.
-func (s *Service) Primary() *Database {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.primaryLocked()
-}
-
 func (s *Service) primaryLocked() *Database {
 	for _, d := range s.Databases {
 		if d.primary && d.term == s.term {
@@ -558,6 +556,11 @@
 				c.line("ERROR READONLY %s", c.ID)
 				return
 			}
+			for _, e := range c.writes {
+				if e.owner != owner {
+					s.breakLocked("UNASKED", "%s %q of client %s at %s commits WRITE %s %s of client %s, which has not sent COMMIT", id, text, owner, c.ID, e.item, e.data, e.owner)
+				}
+			}
 			s.commitLocked(c.Database, c.writes)
 		}
 		c.finish()
@@ -580,7 +583,7 @@
 			c.fail("READONLY")
 			return
 		}
-		e := entry{item: fields[1], data: strings.Join(fields[2:], " ")}
+		e := entry{item: fields[1], data: strings.Join(fields[2:], " "), owner: owner}
 		if c.inTransaction {
 			c.writes = append(c.writes, e)
 		} else {
@@ -595,6 +598,9 @@
 // checkLocked checks the rule PINNED for a statement that a client has sent.
 func (c *connection) checkLocked(owner, id, text string) {
 	s := c.service
+	if s.Allows != nil && !s.Allows(owner) {
+		s.breakLocked("ROUTE", "%s %q of client %s runs at %s of service %s, to which no route allows it to go", id, text, owner, c.ID, s.Name)
+	}
 	if c.inTransaction && c.owner != owner {
 		s.breakLocked("PINNED", "%s %q of client %s runs at %s inside the transaction of client %s", id, text, owner, c.ID, c.owner)
 	}
