--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -65,6 +65,21 @@
 	return c.read()
 }
 
+// Send sends queries with one write, without waiting for their answers.
+func (c *Client) Send(texts ...string) error {
+	var b strings.Builder
+	for _, text := range texts {
+		c.number++
+		fmt.Fprintf(&b, "QUERY %s/%d %s\r\n", c.Owner, c.number, text)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(clientTimeout))
+	_, err := c.conn.Write([]byte(b.String()))
+	return err
+}
+
+// Receive waits for the answer to the next query that has none.
+func (c *Client) Receive() (Reply, error) { return c.read() }
+
 // Close closes the connection.
 func (c *Client) Close() { _ = c.conn.Close() }
 
--- a/review/kit/database.go
+++ b/review/kit/database.go
@@ -47,7 +47,9 @@
 	Network, Lag time.Duration
 	PromoteDelay time.Duration
 	Limit        int
-	Databases    []*Database
+	// Work is how long a read takes.
+	Work      time.Duration
+	Databases []*Database
 
 	platform *standin.Platform
 	record   *Record
@@ -439,6 +441,9 @@
 		if parts[0] != "QUERY" || len(parts) < 3 {
 			return
 		}
+		if words := strings.Fields(parts[2]); s.Work > 0 && len(words) > 0 && (words[0] == "READ" || words[0] == "AFTER") {
+			time.Sleep(s.Work)
+		}
 		c.query(parts[1], parts[2])
 		c.ready()
 	}
