--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -110,11 +110,12 @@
 promotions = %s
 
 [shutdown]
-graceSeconds = %d
+graceSeconds = GRACE
 
 [drain]
 limitMilliseconds = %d
-`, p.Name, zone, b.MemoryMB, b.FileDescriptors, b.ProcessorShare, p.Callers, p.ready, host, host, storeAddress, promotionAddress, b.GraceSeconds, b.DrainMillis)
+`, p.Name, zone, b.MemoryMB, b.FileDescriptors, b.ProcessorShare, p.Callers, p.ready, host, host, storeAddress, promotionAddress, b.DrainMillis)
+		text = strings.Replace(text, "GRACE", strconv.Itoa(b.GraceSeconds), 1)
 		p.text = text
 		f.Proxies = append(f.Proxies, p)
 	}
@@ -165,6 +166,44 @@
 	exited  chan struct{}
 }
 
+// SetGrace changes grace_s in the settings file, as the platform does.
+func (p *Proxy) SetGrace(before, after string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.record.Add("settings of %s: grace_s %s instead of %s", p.Name, after, before)
+	p.text = strings.Replace(p.text, "graceSeconds = "+before, "graceSeconds = "+after, 1)
+	return os.WriteFile(p.settings, []byte(strings.Replace(p.text, "FIRST", "false", 1)), 0o600)
+}
+
+// KeepRunning starts the process again, after a short delay, whenever it has ended, until
+// stop is closed. It returns how often.
+func (p *Proxy) KeepRunning(stop <-chan struct{}) (starts int) {
+	for {
+		p.mu.Lock()
+		exited := p.exited
+		p.mu.Unlock()
+		select {
+		case <-stop:
+			return starts
+		case <-exited:
+		}
+		p.mu.Lock()
+		code := p.command.ProcessState.ExitCode()
+		p.mu.Unlock()
+		p.fleet.record.Add("%s has ended with code %d", p.Name, code)
+		select {
+		case <-stop:
+			return starts
+		case <-time.After(500 * time.Millisecond):
+		}
+		if err := p.Start(); err != nil {
+			p.fleet.record.Add("%s: %v", p.Name, err)
+			return starts
+		}
+		starts++
+	}
+}
+
 // Start starts the process.
 func (p *Proxy) Start() error {
 	p.mu.Lock()
