Name forwarded transactions by process, not by instance

Cause: homes knew a transaction as INSTANCE/SESSION/NUMBER, and the numbers begin at 1 in each process. A BEGIN for a known name began nothing.

Change: the name contains a random number of the process. A home also compares the request ID of the BEGIN, which covers proxies of earlier builds during an upgrade, and rolls back the transactions of a process that has been without a connection to it for 1 s. That is safe: the process of the caller is told that the transaction was rolled back, and a COMMIT that runs is waited for. A proxy that only lost its connections connects again with its next request and keeps its transactions.

Calls, claims, votes, grants, cancel keys, forwarded sessions of the PostgreSQL side and explanations cannot be mistaken. One is suspected: a proxy that restarts within 2 s of its first start may grant tokens of a workspace beside the accountant before it.

--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -165,7 +165,7 @@
 		return nil, false
 	}
 	if s.forwardedAs == "" {
-		s.forwardedAs = s.Self + "/" + strconv.FormatUint(s.id, 10)
+		s.forwardedAs = s.Self + "/" + s.Process + "/" + strconv.FormatUint(s.id, 10)
 	}
 	run := &peer.RunRequest{
 		Session:   s.forwardedAs,
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
@@ -27,7 +28,9 @@
 
 	mu           sync.Mutex
 	transactions map[string]*hostedTx
-	stopped      bool
+	// senders has the proxies that have forwarded requests, by sender.name.
+	senders map[string]*sender
+	stopped bool
 	// overloaded is set while the process is short of CPU time.
 	overloaded bool
 	// running is the number of requests in progress.
@@ -38,12 +41,18 @@
 type hostedTx struct {
 	mu      sync.Mutex
 	session *Session
+	// sender is the name of the process that has begun the transaction.
+	sender string
+	// beginID is the request ID of the caller's BEGIN.
+	beginID string
 	// usedAt is when the last request ended. It is zero before that.
 	usedAt clock.Time
 }
 
 // NewHost returns a Host without open transactions.
-func NewHost(d *Dependencies) *Host { return &Host{deps: d, transactions: make(map[string]*hostedTx)} }
+func NewHost(d *Dependencies) *Host {
+	return &Host{deps: d, transactions: make(map[string]*hostedTx), senders: make(map[string]*sender)}
+}
 
 // UnknownMethodError reports a call of a method that Host does not implement.
 type UnknownMethodError struct{ Method string }
@@ -65,13 +74,14 @@
 	if err != nil {
 		return nil, err
 	}
+	h.forgetSender(senderOf(run.Session))
 	return h.run(&run, &statement.Request{ID: run.ID, Operation: operation}), nil
 }
 
 // Run implements proxy.Receiver. It runs the peer.RunRequest of a frame and returns
 // a *peer.RunResponse. It returns a *proxy.DecodeError if the request cannot be
 // decoded.
-func (h *Host) Run(_ context.Context, request []byte) (msgp.Marshaler, error) {
+func (h *Host) Run(ctx context.Context, request []byte) (msgp.Marshaler, error) {
 	var run peer.RunRequest
 	rest, err := run.UnmarshalMsg(request)
 	if err == nil && len(rest) > 0 {
@@ -84,6 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
+	h.recordSender(ctx, senderOf(run.Session))
 	return h.run(&run, &statement.Request{ID: run.ID, Operation: operation}), nil
 }
 
@@ -96,12 +107,19 @@
 		key = run.Session + "/" + strconv.FormatUint(run.Transaction, 10)
 	}
 	h.mu.Lock()
-	var t *hostedTx
+	var t, replaced *hostedTx
 	if run.Transaction != 0 {
 		t = h.transactions[key]
 	}
+	if t != nil && run.Begin != nil && run.Begin.ID != t.beginID {
+		// An earlier build names its sessions anew after a restart. The open
+		// transaction is of a process that is gone.
+		t, replaced = nil, t
+		delete(h.transactions, key)
+	}
 	if t == nil && (h.stopped || h.overloaded || run.Transaction != 0 && run.Begin == nil) {
 		h.mu.Unlock()
+		h.rollbackReplaced(replaced)
 		return notRunResponse(run)
 	}
 	if t == nil {
@@ -113,6 +131,7 @@
 	h.running++
 	h.mu.Unlock()
 	defer h.endRequest()
+	h.rollbackReplaced(replaced)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.session
@@ -141,7 +160,9 @@
 	t.usedAt = h.deps.Clock.Now()
 	if run.Transaction != 0 && s.tx == nil {
 		h.mu.Lock()
-		delete(h.transactions, key)
+		if h.transactions[key] == t {
+			delete(h.transactions, key)
+		}
 		h.mu.Unlock()
 	}
 	response := newRunResponse(s, run.Transaction == 0)
@@ -194,6 +215,10 @@
 	}
 	s := &hosted.served
 	hosted.session, s.Dependencies = s, h.deps
+	hosted.sender = senderOf(run.Session)
+	if run.Begin != nil {
+		hosted.beginID = run.Begin.ID
+	}
 	s.floor, s.workspace, s.origin = position.Position(run.Floor), run.Workspace, run.Session
 	for _, v := range run.Values {
 		s.setValue(v)
@@ -207,17 +232,20 @@
 }
 
 // hostedIdleTimeout is how long a hosted transaction may be idle. The caller's
-// proxy ends an idle transaction sooner; this covers proxies that are gone.
+// proxy ends an idle transaction sooner; this covers proxies that are gone without
+// closing their connections.
 const hostedIdleTimeout = 5 * clock.Second
 
-// Sweep rolls back the transactions that have been idle for hostedIdleTimeout
-// because their proxies are gone.
+// Sweep rolls back the transactions whose proxies are gone: those that have been idle
+// for hostedIdleTimeout, and those of processes that have been without a connection to
+// this one for reconnectTimeout.
 func (h *Host) Sweep(now clock.Time) {
 	h.mu.Lock()
+	gone := h.removeGoneLocked(now)
 	var expired []*hostedTx
 	for key, t := range h.transactions {
 		if t.mu.TryLock() {
-			if t.usedAt != 0 && now.Sub(t.usedAt) >= hostedIdleTimeout {
+			if t.usedAt != 0 && (now.Sub(t.usedAt) >= hostedIdleTimeout || gone[t.sender]) {
 				expired = append(expired, t)
 				delete(h.transactions, key)
 			}
@@ -228,14 +256,20 @@
 	h.rollbackAll(expired)
 }
 
+// rollbackReplaced rolls back a transaction that another one has replaced, if any. It
+// does not wait for a request that still runs in it.
+func (h *Host) rollbackReplaced(t *hostedTx) {
+	if t != nil {
+		go contain.Run(h.deps.Log, "rollback", func() { h.rollbackAll([]*hostedTx{t}) })
+	}
+}
+
 func (h *Host) rollbackAll(list []*hostedTx) {
 	for _, t := range list {
 		t.mu.Lock()
 		t.session.rollbackOpen()
 		t.mu.Unlock()
-	}
-	if len(list) > 0 {
-		h.deps.Log.Info("hosted transactions rolled back", zap.Int("count", len(list)))
+		h.deps.Log.Info("hosted transaction rolled back", zap.String("session", t.session.origin), zap.String("group", t.session.hostedRoute.Group))
 	}
 }
 
--- a/internal/connection/session/host_test.go
+++ b/internal/connection/session/host_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -82,3 +84,114 @@
 	}
 	require.Eventually(t, func() bool { return h.Len() == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// forwardingProcess is a process of the proxy "front", which forwards all its requests.
+type forwardingProcess struct {
+	peers *proxy.Peers
+	homes *peer.Homes
+}
+
+// startForwardingProcesses starts processes whose homes are all served by h. They stand
+// for processes of one proxy that run one after another.
+func startForwardingProcesses(t *testing.T, h *Host, count int) []forwardingProcess {
+	server, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	// The names are such that "front" is no home of the group.
+	members := []proxy.Peer{{Name: "front"}}
+	for i := range 20 {
+		members = append(members, proxy.Peer{Name: fmt.Sprintf("home-%d", i), Address: server.Address()})
+	}
+	list := make([]forwardingProcess, 0, count)
+	for range count {
+		peers, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
+		require.NoError(t, err)
+		homes := peer.NewHomes("front", "a", peers, clock.NewBoot())
+		homes.SetMembers(members)
+		homes.SetConnectionLimits(map[string]int{"shop": 20})
+		local, _ := homes.ServesLocally("shop")
+		require.False(t, local)
+		list = append(list, forwardingProcess{peers: peers, homes: homes})
+	}
+	return list
+}
+
+// session returns the first session of the process.
+func (p forwardingProcess) session(g *backend.GroupClient, process string) *Session {
+	s := newMemorySession(g, 1, routes.Primary)
+	s.Self, s.Process, s.Homes = "front", process, p.homes
+	return s
+}
+
+// The first transaction of a session must not continue one that a caller of an earlier
+// process of the same proxy has left open at a home (PINNED, UNASKED): the names of
+// sessions began anew after a restart, and the write of the other caller was committed.
+func TestRestartedProxyContinuesNoTransaction(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	processes := startForwardingProcesses(t, h, 2)
+	first, second := processes[0].session(g, "p1"), processes[1].session(g, "p2")
+	requireServed(t, first, "begin-1", statement.Begin{})
+	requireServed(t, first, "write-1", statement.Write{Text: "WRITE a first"})
+	requireServed(t, second, "begin-2", statement.Begin{})
+	requireServed(t, second, "write-2", statement.Write{Text: "WRITE a second"})
+	requireServed(t, second, "commit-2", statement.Commit{})
+	require.Equal(t, "begin-2", d.runs("write-2")[0].transaction)
+	require.Equal(t, []string{"WRITE a second"}, d.commits())
+	processes[0].peers.Close()
+	processes[1].peers.Close()
+}
+
+// A proxy of an earlier build names its sessions anew after a restart. Its BEGIN has
+// another request ID then.
+func TestBeginOfAnotherCallerReplacesTheTransaction(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	for _, id := range []string{"1", "2"} {
+		begin := &peer.RunRequest{Session: "front/1", Transaction: 1, Begin: &peer.Begin{ID: "begin-" + id}, Group: "shop", Timeout: clock.Second}
+		response := h.run(begin, &statement.Request{ID: "write-" + id, Operation: statement.Write{Text: "WRITE a " + id}})
+		require.False(t, response.Failed, response.Text)
+	}
+	commit := &peer.RunRequest{Session: "front/1", Transaction: 1, Group: "shop", Timeout: clock.Second}
+	require.False(t, h.run(commit, &statement.Request{ID: "commit-2", Operation: statement.Commit{}}).Failed)
+	require.Equal(t, "begin-2", d.runs("write-2")[0].transaction)
+	require.Equal(t, []string{"WRITE a 2"}, d.commits())
+	require.Eventually(t, func() bool { return h.Len() == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// A transaction must not wait for its idle timeout once the proxy of its caller is gone:
+// it occupies one of the few connections of its home. One whose proxy has only lost a
+// connection goes on.
+func TestTransactionsOfALostProxyAreRolledBack(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	c := &stoppedClock{now: clock.NewBoot().Now()}
+	h := NewHost(&Dependencies{Clock: c, Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	processes := startForwardingProcesses(t, h, 2)
+	lost, connected := processes[0].session(g, "p1"), processes[1].session(g, "p2")
+	for _, s := range []*Session{lost, connected} {
+		requireServed(t, s, "begin", statement.Begin{})
+		requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	}
+	ended := func(process string) func() bool {
+		return func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return len(h.senders["front/"+process].connections) == 0
+		}
+	}
+	processes[0].peers.Close()
+	processes[1].peers.Drop(connected.tx.home)
+	require.Eventually(t, ended("p1"), 5*time.Second, time.Millisecond)
+	require.Eventually(t, ended("p2"), 5*time.Second, time.Millisecond)
+	requireServed(t, connected, "write-2", statement.Write{Text: "WRITE a c"})
+	h.Sweep(c.now.Add(reconnectTimeout - 1))
+	require.Equal(t, 2, h.Len())
+	h.Sweep(c.now.Add(reconnectTimeout))
+	require.Equal(t, 1, h.Len())
+	requireServed(t, connected, "commit", statement.Commit{})
+	require.Equal(t, []string{"WRITE a b", "WRITE a c"}, d.commits())
+	processes[1].peers.Close()
+}
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -91,6 +91,9 @@
 	Waits WaitRecorder
 	// Self is the name of this instance.
 	Self string
+	// Process distinguishes this process from all others that run, or have run, under
+	// the name of the instance. Session IDs begin anew in each of them.
+	Process string
 	// Homes forwards the requests of groups that home proxies serve. If it is
 	// nil, nothing is forwarded.
 	Homes *peer.Homes
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -164,7 +166,7 @@
 		roster: newRoster(), settled: settledEra{self: s.Name}, sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
 		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(), counts: newWorkspaceCounts(),
 	}
-	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Waits: m, Self: s.Name}
+	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Waits: m, Self: s.Name, Process: newProcessName()}
 	if f.freshness = newFreshnessDriver(s.RevocationLimit, c.Now()); f.freshness != nil {
 		f.sessionDeps.Freshness = f.freshness.proof
 	}
@@ -197,6 +199,9 @@
 	return f
 }
 
+// newProcessName returns a name that no earlier process of the instance had.
+func newProcessName() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
 // Start listens for callers and peers, and starts to follow the store in the
 // background. It returns an error if one of the addresses cannot be used.
 func (f *Front) Start() error {
--- a/internal/process/proxy/incoming.go
+++ b/internal/process/proxy/incoming.go
@@ -19,15 +19,21 @@
 	receiver Receiver
 	workers  *workers
 	log      *zap.Logger
+	// ctx is passed to the receiver, and is done once the connection has ended.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func newIncoming(conn net.Conn, r Receiver, w *workers, log *zap.Logger) *incoming {
-	return &incoming{stream: stream{conn: conn}, receiver: r, workers: w, log: log}
+	i := &incoming{stream: stream{conn: conn}, receiver: r, workers: w, log: log}
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	return i
 }
 
 // serve answers the opening, whose first byte was read before, and serves requests
 // until the connection ends.
 func (i *incoming) serve() {
+	defer i.cancel()
 	err := i.serveRequests()
 	if isProtocolError(err) {
 		i.log.Warn("connection of peer closed", zap.Stringer("peer", i.conn.RemoteAddr()), zap.Error(err))
@@ -72,7 +78,7 @@
 	i, number := w.incoming, w.number
 	var answer msgp.Marshaler
 	err := contain.Call(i.log, "call of peer method "+MethodRun, func() (err error) {
-		answer, err = i.receiver.Run(context.Background(), w.payload)
+		answer, err = i.receiver.Run(i.ctx, w.payload)
 		return err
 	})
 	w.incoming = nil
--- a/internal/process/proxy/peers.go
+++ b/internal/process/proxy/peers.go
@@ -59,6 +59,7 @@
 	// For a request, its result or the text of its error is sent to the peer.
 	Receive(ctx context.Context, method string, params json.RawMessage) (any, error)
 	// Run handles the request of a frame, which it decodes itself and does not keep.
+	// ctx is done once the connection on which the request arrived has ended.
 	// Its result or the text of its error is sent to the peer. It returns a
 	// *DecodeError if the request cannot be decoded.
 	Run(ctx context.Context, request []byte) (msgp.Marshaler, error)
