--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -269,7 +269,9 @@
 		t.mu.Lock()
 		t.session.rollbackOpen()
 		t.mu.Unlock()
-		h.deps.Log.Info("hosted transaction rolled back", zap.String("session", t.session.origin), zap.String("group", t.session.hostedRoute.Group))
+	}
+	if len(list) > 0 {
+		h.deps.Log.Info("hosted transactions rolled back", zap.Int("count", len(list)))
 	}
 }
 
