Close a connection that is given back with a transaction open

Cause: whether a connection could be used again was concluded from the request's failure. A BEGIN READ for which loading a session value failed got that failure as its answer and counted as refused, so the connection went back to the pool, though the database had opened the transaction. The same holds for a ROLLBACK that fails after the position of a commit was looked up (logContains).

Change: a pooled connection keeps the transaction state of its last answer, which each answer states, and Release closes it unless that is idle. All places that give a connection back go through Release: reads, writes, BEGIN, COMMIT and ROLLBACK, status requests and logContains. The PostgreSQL side has the same rule, by ReadyForQuery of all phases of an exchange and of the proxy's own queries; its places set StateUnknown one by one, and a multi-statement read that a replica refuses did not look at it.

TestConnectionInATransactionIsNotReused is the PostgreSQL side's.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -63,13 +63,19 @@
 	// while it was prepared for a request.
 	UsedAt clock.Time
 	pool   *Pool
+	// state is the transaction state after the last answer.
+	state statement.State
 }
 
 // Exchange sends requests as Conn.Exchange does. If it panics, for example over
 // an answer that nobody expected, the connection counts as broken.
 func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
 	defer contain.Recover(c.pool.log, c.pool.exchangePart, &err)
-	return c.Conn.Exchange(limit, requests, answers)
+	n, err = c.Conn.Exchange(limit, requests, answers)
+	if n > 0 {
+		c.state = answers[n-1].State
+	}
+	return n, err
 }
 
 // MarkReset records that the connection's session state has been reset.
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -523,9 +523,15 @@
 	return !w.accepts(c) && p.dialingFor[w.workspace] == 0 && c.UsedAt.Sub(w.since) >= maxForeignWait
 }
 
-// Release returns the connection to the pool.
+// Release returns the connection to the pool. A connection on which a transaction is
+// open is closed instead, which rolls the transaction back.
 func (c *PooledConn) Release() {
 	p := c.pool
+	if c.state != statement.Idle {
+		p.log.Info("connection closed: a transaction is open on it", zap.String("database", p.ID))
+		c.Discard()
+		return
+	}
 	c.UsedAt = p.clock.Now()
 	p.mu.Lock()
 	if p.closed || p.starvingLocked(c) {
--- a/internal/connection/database/conn.go
+++ b/internal/connection/database/conn.go
@@ -60,6 +60,9 @@
 	// example after an aborted exchange. The pool closes it instead of reusing
 	// it.
 	StateUnknown bool
+	// InTransaction is set while a transaction is open, as the last ReadyForQuery has
+	// told. The pool closes the connection instead of reusing it.
+	InTransaction bool
 
 	target Target
 	closed atomic.Bool
--- a/internal/connection/database/pool.go
+++ b/internal/connection/database/pool.go
@@ -275,7 +275,8 @@
 const unknownSettings = "unknown"
 
 // Release returns a connection to the pool. A connection that is over the
-// pool's limit, or whose protocol state is unknown, is closed instead.
+// pool's limit, whose protocol state is unknown, or on which a transaction is open
+// is closed instead.
 func (p *Pool) Release(c *Conn) {
 	if c.SettingsChanged {
 		c.Settings, c.SettingsChanged = unknownSettings, false
@@ -284,7 +285,7 @@
 	l := p.leased[c]
 	delete(p.leased, c)
 	p.admission.Release(l.class, clock.FromStd(time.Since(l.since)))
-	discard := c.StateUnknown || c.closed.Load() || p.closed || p.open > p.admission.Limit()
+	discard := c.StateUnknown || c.InTransaction || c.closed.Load() || p.closed || p.open > p.admission.Limit()
 	if discard {
 		p.open--
 	} else {
--- a/internal/core/connections_test.go
+++ b/internal/core/connections_test.go
@@ -56,6 +56,26 @@
 	}
 }
 
+// A connection on which a transaction is open must not serve the next request, whose
+// statements would run in that transaction.
+func TestConnectionInATransactionIsNotReused(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	target := dbconn.Target{Address: d.Group.Primary().Address(), Database: devGroup, User: "test"}
+	pool := dbconn.NewPool(target, dbconn.PoolSettings{MaxConnections: 1, MaxQueue: 10})
+	defer pool.Close()
+	for _, inTransaction := range []bool{true, false} {
+		first, err := pool.Acquire(ctx, dbconn.NoClass)
+		require.NoError(t, err)
+		first.InTransaction = inTransaction
+		pool.Release(first)
+		second, err := pool.Acquire(ctx, dbconn.NoClass)
+		require.NoError(t, err)
+		require.Equal(t, inTransaction, first != second)
+		pool.Release(second)
+	}
+}
+
 // When the new primary is known after a failover, the proxies send all waiting
 // writes to it at once. Each of the three proxies must stay within its third of
 // the group's limit of 50 connections to a database.
--- a/internal/request/caller/exchange.go
+++ b/internal/request/caller/exchange.go
@@ -211,6 +211,7 @@
 			x.ledgerCode = m.Code
 		}
 	case *pgproto3.ReadyForQuery:
+		x.conn.InTransaction = m.TxStatus != 'I'
 		if p != phaseBatch {
 			return true, nil
 		}
--- a/internal/request/caller/ledger.go
+++ b/internal/request/caller/ledger.go
@@ -444,6 +444,7 @@
 				failure = &connection.ServerError{Code: m.Code, Message: m.Message}
 			}
 		case *pgproto3.ReadyForQuery:
+			conn.InTransaction = m.TxStatus != 'I'
 			return value, failure
 		}
 	}
