Wait for the session's state before a statement is sent

Cause: RESET and SET were sent in one write with reads and BEGIN READ, which ran whatever became of them. The PostgreSQL side sent all statements together with the session's settings and did not look at an error of these.

Change: outside a transaction the answers to RESET and SET are waited for, and if one fails the statement goes elsewhere. A PREPARE still goes together with its EXECUTE: its name is derived from what it prepares, so the EXECUTE runs that or nothing. A transaction refuses what follows a failure. This costs a round trip for a read on a connection with other values; the pool prefers a connection that has them. On the PostgreSQL side a setting that the database refuses is reported with the next statement, which does not run; before, the setting was silently missing.

--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -24,8 +24,11 @@
 	unanswered
 )
 
-// exchange sends r on a connection, preceded by the requests that load the
-// session's state, and stores its answer in s.answer.
+// exchange sends r on a connection and stores its answer in s.answer. The request that
+// prepares the statement of an EXECUTE goes ahead of it: if that fails, the EXECUTE
+// does not run. Outside a transaction, prepareConn or loadVariables must have loaded the
+// session's variables before, since a statement that is sent together with a SET runs
+// whether the SET succeeds or not.
 func (s *Session) exchange(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, r *statement.Request, limit clock.Duration) exchangeOutcome {
 	requests := append(s.stateRequests(c, r), s.withSharedName(r))
 	answers := slices.Grow(s.answers[:0], len(requests))[:len(requests)]
@@ -51,8 +54,8 @@
 	}
 	p.Latency.End(now, now.Sub(sent))
 	if f := firstFailure(answers[:last]); f != nil {
-		// Loading the session's state failed, so the statement may have run without
-		// it.
+		// The statement was not prepared, or a variable was not set in a transaction,
+		// which has failed.
 		c.NeedsReset = true
 		s.answer.Failure = f
 	}
@@ -60,6 +63,35 @@
 	return answered
 }
 
+// loadVariables sets the session's variables on a connection on which no transaction
+// is open, within limit, and waits for the answers. It returns false, with the
+// connection given back, if it cannot be used.
+func (s *Session) loadVariables(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, limit clock.Duration) bool {
+	requests := s.variableRequests(c)
+	if len(requests) == 0 {
+		return true
+	}
+	answers := make([]statement.Answer, len(requests))
+	sent := s.Clock.Now()
+	if _, err := c.Exchange(limit, requests, answers); err != nil {
+		c.Discard()
+		g.RecordConnectionLoss(p.ID, sent)
+		return false
+	}
+	if f := firstFailure(answers); f != nil {
+		s.logStateNotLoaded(p, f)
+		c.NeedsReset = true
+		c.Release()
+		return false
+	}
+	return true
+}
+
+func (s *Session) logStateNotLoaded(p *backend.Pool, f *statement.Failure) {
+	s.Log.Warn("cannot load the session state", zap.String("group", p.Group), zap.String("database", p.ID), zap.Uint64("session", s.id),
+		zap.Int("variables", len(s.values)), zap.Int("prepared", len(s.prepared)), logs.Error(f))
+}
+
 // releaseSlot gives back a reserved slot that was not used.
 func (s *Session) releaseSlot(p *backend.Pool) {
 	if s.slotReserved {
@@ -91,8 +123,7 @@
 		return false
 	}
 	if f := firstFailure(answers); f != nil {
-		s.Log.Warn("cannot load the session state", zap.String("group", p.Group), zap.String("database", p.ID), zap.Uint64("session", s.id),
-			zap.Int("variables", len(s.values)), zap.Int("prepared", len(s.prepared)), logs.Error(f))
+		s.logStateNotLoaded(p, f)
 		c.Discard()
 		return false
 	}
--- a/internal/connection/session/exchange_test.go
+++ b/internal/connection/session/exchange_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -53,3 +54,57 @@
 		require.Equal(t, 2, d.dials)
 	})
 }
+
+// A statement must not run with the session values of another caller (PINNED). Statements
+// were sent together with RESET and SET, and ran though these had failed.
+func TestStatementWaitsForTheSessionState(t *testing.T) {
+	isReset := func(o statement.Operation) bool { _, ok := o.(statement.Reset); return ok }
+	isState := func(o statement.Operation) bool { return isSet(o) || isReset(o) }
+	for name, fails := range map[string]func(statement.Operation) bool{"RESET": isReset, "SET": isSet, "both": isState} {
+		for kind, route := range map[string]routes.Consistency{"bounded": routes.BoundedAge, "own": routes.ReadYourWrites, "primary": routes.Primary} {
+			t.Run(name+" on a "+kind+" route", func(t *testing.T) {
+				d := &memoryDatabase{}
+				g := newMemoryGroup(t, d)
+				sessions := []*Session{newMemorySession(g, 1, route), newMemorySession(g, 2, route), newMemorySession(g, 3, route)}
+				sessions[0].setValue(statement.Set{Name: "tag", Text: "SET tag first"})
+				sessions[1].setValue(statement.Set{Name: "tag", Text: "SET tag second"})
+				for _, s := range sessions {
+					s.prepare(statement.Prepare{Name: "p", Shape: "READ"})
+				}
+				read := func(s *Session, id string) {
+					failures := []*statement.Failure{
+						s.request(id+"-read", statement.Read{Text: "READ a"}), s.request(id+"-execute", statement.Execute{Name: "p"}),
+						s.request(id+"-begin", statement.Begin{ReadOnly: true}), s.request(id+"-in", statement.Read{Text: "READ a"}),
+						s.request(id+"-end", statement.Rollback{}),
+					}
+					for _, run := range []string{id + "-read", id + "-execute", id + "-in"} {
+						for _, r := range d.runs(run) {
+							require.Equal(t, len(s.values), len(r.values), "%s, answers %v", run, failures)
+							for _, v := range s.values {
+								require.Equal(t, v.Text, r.values[v.Name], run)
+							}
+						}
+					}
+				}
+				read(sessions[0], "calm")
+				count := 0
+				d.setFail(func(o statement.Operation) *statement.Failure {
+					if count++; fails(o) && count%2 == 0 {
+						return &statement.Failure{Code: statement.CodeFailed, Text: "a"}
+					}
+					return nil
+				})
+				for i := range 6 {
+					read(sessions[(i+1)%3], fmt.Sprint("failing-", i))
+				}
+				d.setFail(nil)
+				for i, s := range sessions {
+					id := fmt.Sprint("after-", i)
+					requireServed(t, s, id, statement.Read{Text: "READ a"})
+					require.Len(t, d.runs(id), 1)
+					require.Equal(t, len(s.values), len(d.runs(id)[0].values))
+				}
+			})
+		}
+	}
+}
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -169,7 +169,7 @@
 // newMemorySession returns a session on a route of the given kind to g.
 func newMemorySession(g *backend.GroupClient, id uint64, kind routes.Consistency) *Session {
 	current := &routes.Current{}
-	route := &routes.Route{Database: "fills", Group: "shop", Consistency: kind, Timeout: 2 * clock.Second, TargetLatency: 500, MaxAge: clock.Second}
+	route := &routes.Route{Database: "fills", Group: "shop", Consistency: kind, Timeout: 400, TargetLatency: 60, MaxAge: clock.Second}
 	current.Accept(&routes.Version{Number: 1, Routes: map[string]*routes.Route{"fills": route}, TransactionIdleTimeout: 3 * clock.Second})
 	s := New(&Dependencies{
 		Clock: clock.NewBoot(), Log: zap.NewNop(), Configuration: current, Recorder: noRecorder{},
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -156,7 +156,15 @@
 			exclude = append(exclude, m.ID)
 			continue
 		}
-		// After the waits for a slot and a connection, the token may be too old.
+		if !s.loadVariables(g, c, p, timeout) {
+			s.releaseSlot(p)
+			p.Latency.Avoid(s.Clock.Now().Add(busyPause))
+			cause = m.ID + ": the session's variables could not be set"
+			exclude = append(exclude, m.ID)
+			continue
+		}
+		// After the waits for a slot, a connection and its variables, the token may be
+		// too old.
 		if !s.takeToken() {
 			c.Release()
 			s.releaseSlot(p)
--- a/internal/connection/session/state.go
+++ b/internal/connection/session/state.go
@@ -17,6 +17,24 @@
 // had succeeded. A connection in a transaction already has the session's
 // variables.
 func (s *Session) stateRequests(c *backend.PooledConn, r *statement.Request) []statement.Request {
+	requests := s.variableRequests(c)
+	if e, ok := r.Operation.(statement.Execute); ok {
+		p, known := s.prepared[e.Name]
+		if !known {
+			return requests
+		}
+		p.Name = sharedName(p)
+		if _, loaded := c.Prepared[p.Name]; !loaded {
+			requests = append(requests, statement.Request{Operation: p})
+			c.Prepared[p.Name] = struct{}{}
+		}
+	}
+	return requests
+}
+
+// variableRequests returns the requests of stateRequests that load the session's
+// variables.
+func (s *Session) variableRequests(c *backend.PooledConn) []statement.Request {
 	clear(s.requests)
 	requests := s.requests[:0]
 	if !c.CanAdopt(s.valueTexts) || len(c.Prepared) > maxPrepared {
@@ -29,20 +47,6 @@
 			c.Values[v.Name] = v.Text
 		}
 	}
-	if r == nil {
-		return requests
-	}
-	if e, ok := r.Operation.(statement.Execute); ok {
-		p, known := s.prepared[e.Name]
-		if !known {
-			return requests
-		}
-		p.Name = sharedName(p)
-		if _, loaded := c.Prepared[p.Name]; !loaded {
-			requests = append(requests, statement.Request{Operation: p})
-			c.Prepared[p.Name] = struct{}{}
-		}
-	}
 	return requests
 }
 
--- a/internal/core/connections_test.go
+++ b/internal/core/connections_test.go
@@ -132,3 +132,22 @@
 		})
 	}
 }
+
+// A statement must not run without the settings of its session: it was sent together
+// with them, and ran though the database had refused them.
+func TestStatementWaitsForTheSettings(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	c := connect(t, d.Proxies[0], "")
+	mustExec(t, c, "CREATE TABLE t (id INTEGER)")
+	mustExec(t, c, "SET datestyle = 'x'")
+	for _, query := range []string{"INSERT INTO t VALUES (1)", "SELECT count(*) FROM t", "INSERT INTO t VALUES (1) /*requestId='once'*/"} {
+		_, err := c.Exec(ctx, query)
+		require.Equal(t, "22023", sqlState(err), query)
+	}
+	other := connect(t, d.Proxies[0], "")
+	require.Zero(t, queryInt(t, other, "SELECT count(*) FROM t"), "nothing has run")
+	mustExec(t, c, "SET datestyle = 'ISO'")
+	mustExec(t, c, "INSERT INTO t VALUES (2)")
+	require.Equal(t, 1, queryInt(t, other, "SELECT count(*) FROM t"))
+}
--- a/internal/request/caller/assemble.go
+++ b/internal/request/caller/assemble.go
@@ -41,7 +41,11 @@
 		statement = "RESET ALL;" + want
 	}
 	x.conn.Settings = want
-	return x.addQuery(phaseSettings, statement)
+	if err := x.addQuery(phaseSettings, statement); err != nil {
+		return err
+	}
+	x.settingsSize = len(x.request)
+	return nil
 }
 
 // assemble builds a request from the session's settings and the batch. If before
--- a/internal/request/caller/exchange.go
+++ b/internal/request/caller/exchange.go
@@ -72,6 +72,9 @@
 	next  int
 	// phases is set for each phase that is part of the exchange.
 	phases [phaseCount]bool
+	// settingsSize is the length of the part of request that applies the session's
+	// settings, zero if the connection has them.
+	settingsSize int
 
 	// holdFrom is the offset in out of the part that waits for the commit's
 	// confirmation, or -1. Unless it is -1, nothing more is flushed.
@@ -101,6 +104,8 @@
 	callerErr error
 	// ledgerCode is the SQLSTATE of the ledger's error, "" for none.
 	ledgerCode string
+	// settingsError is the error that applying the settings ended with, nil for none.
+	settingsError *settingsError
 	// token is the session's token as reported by a home proxy.
 	token string
 	// recording collects the answer for the ledger, if not nil.
@@ -116,6 +121,14 @@
 
 func (e *lostError) Error() string { return "database connection lost: " + e.cause.Error() }
 
+// settingsError reports that the session's settings could not be applied to a
+// connection. Nothing of the batch has run.
+type settingsError struct{ Code, Message string }
+
+func (e *settingsError) Error() string {
+	return "cannot apply the session's settings: " + e.Message + " (SQLSTATE " + e.Code + ")"
+}
+
 func (x *exchange) prepare(s *caller.Session, c *database.Conn, b *batch) {
 	x.session, x.conn, x.batch = s, c, b
 	x.out, x.request, x.queue = x.out[:0], x.request[:0], x.queue[:0]
@@ -126,6 +139,7 @@
 	x.failedCode, x.wrote, x.txStatus = "", false, 0
 	x.awaitingSync, x.copyIn, x.callerErr = false, false, nil
 	x.ledgerCode, x.recording, x.token = "", nil, ""
+	x.settingsSize, x.settingsError = 0, nil
 }
 
 // releaseBuffers frees large buffers after a request.
@@ -142,9 +156,12 @@
 var parseComplete = []byte{'1', 0, 0, 0, 4}
 
 // run sends the request and relays the whole answer. It returns a *lostError
-// if the connection failed.
+// if the connection failed, and a *settingsError if the batch was not sent.
 func (x *exchange) run() error {
-	if err := x.conn.Write(x.request); err != nil {
+	if err := x.applySettings(); err != nil {
+		return err
+	}
+	if err := x.conn.Write(x.request[x.settingsSize:]); err != nil {
 		// Part of the request may have arrived.
 		x.sent = true
 		return x.connLost(err)
@@ -166,6 +183,27 @@
 	return nil
 }
 
+// applySettings applies the session's settings unless the connection has them. The
+// batch is not sent before the answer, since it would run with other settings if this
+// fails.
+func (x *exchange) applySettings() error {
+	if x.settingsSize == 0 {
+		return nil
+	}
+	if err := x.conn.Write(x.request[:x.settingsSize]); err != nil {
+		return x.connLost(err)
+	}
+	x.phases[phaseSettings] = false
+	if err := x.runPhase(phaseSettings); err != nil {
+		return err
+	}
+	if x.settingsError != nil {
+		x.conn.StateUnknown = true
+		return x.settingsError
+	}
+	return nil
+}
+
 // connLost returns a *lostError and has the connection closed on release.
 func (x *exchange) connLost(err error) error {
 	x.conn.StateUnknown = true
@@ -210,6 +248,9 @@
 		if p == phaseLedger && x.ledgerCode == "" {
 			x.ledgerCode = m.Code
 		}
+		if p == phaseSettings && x.settingsError == nil {
+			x.settingsError = &settingsError{Code: m.Code, Message: m.Message}
+		}
 	case *pgproto3.ReadyForQuery:
 		x.conn.InTransaction = m.TxStatus != 'I'
 		if p != phaseBatch {
--- a/internal/request/caller/ledger.go
+++ b/internal/request/caller/ledger.go
@@ -148,6 +148,10 @@
 	if err != nil {
 		conn.StateUnknown = true
 		pool.Release(conn)
+		var settings *settingsError
+		if errors.As(err, &settings) {
+			return true, w.refuseBatch(w.refusalOrUnknown(r, lostOutcome(err)), false)
+		}
 		// Nothing was committed: the COMMIT has not been sent yet.
 		return w.awaitRetry(r)
 	}
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -241,6 +241,10 @@
 	if errors.Is(err, errCancelled) {
 		return errCancelled
 	}
+	var settings *settingsError
+	if errors.As(err, &settings) {
+		return outcome.NewRefused(settings.Code, settings.Error())
+	}
 	return outcome.NewUnknown(err.Error())
 }
 
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -294,7 +294,11 @@
 		if len(value) > 1 && value[0] == '\'' {
 			value = strings.ReplaceAll(value[1:len(value)-1], "''", "'")
 		}
-		s.settings[strings.ToLower(fields[len(fields)-1])] = value
+		setting := strings.ToLower(fields[len(fields)-1])
+		if setting == "datestyle" && !strings.ContainsAny(value, "IiSsGgPp") {
+			return nil, &sqlError{Code: codeInvalidParameter, Message: "invalid value for parameter \"DateStyle\""}
+		}
+		s.settings[setting] = value
 	}
 	return &result{tag: "SET"}, nil
 }
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -16,6 +16,7 @@
 // SQLSTATE codes that the stand-in sends.
 const (
 	codeSyntax             = "42601"
+	codeInvalidParameter   = "22023"
 	codeReadOnly           = "25006"
 	codeTermConflict       = "OF409"
 	codeTransactionAborted = "25P02"
