Read settings with fractions, and start in spite of invalid ones

Cause: graceSeconds and the limits in milliseconds were read as whole numbers, and a process that starts ended for any invalid value.

Change: all numbers may have a fraction or an exponent, and are rounded down to milliseconds. The class of the fault is that one odd value ends every process at its next start, so a process that starts now uses the default for an invalid value that has one and writes an error; a running one keeps its settings as before. A drain limit below the margin for requests on their way counted as no limit; it is the shortest limit now.

Evidence: on the code before, "expected a whole number from 0".

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -304,7 +304,9 @@
 		settings := backend.DefaultSettings()
 		settings.ProbeReturned = f.settings.ProbeReturned
 		client := backend.NewGroupClient(name, f.settings.Zone, settings, f.platform.Dialer, f.clock, f.log, f.metrics.CountStatusQuery)
-		client.DrainLimit = max(f.settings.DrainLimit-drainMargin, 0)
+		if f.settings.DrainLimit > 0 {
+			client.DrainLimit = max(f.settings.DrainLimit-drainMargin, 1)
+		}
 		g = &groupState{GroupClient: client, replacement: newReplacement(f, client)}
 		g.replacement.beginEra(f.agreementEra, f.agreementEraAt)
 		f.groups[name] = g
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -79,7 +79,10 @@
 	if o.Settings == "" {
 		o.Settings = defaultSettings
 	}
-	settings, err := LoadSettings(o.Settings)
+	settings, invalid, err := LoadStartSettings(o.Settings)
+	if o.Check && err == nil && len(invalid) > 0 {
+		err = invalid[0]
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "oleanderflow-front:", err)
 		return exitUsage
@@ -99,6 +102,9 @@
 		fmt.Fprintln(os.Stderr, "oleanderflow-front:", err)
 		return exitUsage
 	}
+	for _, e := range invalid {
+		log.Error("invalid setting, default used", zap.String("section", e.Section), zap.String("key", e.Key), zap.String("default", e.Default), logs.Error(e))
+	}
 	return serve(o.Settings, settings, connect(settings), log, lines.Dropped, signals)
 }
 
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"time"
+	"strconv"
 
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
@@ -60,6 +60,9 @@
 // SettingsError reports an invalid value in a settings file.
 type SettingsError struct {
 	File, Section, Key, Value, Expected string
+	// Default is what a process that starts uses in place of the value, empty if it
+	// cannot start without a valid one.
+	Default string
 }
 
 func (e *SettingsError) Error() string {
@@ -71,40 +74,65 @@
 // parsed. Unknown keys are ignored, since newer platform versions write
 // additional ones.
 func LoadSettings(path string) (Settings, error) {
+	s, invalid, err := readSettings(path)
+	if err == nil && len(invalid) > 0 {
+		err = invalid[0]
+	}
+	return s, err
+}
+
+// LoadStartSettings reads the settings of a process that starts. A process that has
+// nothing to go back to should rather serve with a default than not at all, so that
+// invalid values that have one are returned as invalid and replaced by it. It returns an
+// error where LoadSettings does and no default exists.
+func LoadStartSettings(path string) (s Settings, invalid []*SettingsError, err error) {
+	s, invalid, err = readSettings(path)
+	for _, e := range invalid {
+		if err == nil && e.Default == "" {
+			err = e
+		}
+	}
+	return s, invalid, err
+}
+
+// readSettings reads a settings file. It returns the errors of all invalid values, and
+// an error if the file cannot be read or parsed.
+func readSettings(path string) (Settings, []*SettingsError, error) {
 	var s Settings
 	if path == "" {
-		return s, errors.New("no settings file given; use --settings FILE")
+		return s, nil, errors.New("no settings file given; use --settings FILE")
 	}
 	if _, err := os.Stat(path); err != nil {
-		return s, errors.Wrap(err, "settings")
+		return s, nil, errors.Wrap(err, "settings")
 	}
 	file, err := ini.Load(path)
 	if err != nil {
-		return s, errors.Wrapf(err, "parse settings file %s", path)
+		return s, nil, errors.Wrapf(err, "parse settings file %s", path)
 	}
 	r := settingsReader{path: path, file: file}
 	s.Name = r.text("instance", "name")
 	s.Zone = r.text("instance", "availabilityZone")
-	s.FirstStart = r.boolean("instance", "firstStart")
-	s.MemoryMB = r.number("instance", "memoryMB", 0)
-	s.FileDescriptors = r.number("instance", "fileDescriptors", 1024)
-	s.ProcessorShare = r.decimal("instance", "processorShare", 0)
-	s.ProcessorSpeed = r.decimal("instance", "processorSpeed", 1)
-	s.PlaceByCapacity = r.boolean("placement", "byCapacity")
-	s.ProbeReturned = r.boolean("databases", "probeReturned")
+	s.FirstStart = r.boolean("instance", "firstStart", false)
+	s.MemoryMB = int(r.number("instance", "memoryMB", 0, maxNumber))
+	s.FileDescriptors = int(r.number("instance", "fileDescriptors", 1024, maxNumber))
+	s.ProcessorShare = r.number("instance", "processorShare", 0, maxNumber)
+	s.ProcessorSpeed = r.number("instance", "processorSpeed", 1, maxNumber)
+	s.PlaceByCapacity = r.boolean("placement", "byCapacity", false)
+	s.ProbeReturned = r.boolean("databases", "probeReturned", false)
 	s.CallerAddress = r.address("listen", "callers")
 	s.ReadyAddress = r.address("listen", "ready")
 	s.MetricsAddress = r.address("listen", "metrics")
 	s.PeerAddress = r.address("listen", "peers")
 	s.StoreAddress = r.address("platform", "store")
 	s.PromotionAddress = r.address("platform", "promotions")
-	s.ShutdownGrace = clock.Duration(r.number("shutdown", "graceSeconds", 6)) * clock.Second
-	s.DrainLimit = clock.Duration(r.number("drain", "limitMilliseconds", 7000))
-	if r.boolean("revocation", "strict") {
+	s.ShutdownGrace = durationOfSeconds(r.number("shutdown", "graceSeconds", 6, maxNumber))
+	s.DrainLimit = clock.Duration(r.number("drain", "limitMilliseconds", 7000, maxMilliseconds))
+	// If it cannot be told whether revocation is strict, it has to be.
+	if r.boolean("revocation", "strict", true) {
 		s.RevocationLimit = r.revocationLimit()
 	}
 	s.Quota = r.quota()
-	return s, r.err
+	return s, r.invalid, nil
 }
 
 // defaultRevocationLimit is the limit where a settings file asks for one without naming
@@ -112,32 +140,38 @@
 const defaultRevocationLimit = 5000
 
 // revocationLimit returns the limit of a settings file. Within less than the least limit,
-// proofs would be too old before the next ones arrive.
+// proofs would be too old before the next ones arrive, so that no limit can take the place
+// of a lower one.
 func (r *settingsReader) revocationLimit() clock.Duration {
 	const section, key = "revocation", "limitMilliseconds"
-	limit := clock.Duration(r.number(section, key, defaultRevocationLimit))
-	if least := freshness.MaxCalmAge + freshness.Margin; limit < least {
-		r.fail(section, key, r.file.Section(section).Key(key).String(), fmt.Sprintf("a whole number from %d", least))
+	const least = freshness.MaxCalmAge + freshness.Margin
+	k := r.file.Section(section).Key(key)
+	if k.String() == "" {
+		return defaultRevocationLimit
 	}
-	return limit
+	v, ok := parseNumber(k.String(), maxMilliseconds)
+	if !ok || clock.Duration(v) < least {
+		r.fail(section, key, k.String(), fmt.Sprintf("a number from %d", least), "")
+	}
+	return clock.Duration(v)
 }
 
+// settingsReader reads the values of a settings file and gathers the errors of those that
+// are invalid.
 type settingsReader struct {
-	path string
-	file *ini.File
-	err  error
+	path    string
+	file    *ini.File
+	invalid []*SettingsError
 }
 
-func (r *settingsReader) fail(section, key, value, expected string) {
-	if r.err == nil {
-		r.err = &SettingsError{File: r.path, Section: section, Key: key, Value: value, Expected: expected}
-	}
+func (r *settingsReader) fail(section, key, value, expected, defaultValue string) {
+	r.invalid = append(r.invalid, &SettingsError{File: r.path, Section: section, Key: key, Value: value, Expected: expected, Default: defaultValue})
 }
 
 func (r *settingsReader) text(section, key string) string {
 	v := r.file.Section(section).Key(key).String()
 	if v == "" {
-		r.fail(section, key, v, "a value")
+		r.fail(section, key, v, "a value", "")
 	}
 	return v
 }
@@ -145,20 +179,22 @@
 func (r *settingsReader) address(section, key string) string {
 	v := r.text(section, key)
 	if _, err := netip.ParseAddrPort(v); err != nil {
-		r.fail(section, key, v, "IP:PORT")
+		r.fail(section, key, v, "IP:PORT", "")
 	}
 	return v
 }
 
-// boolean returns whether a key is true. It is false if the key is missing.
-func (r *settingsReader) boolean(section, key string) bool {
+// boolean returns whether a key is true. It is false if the key is missing, and unclear if
+// it is invalid.
+func (r *settingsReader) boolean(section, key string, unclear bool) bool {
 	k := r.file.Section(section).Key(key)
 	if k.String() == "" {
 		return false
 	}
 	v, err := k.Bool()
 	if err != nil {
-		r.fail(section, key, k.String(), "true or false")
+		r.fail(section, key, k.String(), "true or false", strconv.FormatBool(unclear))
+		return unclear
 	}
 	return v
 }
@@ -166,43 +202,50 @@
 // quota returns the quota of workspaces. Keys that are missing have the product's
 // defaults.
 func (r *settingsReader) quota() workspace.Quota {
+	const section, window = "quota", "windowSeconds"
 	q := workspace.DefaultQuota()
-	if s := r.decimal("quota", "windowSeconds", seconds(q.Window)); s > 0 {
-		q.Window = clock.FromStd(time.Duration(s * float64(time.Second)))
-	} else {
-		r.fail("quota", "windowSeconds", fmt.Sprint(s), "a number above 0")
+	usual := q.Window
+	if q.Window = durationOfSeconds(r.number(section, window, seconds(usual), maxNumber)); q.Window <= 0 {
+		r.fail(section, window, r.file.Section(section).Key(window).String(), "a number from 0.001", formatNumber(seconds(usual)))
+		q.Window = usual
 	}
-	q.Overshoot = r.decimal("quota", "overshoot", q.Overshoot)
-	q.Slack = r.decimal("quota", "slack", q.Slack)
+	q.Overshoot = r.number(section, "overshoot", q.Overshoot, maxNumber)
+	q.Slack = r.number(section, "slack", q.Slack, maxNumber)
 	return q
 }
 
-// maxDecimal is the largest value of a setting with decimals.
-const maxDecimal = 1e6
+// maxNumber is the largest value of a setting, and maxMilliseconds that of one in
+// milliseconds.
+const (
+	maxNumber       = 1e6
+	maxMilliseconds = 1e9
+)
 
-func (r *settingsReader) decimal(section, key string, defaultValue float64) float64 {
+// number returns the value of a key, which may have a fraction.
+func (r *settingsReader) number(section, key string, defaultValue, maxValue float64) float64 {
 	k := r.file.Section(section).Key(key)
 	if k.String() == "" {
 		return defaultValue
 	}
-	v, err := k.Float64()
-	if err != nil || !(v >= 0 && v <= maxDecimal) {
-		r.fail(section, key, k.String(), "a number from 0")
+	v, ok := parseNumber(k.String(), maxValue)
+	if !ok {
+		r.fail(section, key, k.String(), "a number from 0 to "+formatNumber(maxValue), formatNumber(defaultValue))
 		return defaultValue
 	}
 	return v
 }
 
+// parseNumber parses a number from 0 to maxValue.
+func parseNumber(text string, maxValue float64) (float64, bool) {
+	v, err := strconv.ParseFloat(text, 64)
+	return v, err == nil && v >= 0 && v <= maxValue
+}
+
+func formatNumber(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
 func seconds(d clock.Duration) float64 { return d.Std().Seconds() }
 
-func (r *settingsReader) number(section, key string, defaultValue int) int {
-	k := r.file.Section(section).Key(key)
-	if k.String() == "" {
-		return defaultValue
-	}
-	n, err := k.Int()
-	if err != nil || n < 0 {
-		r.fail(section, key, k.String(), "a whole number from 0")
-	}
-	return n
+// durationOfSeconds returns a number of seconds, rounded down to milliseconds.
+func durationOfSeconds(s float64) clock.Duration {
+	return clock.Duration(s * float64(clock.Second))
 }
