Leave out registry entries that name no database to use

No process ended.

Cause: an entry whose fields had the right types became part of its group, so that its size, and with it the confirmations that commits wait for, counted a database that does not exist. A start in the far future would have hidden the later entries of a real one.

Change: an entry is checked when it becomes part of a group (group.Entry.Check), also from the rows that proxies store for those that start.

--- a/internal/front/databases.go
+++ b/internal/front/databases.go
@@ -135,6 +135,11 @@
 	f.entriesMu.Lock()
 	defer f.entriesMu.Unlock()
 	for _, d := range list {
+		e := group.Entry{ID: d.ID, Group: name, Address: d.Address, Zone: d.Zone, Incarnation: d.Incarnation, Slots: d.Slots}
+		if err := e.Check(latestIncarnation()); err != nil {
+			f.log.Warn("invalid stored database", zap.String("key", row.Key), logs.Error(err))
+			continue
+		}
 		f.mu.Lock()
 		_, known := f.groupOf[d.ID]
 		if !known {
@@ -142,7 +147,7 @@
 		}
 		f.mu.Unlock()
 		if !known {
-			g.Update(group.Entry{ID: d.ID, Group: name, Address: d.Address, Zone: d.Zone, Incarnation: d.Incarnation, Slots: d.Slots})
+			g.Update(e)
 			f.markLapsed(d.ID)
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -347,6 +348,9 @@
 			continue
 		}
 		e, err := f.platform.DecodeEntry(row)
+		if err == nil {
+			err = e.Check(latestIncarnation())
+		}
 		if err != nil {
 			f.log.Warn("invalid registry entry", zap.String("key", row.Key), logs.Error(err))
 			f.markLapsed(row.Key)
@@ -373,6 +377,13 @@
 	}
 }
 
+// maxClockError is more than the time of day of a database may differ from that of this
+// machine.
+const maxClockError = 24 * time.Hour
+
+// latestIncarnation returns the highest incarnation that a database may have.
+func latestIncarnation() int64 { return time.Now().Add(maxClockError).UnixMilli() }
+
 func (f *Front) markLapsed(id string) {
 	f.mu.Lock()
 	g := f.groups[f.groupOf[id]]
--- a/internal/process/group/member.go
+++ b/internal/process/group/member.go
@@ -14,36 +14,6 @@
 	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
-// Entry is a database's entry in the platform's registry, which the database
-// writes itself.
-type Entry struct {
-	ID      string
-	Group   string
-	Address string
-	Zone    string
-	// Incarnation distinguishes databases that use the same ID one after
-	// another. It rises; zero if unknown.
-	Incarnation int64
-	// Sequence counts the reports of the incarnation, zero if unknown.
-	Sequence uint64
-	// Slots is how many statements the database runs concurrently.
-	Slots   int
-	Leaving bool
-	Role    database.Role
-	// WarmupRemaining is how much longer the database will be slow after its
-	// start.
-	WarmupRemaining clock.Duration
-}
-
-// olderThan reports whether the database reported the entry before it reported other.
-func (e Entry) olderThan(other Entry) bool {
-	if e.Incarnation == 0 || other.Incarnation == 0 {
-		return false
-	}
-	return e.Incarnation < other.Incarnation ||
-		e.Incarnation == other.Incarnation && e.Sequence != 0 && e.Sequence < other.Sequence
-}
-
 // lapsedTTL is how long a database whose entry is missing is still counted and
 // used. Entries that lapsed during an outage of the registry are back within
 // two seconds of its return.
