Ask the primary whether it leads before a read relies on it

What callers saw: reads ran on logs that lacked commits acknowledged before they were sent.

Cause: whether a database leads was remembered from its last status and held for whatever process answered at its address, also for positions that came with answers. Proof that a primary leads was one replica that was not fenced, though a replacement may fence the primary and the other one. Ruled out by reading: times that are read late (they make floors stricter), the boot clock (it never goes back, and a late offset makes floors stricter), floors over homes and retries.

Change: a connection knows when it was opened, and what was asked before tells nothing of the process behind it. Reads of primary routes, and BEGIN READ there, send a status request ahead on the same connection unless the primary is known to have led since they arrived. Proof needs evidence of the primary itself, or one replica more.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -62,7 +62,9 @@
 	// UsedAt is when the connection was last released, or when it last answered
 	// while it was prepared for a request.
 	UsedAt clock.Time
-	pool   *Pool
+	// OpenedAt is when the database had accepted the connection.
+	OpenedAt clock.Time
+	pool     *Pool
 	// state is the transaction state after the last answer.
 	state statement.State
 }
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -166,7 +166,11 @@
 		var refused *statement.Failure
 		switch {
 		case err == nil:
-			g.ObservePosition(id, began, now, greeting.Position)
+			g.ObservePosition(id, now, began, now, greeting.Position)
+			if m, leads := g.Primary(); leads && m.ID == id {
+				// The process behind the connection has not said yet that it leads.
+				g.RequestStatus(id)
+			}
 		case errors.As(err, &refused) && refused.Code == statement.CodeTooManyConnections:
 			g.MarkAnswered(id, now)
 		default:
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -408,6 +408,7 @@
 		return err
 	})
 	cancel()
+	opened := p.clock.Now()
 	p.onDial(greeting, began, err)
 	p.mu.Lock()
 	p.dialing--
@@ -423,7 +424,7 @@
 	p.openFor[workspace]++
 	p.backoff = 0
 	p.mu.Unlock()
-	c := &PooledConn{Conn: conn, Workspace: workspace, pool: p, Values: make(map[string]string), Prepared: make(map[string]struct{})}
+	c := &PooledConn{Conn: conn, Workspace: workspace, OpenedAt: opened, pool: p, Values: make(map[string]string), Prepared: make(map[string]struct{})}
 	c.Release()
 }
 
--- a/internal/connection/backend/returns.go
+++ b/internal/connection/backend/returns.go
@@ -71,8 +71,8 @@
 }
 
 // ObservePosition records a position as group.Group does.
-func (g *GroupClient) ObservePosition(id string, sentAt, now clock.Time, p position.Position) {
-	g.Group.ObservePosition(id, sentAt, now, p)
+func (g *GroupClient) ObservePosition(id string, openedAt, sentAt, now clock.Time, p position.Position) {
+	g.Group.ObservePosition(id, openedAt, sentAt, now, p)
 	g.answered(id, now)
 }
 
--- a/internal/connection/backend/returns_test.go
+++ b/internal/connection/backend/returns_test.go
@@ -101,7 +101,7 @@
 	g.RecordConnectionLoss("b", sent)
 	g.RecordFailure("b", sent)
 	require.Equal(t, PaceUnreachable, stateOf(g, "b"))
-	g.ObservePosition("b", sent, sent.Add(20), position.Position{})
+	g.ObservePosition("b", sent, sent, sent.Add(20), position.Position{})
 	require.Equal(t, PaceProbing, stateOf(g, "b"))
 	changes := lines.FilterMessage(stateChanged).All()
 	require.Len(t, changes, 2)
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -30,7 +31,13 @@
 // session's variables before, since a statement that is sent together with a SET runs
 // whether the SET succeeds or not.
 func (s *Session) exchange(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, r *statement.Request, limit clock.Duration) exchangeOutcome {
-	requests := append(s.stateRequests(c, r), s.withSharedName(r))
+	requests := s.stateRequests(c, r)
+	loaded := len(requests)
+	withStatus := s.needsStatus(g, c, p, r)
+	if withStatus {
+		requests = append(requests, statement.Request{Operation: statement.Status{}})
+	}
+	requests = append(requests, s.withSharedName(r))
 	answers := slices.Grow(s.answers[:0], len(requests))[:len(requests)]
 	s.requests, s.answers = requests, answers
 	// No buffer may be used by two answers of a later exchange.
@@ -53,16 +60,52 @@
 		return unanswered
 	}
 	p.Latency.End(now, now.Sub(sent))
-	if f := firstFailure(answers[:last]); f != nil {
+	if withStatus {
+		s.observeStatus(g, c, p, sent, now, &answers[loaded])
+	}
+	if f := firstFailure(answers[:loaded]); f != nil {
 		// The statement was not prepared, or a variable was not set in a transaction,
 		// which has failed.
 		c.NeedsReset = true
 		s.answer.Failure = f
 	}
-	g.ObservePosition(p.ID, sent, now, answers[n-1].Position)
+	g.ObservePosition(p.ID, c.OpenedAt, sent, now, answers[n-1].Position)
 	return answered
 }
 
+// needsStatus reports whether the database has to be asked together with r whether it
+// leads. A read at the primary must see all commits, and any other database would run it
+// too: one that has stepped down, or a process that has started in place of the primary
+// without its log.
+func (s *Session) needsStatus(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, r *statement.Request) bool {
+	if s.route == nil || s.route.Consistency != routes.Primary {
+		return false
+	}
+	switch o := r.Operation.(type) {
+	case statement.Begin:
+		if !o.ReadOnly {
+			return false
+		}
+	case statement.Read, statement.Execute:
+		if s.tx != nil || s.writes(r) {
+			return false
+		}
+	default:
+		return false
+	}
+	return g.LedAt() < s.arrived || !g.LeadKnown(p.ID, g.Term(), c.OpenedAt)
+}
+
+// observeStatus records the status that came with a request.
+func (s *Session) observeStatus(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, sent, now clock.Time, a *statement.Answer) {
+	status, err := c.DecodeStatus(a)
+	if err != nil {
+		s.Log.Debug("status with a read failed", zap.String("group", p.Group), zap.String("database", p.ID), logs.Error(err))
+		return
+	}
+	g.ObserveStatus(p.ID, sent, now, status)
+}
+
 // loadVariables sets the session's variables on a connection on which no transaction
 // is open, within limit, and waits for the answers. It returns false, with the
 // connection given back, if it cannot be used.
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -29,6 +29,8 @@
 	// committed has the texts of the writes that were committed.
 	committed []string
 	dials     int
+	// replica is set once the database does not lead.
+	replica bool
 }
 
 // ranStatement is a statement with the state of its connection when it ran.
@@ -145,7 +147,16 @@
 
 // DecodeStatus implements backend.Conn.
 func (c *memoryConn) DecodeStatus(a *statement.Answer) (database.Status, error) {
-	return database.Status{Role: database.RolePrimary, Term: 1, Received: a.Position, Applied: a.Position}, nil
+	if a.Failure != nil {
+		return database.Status{}, a.Failure
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	role := database.RolePrimary
+	if c.replica {
+		role = database.RoleReplica
+	}
+	return database.Status{Role: role, Term: 1, Received: a.Position, Applied: a.Position}, nil
 }
 
 // Close implements backend.Conn.
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -84,10 +84,10 @@
 			g.RecordUnproven(s.Clock.Now())
 		}
 	}
-	if m, leads := g.Primary(); leads && g.SampledAt() < s.arrived.Add(-s.route.MaxAge/2) {
+	if m, leads := g.Primary(); leads && min(g.SampledAt(), g.LedAt()) < s.arrived.Add(-s.route.MaxAge/2) {
 		// Sample the primary's position for later reads. They need a position that is
 		// old enough for the replicas to have reached it, but not older than the
-		// maximum age.
+		// maximum age, and proof that the primary still led then.
 		g.RequestStatus(m.ID)
 	}
 	return floor, ok
@@ -249,7 +249,7 @@
 			}
 			return
 		}
-		if s.awaitLeadership(g, m, prefer, deadline) {
+		if s.awaitLeadership(g, m, c.OpenedAt, prefer, deadline) {
 			return
 		}
 		if tries >= maxRetries || s.Clock.Now().Add(retryPause) >= deadline || s.leadershipWait(g) < leadershipTimeout {
@@ -284,16 +284,21 @@
 }
 
 // awaitLeadership waits for proof that m was still the primary after the
-// request had arrived, and reports whether it was.
-func (s *Session) awaitLeadership(g *backend.GroupClient, m group.Member, prefer []string, deadline clock.Time) bool {
+// request had arrived, and reports whether it was. openedAt is when the connection on
+// which the request has run, or is to run, was opened.
+func (s *Session) awaitLeadership(g *backend.GroupClient, m group.Member, openedAt clock.Time, prefer []string, deadline clock.Time) bool {
+	proven := func() bool {
+		return g.PrimaryProvenAt(s.Clock.Now()) >= s.arrived && g.LeadKnown(m.ID, m.Term, openedAt)
+	}
+	if g.LedAt() < s.arrived || !g.LeadKnown(m.ID, m.Term, openedAt) {
+		prefer = append(prefer, m.ID)
+	}
 	limit := min(deadline, s.Clock.Now().Add(s.leadershipWait(g)))
-	if !g.Await(limit, prefer, func() bool {
-		return g.Term() != m.Term || g.PrimaryProvenAt(s.Clock.Now()) >= s.arrived
-	}) {
+	if !g.Await(limit, prefer, func() bool { return g.Term() != m.Term || proven() }) {
 		g.MarkPrimaryInDoubt(s.Clock.Now())
 		g.RecordUnproven(s.Clock.Now())
 	}
-	return g.Term() == m.Term && g.PrimaryProvenAt(s.Clock.Now()) >= s.arrived
+	return g.Term() == m.Term && proven()
 }
 
 // minPrimaryAttemptTimeout is the minimum time that the primary is given to
--- a/internal/connection/session/read_test.go
+++ b/internal/connection/session/read_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
@@ -12,6 +13,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
@@ -45,3 +47,27 @@
 	require.LessOrEqual(t, s.Clock.Now().Sub(s.arrived), s.route.TargetLatency/4+2*maxReadRetryPause)
 	require.Zero(t, dialer.dials)
 }
+
+// A read that must see all commits must not be answered by a database that is taken for
+// the primary by what was known before (STALE): one that has stepped down, or a process
+// that has started in its place without its log.
+func TestReadsAskThePrimaryWhetherItLeads(t *testing.T) {
+	for _, restarted := range []bool{true, false} {
+		d := &memoryDatabase{}
+		g := newMemoryGroup(t, d)
+		s := newMemorySession(g, 1, routes.Primary)
+		requireServed(t, s, "before", statement.Read{Text: "READ a"})
+		time.Sleep(20 * time.Millisecond) // the status that a new connection is asked for
+		d.mu.Lock()
+		d.replica = true
+		d.mu.Unlock()
+		if restarted {
+			g.Pool("a").DiscardIdle()
+		}
+		// Nothing is known of the millisecond in which the read arrives.
+		time.Sleep(3 * time.Millisecond)
+		require.NotNil(t, s.request("read", statement.Read{Text: "READ a"}))
+		require.Nil(t, s.request("begin", statement.Begin{ReadOnly: true}))
+		require.NotNil(t, s.request("in", statement.Read{Text: "READ a"}))
+	}
+}
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -30,6 +30,8 @@
 	conn   *backend.PooledConn
 	pool   *backend.Pool
 	member group.Member
+	// openedAt is when conn was opened.
+	openedAt clock.Time
 	// leadershipPending is set on Primary routes until it is proven that the
 	// database was still the primary after BEGIN had arrived. The transaction's
 	// reads require that.
@@ -114,7 +116,7 @@
 func (s *Session) awaitTransactionLeadership(g *backend.GroupClient, deadline clock.Time) bool {
 	arrived := s.arrived
 	s.arrived = s.tx.arrived
-	s.tx.leadershipPending = !s.awaitLeadership(g, s.tx.member, g.FastestReplicas(), deadline)
+	s.tx.leadershipPending = !s.awaitLeadership(g, s.tx.member, s.tx.openedAt, g.FastestReplicas(), deadline)
 	s.arrived = arrived
 	return !s.tx.leadershipPending
 }
@@ -194,6 +196,7 @@
 		if t.leadershipPending = t.route.Consistency == routes.Primary; t.leadershipPending {
 			s.requestLeadershipProof(g, g.FastestReplicas())
 		}
+		sent := s.Clock.Now()
 		if s.exchange(g, c, p, begin, s.attemptTimeout(p, deadline)) == unanswered {
 			c.Discard()
 			s.fail(statement.CodeBusy, "database "+p.ID+" has not answered")
@@ -204,7 +207,10 @@
 		}
 		f := s.answer.Failure
 		if f == nil {
-			t.conn = c
+			t.conn, t.openedAt = c, c.OpenedAt
+			if !t.readOnly {
+				g.ObserveLead(m.ID, m.Term, c.OpenedAt, sent)
+			}
 			return true
 		}
 		c.Release()
@@ -304,7 +310,7 @@
 		}
 		return
 	}
-	if t.wrote && !s.mayCommit(g, t.member) {
+	if t.wrote && !s.mayCommit(g, t.member, t.openedAt) {
 		s.rollback(g, &statement.Request{Operation: statement.Rollback{}}, deadline)
 		s.fail(statement.CodeAborted, "the primary is not confirmed by another database")
 		return
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -41,7 +41,7 @@
 		if c == nil {
 			return
 		}
-		if !s.mayCommit(g, m) {
+		if !s.mayCommit(g, m, c.OpenedAt) {
 			s.releaseSlot(p)
 			c.Release()
 			s.fail(statement.CodeBusy, "the primary is not confirmed by another database")
@@ -53,7 +53,8 @@
 			c.Release()
 			return
 		}
-		switch s.exchange(g, c, p, r, deadline.Sub(s.Clock.Now())) {
+		sent := s.Clock.Now()
+		switch s.exchange(g, c, p, r, deadline.Sub(sent)) {
 		case unanswered:
 			c.Discard()
 			s.fail(statement.CodeInDoubt, "the answer of database "+p.ID+" is missing")
@@ -64,6 +65,7 @@
 		f := s.answer.Failure
 		switch {
 		case f == nil:
+			g.ObserveLead(m.ID, m.Term, c.OpenedAt, sent)
 			s.confirmCommit(g, s.answer.Position, deadline)
 			return
 		case !f.Code.NotRun() || !s.prepareRetry(g, m, p, f, tries, deadline):
@@ -209,13 +211,13 @@
 // confirmed. If the last one was not confirmed, the primary first has to be
 // proven to lead: a primary that is partitioned from its group would accept the
 // commit but could not keep it.
-func (s *Session) mayCommit(g *backend.GroupClient, m group.Member) bool {
+func (s *Session) mayCommit(g *backend.GroupClient, m group.Member, openedAt clock.Time) bool {
 	if !g.PrimaryInDoubt(s.Clock.Now()) {
 		return true
 	}
 	prefer := g.FastestReplicas()
 	s.requestLeadershipProof(g, prefer)
-	return s.awaitLeadership(g, m, prefer, s.Clock.Now().Add(s.leadershipWait(g)))
+	return s.awaitLeadership(g, m, openedAt, prefer, s.Clock.Now().Add(s.leadershipWait(g)))
 }
 
 // resolveSuperseded asks the new primary whether its log contains a commit of
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -32,6 +32,9 @@
 	samples        *database.Samples
 	// sampledAt is when the newest known position of the primary was requested.
 	sampledAt clock.Time
+	// ledAt is the latest time at which the primary of term is known, from itself or its
+	// log, to have led.
+	ledAt clock.Time
 	// inDoubtAt is when the primary's leadership was last put in doubt.
 	inDoubtAt clock.Time
 	// unprovenSince is when a wait for proof that the primary leads timed out
@@ -173,7 +176,7 @@
 		return
 	}
 	g.term = term
-	g.samples, g.sampledAt = database.NewSamples(), 0
+	g.samples, g.sampledAt, g.ledAt = database.NewSamples(), 0, 0
 	g.unprovenSince = 0
 }
 
@@ -206,15 +209,54 @@
 		m.UnfencedAt = 0
 	case m.Role == database.RoleReplica:
 		m.UnfencedAt = askedAt
+		g.observeLogLocked(s.Received)
 	case m.Role == database.RolePrimary:
 		g.addSampleLocked(s.Received, askedAt)
+		g.ledAt = max(g.ledAt, askedAt)
 	}
 	g.notifyLocked()
 }
 
+// observeLogLocked concludes from an entry of the log of the current term that the primary
+// led after it was last seen before that entry.
+func (g *Group) observeLogLocked(p position.Position) {
+	if t, ok := g.samples.LastBelow(p); ok && p.Term == g.term {
+		g.ledAt = max(g.ledAt, t)
+	}
+}
+
+// ObserveLead records that a database has done at sentAt or later, in a term, what only
+// its primary can do, on a connection that was opened at openedAt.
+func (g *Group) ObserveLead(id string, term uint64, openedAt, sentAt clock.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m, ok := g.members[id]; ok && term == g.term && m.isPrimaryOf(term, openedAt) && sentAt > g.ledAt {
+		g.ledAt = sentAt
+		g.notifyLocked()
+	}
+}
+
+// LeadKnown reports whether the database behind a connection that was opened at openedAt
+// has said itself that it leads the term. The process behind a new connection may be
+// another one than before, which has lost its log.
+func (g *Group) LeadKnown(id string, term uint64, openedAt clock.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[id]
+	return ok && m.isPrimaryOf(term, openedAt)
+}
+
+// LedAt returns the latest time at which the primary of the highest term seen is known,
+// from itself or its log, to have led.
+func (g *Group) LedAt() clock.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledAt
+}
+
 // ObservePosition records the position that came with the answer to a request
-// sent at sentAt.
-func (g *Group) ObservePosition(id string, sentAt, now clock.Time, p position.Position) {
+// sent at sentAt on a connection that was opened at openedAt.
+func (g *Group) ObservePosition(id string, openedAt, sentAt, now clock.Time, p position.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m, ok := g.members[id]
@@ -227,7 +269,10 @@
 		g.notifyLocked()
 	}
 	if m.Role == database.RolePrimary && m.Term == g.term {
-		g.addSampleLocked(p, sentAt)
+		if m.isPrimaryOf(g.term, openedAt) {
+			g.observeLogLocked(p)
+			g.addSampleLocked(p, sentAt)
+		}
 		return
 	}
 	if p.Term != g.term || m.Term != g.term || m.FencedTerm > m.Term {
@@ -238,6 +283,7 @@
 	if t, ok := g.samples.LastBelow(p); ok && t > m.UnfencedAt {
 		m.UnfencedAt = t
 	}
+	g.observeLogLocked(p)
 }
 
 // MarkAnswered records that a database answered at now.
@@ -357,24 +403,47 @@
 	return g.sizeLocked()
 }
 
-// primaryProvenAtLocked returns the latest time at which the current term's
-// primary cannot have been replaced yet, zero if none is known.
-func (g *Group) primaryProvenAtLocked(now clock.Time) clock.Time {
-	need := RequiredConfirmations(g.sizeLocked())
-	if need == 0 {
-		return now
-	}
-	var times []clock.Time
+// unfencedTimesLocked returns the times at which the replicas that follow the current term
+// were last known not to be fenced, the latest first, and how many of them are needed.
+func (g *Group) unfencedTimesLocked() (times []clock.Time, need int) {
 	for _, m := range g.members {
 		if m.Role == database.RoleReplica && m.Term == g.term && m.UnfencedAt > 0 {
 			times = append(times, m.UnfencedAt)
 		}
 	}
-	if len(times) < need {
+	slices.SortFunc(times, func(a, b clock.Time) int { return int(b - a) })
+	return times, RequiredConfirmations(g.sizeLocked())
+}
+
+// quorumAtLocked returns the latest time at which enough replicas were not fenced to
+// confirm commits of the current term's primary, zero if none is known.
+func (g *Group) quorumAtLocked(now clock.Time) clock.Time {
+	times, need := g.unfencedTimesLocked()
+	switch {
+	case need == 0:
+		return now
+	case len(times) < need:
 		return 0
+	default:
+		return times[need-1]
 	}
-	slices.SortFunc(times, func(a, b clock.Time) int { return int(b - a) })
-	return times[need-1]
+}
+
+// primaryProvenAtLocked returns the latest time at which the current term's
+// primary cannot have been replaced yet, zero if none is known. A replacement fences as
+// many replicas as quorumAtLocked rules out, or one less if the primary has stepped down.
+// So either the primary itself has led at that time, or there is one replica more that was
+// not fenced.
+func (g *Group) primaryProvenAtLocked(now clock.Time) clock.Time {
+	times, need := g.unfencedTimesLocked()
+	if need == 0 {
+		return now
+	}
+	proven := min(g.quorumAtLocked(now), g.ledAt)
+	if len(times) > need {
+		proven = max(proven, times[need])
+	}
+	return proven
 }
 
 // MarkPrimaryInDoubt records that the primary's leadership was not confirmed in
@@ -390,7 +459,7 @@
 func (g *Group) RecordUnproven(now clock.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.unprovenSince == 0 || g.primaryProvenAtLocked(now) > g.unprovenSince {
+	if g.unprovenSince == 0 || g.quorumAtLocked(now) > g.unprovenSince {
 		g.unprovenSince = now
 	}
 }
@@ -400,7 +469,7 @@
 func (g *Group) ProofUnavailable(now clock.Time, minDuration clock.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.unprovenSince != 0 && now.Sub(g.unprovenSince) >= minDuration && g.primaryProvenAtLocked(now) <= g.unprovenSince
+	return g.unprovenSince != 0 && now.Sub(g.unprovenSince) >= minDuration && g.quorumAtLocked(now) <= g.unprovenSince
 }
 
 // PrimaryInDoubt reports whether MarkPrimaryInDoubt was called and there has
@@ -408,7 +477,7 @@
 func (g *Group) PrimaryInDoubt(now clock.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inDoubtAt != 0 && g.primaryProvenAtLocked(now) <= g.inDoubtAt
+	return g.inDoubtAt != 0 && g.quorumAtLocked(now) <= g.inDoubtAt
 }
 
 // PrimaryProvenAt returns the latest time at which the primary of the highest
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -74,10 +74,10 @@
 	now := clock.Time(1000)
 	g := newTestGroup(now)
 	sent := now.Add(50)
-	g.ObservePosition("a", sent, sent.Add(2), pos(1, 12))
-	g.ObservePosition("b", sent.Add(10), sent.Add(12), pos(1, 12))
+	g.ObservePosition("a", now, sent, sent.Add(2), pos(1, 12))
+	g.ObservePosition("b", now, sent.Add(10), sent.Add(12), pos(1, 12))
 	require.Equal(t, now, g.PrimaryProvenAt(sent.Add(12)), "entry 12 may have been written before the primary was asked")
-	g.ObservePosition("b", sent.Add(20), sent.Add(22), pos(1, 13))
+	g.ObservePosition("b", now, sent.Add(20), sent.Add(22), pos(1, 13))
 	require.Equal(t, sent, g.PrimaryProvenAt(sent.Add(22)))
 }
 
@@ -309,3 +309,46 @@
 	}
 	require.Len(t, g.removed, maxRemoved)
 }
+
+// A database that has started again under its ID in place of the primary, without its log,
+// must not be taken for the primary by what is known of the earlier process: primary reads
+// ran on its empty log, and floors were taken from it (STALE).
+func TestRestartedPrimaryIsNotTakenForThePrimary(t *testing.T) {
+	now := clock.Time(1000)
+	g := newTestGroup(now)
+	require.True(t, g.LeadKnown("a", 1, now))
+	restarted := now.Add(50)
+	require.False(t, g.LeadKnown("a", 1, restarted))
+	g.ObservePosition("a", restarted, restarted.Add(10), restarted.Add(12), pos(1, 30))
+	g.ObserveLead("a", 1, restarted, restarted.Add(10))
+	require.Equal(t, now, g.SampledAt(), "the position is of another process")
+	require.Equal(t, now, g.LedAt())
+	observeStatus(g, "a", restarted.Add(20), database.RolePrimary, 1, 0, pos(1, 30))
+	require.True(t, g.LeadKnown("a", 1, restarted))
+	require.Equal(t, restarted.Add(20), g.SampledAt())
+	observeStatus(g, "a", restarted.Add(30), database.RoleReplica, 0, 0, pos(0, 0))
+	require.False(t, g.LeadKnown("a", 1, restarted))
+}
+
+// One replica that was not fenced does not prove that a primary leads which may have
+// stepped down: a replacement fences the others and promotes one of them. Reads ran on the
+// old primary, which had stepped down, or took floors from it (STALE).
+func TestPrimaryThatMayHaveSteppedDownIsNotProven(t *testing.T) {
+	now := clock.Time(1000)
+	g := newTestGroup(now)
+	// a steps down and b is fenced and promoted. c has heard of nothing.
+	later := now.Add(500)
+	g.ObservePosition("a", now, later, later.Add(2), pos(1, 10))
+	observeStatus(g, "c", later.Add(10), database.RoleReplica, 1, 0, pos(1, 10))
+	require.Equal(t, now, g.PrimaryProvenAt(later.Add(12)))
+	_, ok := g.Floor(later, later.Add(12))
+	require.False(t, ok)
+	// Both replicas: no replacement can have fenced enough.
+	observeStatus(g, "b", later.Add(5), database.RoleReplica, 1, 0, pos(1, 10))
+	require.Equal(t, later.Add(5), g.PrimaryProvenAt(later.Add(12)))
+	// The primary says that it leads, or does what only a primary does.
+	g.ObserveLead("a", 1, now, later.Add(8))
+	require.Equal(t, later.Add(8), g.PrimaryProvenAt(later.Add(12)))
+	observeStatus(g, "a", later.Add(9), database.RolePrimary, 1, 0, pos(1, 10))
+	require.Equal(t, later.Add(9), g.PrimaryProvenAt(later.Add(12)))
+}
--- a/internal/process/group/member.go
+++ b/internal/process/group/member.go
@@ -51,6 +51,12 @@
 	AnsweredAt clock.Time
 }
 
+// isPrimaryOf reports whether the database has said that it leads the term, when asked at
+// openedAt or later.
+func (m *Member) isPrimaryOf(term uint64, openedAt clock.Time) bool {
+	return m.Role == database.RolePrimary && m.Term == term && m.AskedAt >= openedAt
+}
+
 // recordAnswer records an answer received at now, which ends a run of failures.
 func (m *Member) recordAnswer(now clock.Time) {
 	m.AnsweredAt, m.FailingSince, m.Failures = now, 0, 0
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -45,19 +45,24 @@
 	}
 }
 
-// report fails the test if there are violations. It then copies the run's logs
-// to a folder that outlives the test.
+// report logs how much there was to check and reports the violations.
 func (h *harness) report() {
 	h.t.Logf("%d writes acknowledged, %d refused, %d promotions", len(h.acknowledged), len(h.refused), len(h.platform.Promotions()))
 	if h.keys != nil {
 		h.keys.report(h.t, h.group.Arrivals())
 	}
+	if h.keys != nil && len(h.violations) > 0 {
+		require.NoError(h.t, os.WriteFile(filepath.Join(h.dir, "arrivals.log"), h.keys.format(h.group.Arrivals()), 0o600))
+	}
+	h.reportViolations()
+}
+
+// reportViolations fails the test if there are violations. It then copies the run's logs
+// to a folder that outlives the test.
+func (h *harness) reportViolations() {
 	if len(h.violations) == 0 {
 		return
 	}
-	if h.keys != nil {
-		require.NoError(h.t, os.WriteFile(filepath.Join(h.dir, "arrivals.log"), h.keys.format(h.group.Arrivals()), 0o600))
-	}
 	logDir, err := os.MkdirTemp("", "soak")
 	require.NoError(h.t, err)
 	require.NoError(h.t, os.CopyFS(logDir, os.DirFS(h.dir)))
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -92,7 +93,7 @@
 		return
 	default:
 	}
-	p.command = exec.Command(h.program, "--settings", p.settingsFile)
+	p.command = exec.Command(h.program, "--settings", p.settingsFile, "--log-level", cmp.Or(h.logLevel, "info"))
 	p.command.Stdout, p.command.Stderr = log, log
 	require.NoError(h.t, p.command.Start())
 	command, exited := p.command, make(chan struct{})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -91,6 +92,8 @@
 	refused    map[string]struct{}
 	violations []string
 
+	// logLevel is that of the proxies, empty for info.
+	logLevel string
 	// keys is nil in runs without workspaces.
 	keys *keyring
 	// configureMu is held while a configuration is written. version is that of the last
@@ -260,6 +263,14 @@
 	}
 }
 
+// note writes a line about the run itself beside the logs of the proxies.
+func (h *harness) note(format string, arguments ...any) {
+	f, err := os.OpenFile(filepath.Join(h.dir, "faults.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(h.t, err)
+	defer func() { _ = f.Close() }()
+	_, _ = fmt.Fprintf(f, "%s %s\n", time.Now().UTC().Format("2006-01-02T15:04:05.000Z"), fmt.Sprintf(format, arguments...))
+}
+
 func (h *harness) addViolation(format string, arguments ...any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
