Compare logs by their positions, not by the terms that databases follow

What callers may have seen: while no primary is known, a read on a log that lacked acknowledged commits (STALE), or a promotion that rolled such commits back.

Cause: the floor of a majority was the end of the log of the database with the latest term, and a database that joins a term says so before it has received the term's log. The choice of the database to be promoted had the same order.

Change: the position decides; it contains the term of the last entry.

Evidence: TestFloorOfAMajorityIsTheLongestLog fails before (floor 1/10, 1/30 expected).

--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -515,19 +515,17 @@
 // majorityFloorLocked returns the end of the longest log among the databases
 // whose status was requested at since or later. It returns false unless they
 // are a majority, so that one of them has received each commit acknowledged
-// before since. It needs no primary.
+// before since. It needs no primary. The term that a database follows tells nothing
+// about its log, which it may not have received yet.
 func (g *Group) majorityFloorLocked(since clock.Time) (position.Position, bool) {
 	var longest position.Position
-	term := uint64(0)
 	asked := 0
 	for _, m := range g.members {
 		if m.AskedAt < since || m.Term == 0 {
 			continue
 		}
 		asked++
-		if m.Term > term || m.Term == term && m.Received.Compare(longest) > 0 {
-			longest, term = m.Received, m.Term
-		}
+		longest = longest.Max(m.Received)
 	}
 	return longest, asked > RequiredConfirmations(g.sizeLocked())
 }
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -153,6 +153,9 @@
 	first, _ := Successor(tied)
 	second, _ := Successor([]Fence{tied[1], tied[0]})
 	require.Equal(t, first.ID, second.ID, "the order of the fences does not matter")
+	joined := Fence{ID: "b", Status: database.Status{Term: 2, Received: pos(1, 5)}}
+	best, _ = Successor([]Fence{joined, fences[0]})
+	require.Equal(t, "a", best.ID, "b follows the later term and has not received its log")
 	require.True(t, HasFenceQuorum(fences[:2], 3))
 	require.False(t, HasFenceQuorum(fences[:1], 3))
 	_, ok = Successor(nil)
@@ -352,3 +355,16 @@
 	observeStatus(g, "a", later.Add(9), database.RolePrimary, 1, 0, pos(1, 10))
 	require.Equal(t, later.Add(9), g.PrimaryProvenAt(later.Add(12)))
 }
+
+// A database that follows the newest term may not have received its log: the floor of a
+// majority must cover a longer log of an earlier term (STALE).
+func TestFloorOfAMajorityIsTheLongestLog(t *testing.T) {
+	now := clock.Time(1000)
+	g := newTestGroup(now)
+	later := now.Add(500)
+	observeStatus(g, "a", later, database.RoleReplica, 1, 0, pos(1, 30))
+	observeStatus(g, "c", later, database.RoleReplica, 2, 0, pos(1, 10))
+	floor, ok := g.Floor(later, later.Add(5))
+	require.True(t, ok)
+	require.Equal(t, pos(1, 30), floor)
+}
--- a/internal/process/group/suspicion.go
+++ b/internal/process/group/suspicion.go
@@ -176,8 +176,7 @@
 	return len(fences) > 0 && len(fences) >= size-RequiredConfirmations(size)
 }
 
-// Successor returns the fenced database that has received the longest log of
-// the latest term. Among equals it prefers databases that are not leaving. The
+// Successor returns the fenced database that has received the longest log. Among equals it prefers databases that are not leaving. The
 // result does not depend on the order of fences. It returns false if there are
 // none.
 func Successor(fences []Fence) (Fence, bool) {
@@ -193,14 +192,14 @@
 
 // isBetterSuccessor reports whether a is a better choice than b. The received
 // log takes precedence over everything else, because no acknowledged commit may
-// be lost.
+// be lost. A database that follows a later term may not have received its log yet.
 func isBetterSuccessor(a, b Fence) bool {
-	if a.Status.Term != b.Status.Term {
-		return a.Status.Term > b.Status.Term
-	}
 	if c := a.Status.Received.Compare(b.Status.Received); c != 0 {
 		return c > 0
 	}
+	if a.Status.Term != b.Status.Term {
+		return a.Status.Term > b.Status.Term
+	}
 	if a.Leaving != b.Leaving {
 		return b.Leaving
 	}
