Do not count a restarted database in a majority floor before it has caught up

What callers may have seen: while no primary is known, a read on a log that lacked acknowledged commits (STALE).

Cause: a floor without a primary is the longest log of a majority, since one of them has received each acknowledged commit. A database that had started again with nothing still counted, though it had lost what it had confirmed.

Change: a database whose registry entry states another start, or whose log has become shorter within its term, counts again once it leads or has received what the primary had since then.

Evidence: TestRestartedDatabaseDoesNotVouchForItsLog fails before ("b had confirmed entry 20"). Found by reading; no run has shown it. A process that has started since cannot know; that is open.

--- a/internal/process/database/samples.go
+++ b/internal/process/database/samples.go
@@ -110,14 +110,19 @@
 // was not.
 func (h *Samples) LastBelow(p position.Position) (clock.Time, bool) { return h.timeAt(h.seek(p) - 1) }
 
-// Floor returns the position up to which a database must have applied the log
-// for its data to be no older than maxAge at now. It returns false if no sample
-// is that recent.
-func (h *Samples) Floor(now clock.Time, maxAge clock.Duration) (position.Position, bool) {
-	oldest := now.Add(clock.Millisecond - maxAge)
-	first := sort.Search(len(h.samples), func(i int) bool { return h.samples[i].At >= oldest })
+// FirstSince returns the position of the first sample that was taken at or after t, or
+// false if there is none.
+func (h *Samples) FirstSince(t clock.Time) (position.Position, bool) {
+	first := sort.Search(len(h.samples), func(i int) bool { return h.samples[i].At >= t })
 	if first == len(h.samples) {
 		return position.Position{}, false
 	}
 	return h.samples[first].Position, true
 }
+
+// Floor returns the position up to which a database must have applied the log
+// for its data to be no older than maxAge at now. It returns false if no sample
+// is that recent.
+func (h *Samples) Floor(now clock.Time, maxAge clock.Duration) (position.Position, bool) {
+	return h.FirstSince(now.Add(clock.Millisecond - maxAge))
+}
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -106,7 +106,8 @@
 	defer g.notifyLocked()
 	m, known := g.members[e.ID]
 	if !known || m.Incarnation != e.Incarnation || m.Address != e.Address {
-		m = &Member{Entry: e, AnsweredAt: now}
+		restarted := known && m.Incarnation != 0
+		m = &Member{Entry: e, AnsweredAt: now, Behind: restarted, restartedAt: now}
 		g.members[e.ID] = m
 		g.sortLocked()
 		known = false
@@ -180,6 +181,18 @@
 	g.unprovenSince = 0
 }
 
+// updateBehindLocked ends that a database counts as behind once it leads, or has received
+// what the primary had after the database had started.
+func (g *Group) updateBehindLocked(m *Member) {
+	if !m.Behind || m.Term != g.term {
+		return
+	}
+	end, sampled := g.samples.FirstSince(m.restartedAt)
+	if m.Role == database.RolePrimary || sampled && m.Received.AtLeast(end) {
+		m.Behind = false
+	}
+}
+
 // addSampleLocked stores a position that the primary was asked for at the given
 // time. It drops the position if a newer one is known, because samples must be
 // added in time order.
@@ -202,8 +215,12 @@
 	}
 	m.recordAnswer(now)
 	m.AskedAt = askedAt
+	if s.Received.Compare(m.Received) < 0 && s.Term <= m.Term {
+		m.Behind, m.restartedAt = true, now
+	}
 	m.Role, m.Term, m.FencedTerm, m.Received = s.Role, s.Term, s.Fenced, s.Received
 	g.advanceTermLocked(s.Term)
+	g.updateBehindLocked(m)
 	switch {
 	case m.Term != g.term || m.FencedTerm > m.Term:
 		m.UnfencedAt = 0
@@ -521,7 +538,7 @@
 	var longest position.Position
 	asked := 0
 	for _, m := range g.members {
-		if m.AskedAt < since || m.Term == 0 {
+		if m.AskedAt < since || m.Term == 0 || m.Behind {
 			continue
 		}
 		asked++
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -368,3 +368,28 @@
 	require.True(t, ok)
 	require.Equal(t, pos(1, 30), floor)
 }
+
+// A database that has started again may have lost what it had confirmed. It must not count
+// for the floor of a majority until it has received the log anew (STALE).
+func TestRestartedDatabaseDoesNotVouchForItsLog(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		now := clock.Time(1000)
+		g := newTestGroup(now)
+		g.ObserveEntry(now, Entry{ID: "b", Group: "shop1", Address: "b", Slots: 3, Role: database.RoleReplica, Incarnation: 1})
+		observeStatus(g, "b", now.Add(10), database.RoleReplica, 1, 0, pos(1, 20))
+		restarted := now.Add(100)
+		if listed {
+			g.ObserveEntry(restarted, Entry{ID: "b", Group: "shop1", Address: "b", Slots: 3, Role: database.RoleReplica, Incarnation: 2})
+		}
+		observeStatus(g, "b", restarted, database.RoleReplica, 1, 0, pos(1, 0))
+		observeStatus(g, "c", restarted, database.RoleReplica, 1, 0, pos(1, 10))
+		_, ok := g.majorityFloorLocked(restarted)
+		require.False(t, ok, "b had confirmed entry 20")
+		// The primary is seen, and b has received what it had.
+		observeStatus(g, "a", restarted.Add(20), database.RolePrimary, 1, 0, pos(1, 21))
+		observeStatus(g, "b", restarted.Add(30), database.RoleReplica, 1, 0, pos(1, 20))
+		require.True(t, g.members["b"].Behind)
+		observeStatus(g, "b", restarted.Add(40), database.RoleReplica, 1, 0, pos(1, 21))
+		require.False(t, g.members["b"].Behind)
+	}
+}
--- a/internal/process/group/member.go
+++ b/internal/process/group/member.go
@@ -49,6 +49,11 @@
 	Failures int
 	// AnsweredAt is when the database last answered.
 	AnsweredAt clock.Time
+	// Behind is set after the database has started again, until it is known to have
+	// received the log anew: it may have lost what it had received. restartedAt is when
+	// that became known.
+	Behind      bool
+	restartedAt clock.Time
 }
 
 // isPrimaryOf reports whether the database has said that it leads the term, when asked at
