Log what a served read was decided by

A read that is served left no line, so that the users' record of reads on old copies could not tell which floor such a read was given, from what, of what age and term, by which home and at which database.

The floor's source becomes part of what group.Floor returns; its tests name the source in place of a boolean.

The subtest of a ROLLBACK that fails counted connections, which the status request for a new connection changes; it checks now that no transaction is open where the next read runs, and still fails without the rule.

--- a/internal/connection/session/exchange_test.go
+++ b/internal/connection/session/exchange_test.go
@@ -39,6 +39,7 @@
 		d.setFail(nil)
 		requireServed(t, second, "read-2", statement.Read{Text: "READ a"})
 		require.Empty(t, d.runs("read-2")[0].transaction)
+		require.False(t, d.runs("read-2")[0].inTransaction)
 	})
 	t.Run("ROLLBACK that failed", func(t *testing.T) {
 		d := &memoryDatabase{}
@@ -49,9 +50,8 @@
 		require.True(t, ok)
 		_, err := s.logContains(g, m, position.Position{Term: 1}, s.Clock.Now().Add(1000))
 		require.NoError(t, err)
-		require.Equal(t, 1, d.dials)
 		requireServed(t, s, "read", statement.Read{Text: "READ a"})
-		require.Equal(t, 2, d.dials)
+		require.False(t, d.runs("read")[0].inTransaction)
 	})
 }
 
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -38,7 +38,8 @@
 	id     string
 	values map[string]string
 	// transaction is the request ID of the BEGIN of the open transaction.
-	transaction string
+	transaction   string
+	inTransaction bool
 }
 
 // memoryConn is a connection to a memoryDatabase.
@@ -140,7 +141,7 @@
 }
 
 func (c *memoryConn) record(id string) {
-	c.ran = append(c.ran, ranStatement{id: id, values: maps.Clone(c.values), transaction: c.transaction})
+	c.ran = append(c.ran, ranStatement{id: id, values: maps.Clone(c.values), transaction: c.transaction, inTransaction: c.state != statement.Idle})
 }
 
 func (c *memoryConn) end() { c.state, c.transaction, c.writes = statement.Idle, "", nil }
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -42,8 +42,9 @@
 		s.fail(statement.CodeBusy, "no recent position of the group is known")
 		return
 	}
-	if c, _ := s.readAnywhere(g, r, floor, deadline); c != nil {
+	if c, p := s.readAnywhere(g, r, floor, deadline); c != nil {
 		c.Release()
+		s.logRead(g, p, floor)
 	}
 }
 
@@ -57,11 +58,12 @@
 // from what is known now.
 func (s *Session) knownFloor(g *backend.GroupClient) (position.Position, bool) {
 	since := s.arrived.Add(ageMargin - s.route.MaxAge)
-	floor, ok := g.Floor(since, s.Clock.Now())
+	floor, source := g.Floor(since, s.Clock.Now())
+	s.floorSource = source
 	if s.route.Consistency == routes.ReadYourWrites {
 		floor = floor.Max(s.floor)
 	}
-	return floor, ok
+	return floor, source != group.FloorUnknown
 }
 
 // readFloor returns the position that a read of this session must see. It covers
@@ -250,6 +252,7 @@
 			return
 		}
 		if s.awaitLeadership(g, m, c.OpenedAt, prefer, deadline) {
+			s.logRead(g, p, position.Position{})
 			return
 		}
 		if tries >= maxRetries || s.Clock.Now().Add(retryPause) >= deadline || s.leadershipWait(g) < leadershipTimeout {
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
+	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
@@ -101,6 +102,8 @@
 	Limits Limits
 	// Usage counts the requests of workspaces. If it is nil, they are not counted.
 	Usage Usage
+	// Reads bounds the log lines of reads. If it is nil, they are not logged.
+	Reads *ReadLog
 }
 
 // Session serves the requests of one caller, which may be connected to another
@@ -151,6 +154,8 @@
 	// answerWithin is how long the proxy that has forwarded the request waits for the
 	// answer. It is zero if that is the route's timeout.
 	answerWithin clock.Duration
+	// floorSource is what the floor of the request was taken from.
+	floorSource group.FloorSource
 	// workspace is the name of the workspace on whose behalf the request runs, or the
 	// last one did if this one is refused. It is empty on public routes and where no
 	// workspaces are declared.
@@ -371,7 +376,7 @@
 
 // serve handles a request and stores the answer in s.answer.
 func (s *Session) serve(r *statement.Request) {
-	s.requestID, s.limited = r.ID, nil
+	s.requestID, s.limited, s.floorSource = r.ID, nil, group.FloorUnknown
 	s.refused, s.shortOfCapacity, s.shortage, s.answeredBy = false, false, shortage{}, ""
 	s.answer.Reset()
 	defer s.putBackToken()
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -167,7 +167,11 @@
 		return s.beginAtPrimary(g, &begin, deadline)
 	}
 	t.conn, t.pool = s.readAnywhere(g, &begin, floor, deadline)
-	return s.checkBegun()
+	if !s.checkBegun() {
+		return false
+	}
+	s.logRead(g, t.pool, floor)
+	return true
 }
 
 // checkBegun reports whether the database has opened the transaction, and closes
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -167,7 +167,7 @@
 		roster: newRoster(), settled: settledEra{self: s.Name}, sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
 		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(), counts: newWorkspaceCounts(),
 	}
-	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Waits: m, Self: s.Name, Process: newProcessName()}
+	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Waits: m, Self: s.Name, Process: newProcessName(), Reads: &session.ReadLog{}}
 	if f.freshness = newFreshnessDriver(s.RevocationLimit, c.Now()); f.freshness != nil {
 		f.sessionDeps.Freshness = f.freshness.proof
 	}
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -508,17 +508,38 @@
 	return g.primaryProvenAtLocked(now)
 }
 
-// Floor returns a position that covers every commit acknowledged before since.
-// It returns false if the known positions are too old to tell.
-func (g *Group) Floor(since, now clock.Time) (position.Position, bool) {
+// FloorSource tells what a floor was taken from.
+type FloorSource uint8
+
+// The sources of floors.
+const (
+	// FloorUnknown: there is no floor.
+	FloorUnknown FloorSource = iota
+	// FloorOfPrimary: a position of the primary.
+	FloorOfPrimary
+	// FloorOfMajority: the longest log of a majority.
+	FloorOfMajority
+)
+
+var floorSourceNames = [...]string{"unknown", "primary", "majority"}
+
+// String returns the name of the source as used in logs.
+func (s FloorSource) String() string { return floorSourceNames[s] }
+
+// Floor returns a position that covers every commit acknowledged before since, and what it
+// was taken from. It returns FloorUnknown if the known positions are too old to tell.
+func (g *Group) Floor(since, now clock.Time) (position.Position, FloorSource) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.primaryLocked() != nil && g.primaryProvenAtLocked(now) >= since {
 		if p, ok := g.samples.Floor(now, now.Sub(since)+clock.Millisecond); ok {
-			return p, true
+			return p, FloorOfPrimary
 		}
 	}
-	return g.majorityFloorLocked(since)
+	if p, ok := g.majorityFloorLocked(since); ok {
+		return p, FloorOfMajority
+	}
+	return position.Position{}, FloorUnknown
 }
 
 // SampledAt returns when the newest known position of the primary was
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -40,11 +40,11 @@
 	now = now.Add(lapsedTTL)
 	require.Equal(t, []string{"c"}, g.Expire(now))
 	observeStatus(g, "a", now, database.RolePrimary, 1, 0, pos(1, 20))
-	_, ok := g.Floor(now, now.Add(5))
-	require.False(t, ok, "b and a database that joined may have confirmed commits of a later term")
+	_, source := g.Floor(now, now.Add(5))
+	require.Equal(t, FloorUnknown, source, "b and a database that joined may have confirmed commits of a later term")
 	observeStatus(g, "b", now, database.RoleReplica, 1, 0, pos(1, 20))
-	floor, ok := g.Floor(now, now.Add(5))
-	require.True(t, ok)
+	floor, source := g.Floor(now, now.Add(5))
+	require.Equal(t, FloorOfPrimary, source)
 	require.Equal(t, pos(1, 20), floor)
 
 	// The same holds once the group has been short for so long that two
@@ -53,8 +53,8 @@
 	g.Expire(now)
 	require.Equal(t, 2, g.Size())
 	observeStatus(g, "a", now, database.RolePrimary, 1, 0, pos(1, 30))
-	_, ok = g.Floor(now, now.Add(5))
-	require.False(t, ok)
+	_, source = g.Floor(now, now.Add(5))
+	require.Equal(t, FloorUnknown, source)
 }
 
 func TestFencedReplicaDoesNotProvePrimary(t *testing.T) {
@@ -344,8 +344,8 @@
 	g.ObservePosition("a", now, later, later.Add(2), pos(1, 10))
 	observeStatus(g, "c", later.Add(10), database.RoleReplica, 1, 0, pos(1, 10))
 	require.Equal(t, now, g.PrimaryProvenAt(later.Add(12)))
-	_, ok := g.Floor(later, later.Add(12))
-	require.False(t, ok)
+	_, source := g.Floor(later, later.Add(12))
+	require.Equal(t, FloorUnknown, source)
 	// Both replicas: no replacement can have fenced enough.
 	observeStatus(g, "b", later.Add(5), database.RoleReplica, 1, 0, pos(1, 10))
 	require.Equal(t, later.Add(5), g.PrimaryProvenAt(later.Add(12)))
@@ -364,8 +364,8 @@
 	later := now.Add(500)
 	observeStatus(g, "a", later, database.RoleReplica, 1, 0, pos(1, 30))
 	observeStatus(g, "c", later, database.RoleReplica, 2, 0, pos(1, 10))
-	floor, ok := g.Floor(later, later.Add(5))
-	require.True(t, ok)
+	floor, source := g.Floor(later, later.Add(5))
+	require.Equal(t, FloorOfMajority, source)
 	require.Equal(t, pos(1, 30), floor)
 }
 
