Load the session's state in one place

prepareConn and loadVariables sent and judged the requests that load a session's state in the same lines; so did the two kinds of soak runs with the links before databases. No change of behaviour: the tests of the session and the short soak pass.

--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -114,25 +114,31 @@
 	if len(requests) == 0 {
 		return true
 	}
+	answered, f := s.exchangeState(g, c, p, requests, limit)
+	if f != nil {
+		c.NeedsReset = true
+		c.Release()
+	}
+	return answered && f == nil
+}
+
+// exchangeState sends requests that load the session's state, and returns whether they
+// were answered and the first failure among the answers. A connection without an answer
+// is closed.
+func (s *Session) exchangeState(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, requests []statement.Request, limit clock.Duration) (bool, *statement.Failure) {
 	answers := make([]statement.Answer, len(requests))
 	sent := s.Clock.Now()
 	if _, err := c.Exchange(limit, requests, answers); err != nil {
 		c.Discard()
 		g.RecordConnectionLoss(p.ID, sent)
-		return false
+		return false, nil
 	}
-	if f := firstFailure(answers); f != nil {
-		s.logStateNotLoaded(p, f)
-		c.NeedsReset = true
-		c.Release()
-		return false
+	f := firstFailure(answers)
+	if f != nil {
+		s.Log.Warn("cannot load the session state", zap.String("group", p.Group), zap.String("database", p.ID), zap.Uint64("session", s.id),
+			zap.Int("variables", len(s.values)), zap.Int("prepared", len(s.prepared)), logs.Error(f))
 	}
-	return true
-}
-
-func (s *Session) logStateNotLoaded(p *backend.Pool, f *statement.Failure) {
-	s.Log.Warn("cannot load the session state", zap.String("group", p.Group), zap.String("database", p.ID), zap.Uint64("session", s.id),
-		zap.Int("variables", len(s.values)), zap.Int("prepared", len(s.prepared)), logs.Error(f))
+	return true, f
 }
 
 // releaseSlot gives back a reserved slot that was not used.
@@ -158,16 +164,11 @@
 		}
 		requests = append(requests, s.probeRequest(c))
 	}
-	answers := make([]statement.Answer, len(requests))
-	sent := s.Clock.Now()
-	if _, err := c.Exchange(probeTimeout, requests, answers); err != nil {
+	answered, f := s.exchangeState(g, c, p, requests, probeTimeout)
+	if f != nil {
 		c.Discard()
-		g.RecordConnectionLoss(p.ID, sent)
-		return false
 	}
-	if f := firstFailure(answers); f != nil {
-		s.logStateNotLoaded(p, f)
-		c.Discard()
+	if !answered || f != nil {
 		return false
 	}
 	c.UsedAt = s.Clock.Now()
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -28,7 +28,7 @@
 
 	mu           sync.Mutex
 	transactions map[string]*hostedTx
-	// senders has the proxies that have forwarded requests, by sender.name.
+	// senders has the processes that have forwarded requests, by their names.
 	senders map[string]*sender
 	stopped bool
 	// overloaded is set while the process is short of CPU time.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -114,15 +114,7 @@
 	h.group, err = standin.NewGroup("shop", []string{"a", "b", "c"}, 0)
 	require.NoError(t, err)
 	defer h.group.Close()
-	for _, d := range h.group.Databases() {
-		link, err := NewLink(d.Address())
-		require.NoError(t, err)
-		defer link.Close()
-		h.databaseLinks = append(h.databaseLinks, link)
-		d.AdvertisedAddress = link.Address()
-	}
-	h.platform = standin.NewPlatform(h.group)
-	defer h.platform.Close()
+	h.startPlatform()
 	h.storeLink, err = NewLink(h.platform.Address())
 	require.NoError(t, err)
 	defer h.storeLink.Close()
@@ -168,6 +160,19 @@
 	h.report()
 }
 
+// startPlatform starts a platform for the group, with a link before each database.
+func (h *harness) startPlatform() {
+	for _, d := range h.group.Databases() {
+		link, err := NewLink(d.Address())
+		require.NoError(h.t, err)
+		h.t.Cleanup(link.Close)
+		h.databaseLinks = append(h.databaseLinks, link)
+		d.AdvertisedAddress = link.Address()
+	}
+	h.platform = standin.NewPlatform(h.group)
+	h.t.Cleanup(h.platform.Close)
+}
+
 // runCaller writes new keys and reads them back until the run is over. It opens
 // a new session at a random proxy when its session ends.
 func (h *harness) runCaller(i int) {
--- a/soak/stale_test.go
+++ b/soak/stale_test.go
@@ -108,15 +108,7 @@
 		Network: time.Millisecond, Apply: 50 * time.Millisecond, Promote: 300 * time.Millisecond, Demote: time.Second,
 		Rejoin: time.Duration(20+h.random.IntN(400)) * time.Millisecond, Lapse: 3600 * time.Millisecond,
 	}
-	for _, d := range h.group.Databases() {
-		link, err := NewLink(d.Address())
-		require.NoError(t, err)
-		defer link.Close()
-		h.databaseLinks = append(h.databaseLinks, link)
-		d.AdvertisedAddress = link.Address()
-	}
-	h.platform = standin.NewPlatform(h.group)
-	defer h.platform.Close()
+	h.startPlatform()
 	h.platformLink, err = NewLink(h.platform.Address())
 	require.NoError(t, err)
 	defer h.platformLink.Close()
