Front: entries of a test name an availability zone and slots

TestPanicOverARowLeavesTheOthers decoded entries without them, which no longer become part of a group (it failed with a nil group). What it checks is unchanged.

--- a/internal/front/contain_test.go
+++ b/internal/front/contain_test.go
@@ -57,7 +57,7 @@
 			if row.Key == "bad" {
 				panic("unexpected entry")
 			}
-			return group.Entry{ID: row.Key, Group: "shop", Address: "127.0.0.1:1"}, nil
+			return group.Entry{ID: row.Key, Group: "shop", Address: "127.0.0.1:1", Zone: "a", Slots: 1}, nil
 		},
 	}
 	f := New(Settings{Name: "self"}, p, clock.NewBoot(), zap.NewNop(), NewMetrics())
