--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -200,7 +200,8 @@
 	return f
 }
 
-// newProcessName returns a name that no earlier process of the instance had.
+// newProcessName returns a random name, which distinguishes this process from earlier ones
+// of the instance.
 func newProcessName() string { return strconv.FormatUint(rand.Uint64(), 36) }
 
 // Start listens for callers and peers, and starts to follow the store in the
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -81,10 +81,10 @@
 	return s, err
 }
 
-// LoadStartSettings reads the settings of a process that starts. A process that has
-// nothing to go back to should rather serve with a default than not at all, so that
-// invalid values that have one are returned as invalid and replaced by it. It returns an
-// error where LoadSettings does and no default exists.
+// LoadStartSettings reads the settings of a process that starts, which has no earlier
+// settings to keep. It replaces an invalid value by its default and returns the error of
+// the value in invalid. It returns err if a value has no default, or the file cannot be
+// read or parsed.
 func LoadStartSettings(path string) (s Settings, invalid []*SettingsError, err error) {
 	s, invalid, err = readSettings(path)
 	for _, e := range invalid {
