Count and log answers of databases that nobody waits for

Nothing told afterwards whether a database had sent an answer twice, had sent one that its request cannot have, or whether bytes were left from a message before.

Each connection now checks its answers in their order, and the bytes that are there before a request is sent and after its answer was read. What does not fit is counted by fault (unexpected_answers) and logged, at most 5 lines a second and database. Nothing else changes: the answers are still used.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
@@ -36,6 +38,12 @@
 	// within limit. It returns the number of answers read. After an error the
 	// connection must not be used any more.
 	Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error)
+	// Buffered returns the number of bytes that were received with the last answer and
+	// are not part of it.
+	Buffered() int
+	// Unread returns the number of received bytes that no request waits for, at least 1
+	// if there are any. It returns an error if the connection has ended.
+	Unread() (int, error)
 	// DecodeStatus decodes the answer to an operation that returns a status,
 	// such as statement.Status.
 	DecodeStatus(a *statement.Answer) (database.Status, error)
@@ -65,17 +73,24 @@
 	// OpenedAt is when the database had accepted the connection.
 	OpenedAt clock.Time
 	pool     *Pool
-	// state is the transaction state after the last answer.
-	state statement.State
+	answers  answerSequence
 }
 
 // Exchange sends requests as Conn.Exchange does. If it panics, for example over
 // an answer that nobody expected, the connection counts as broken.
 func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
 	defer contain.Recover(c.pool.log, c.pool.exchangePart, &err)
+	if unread, _ := c.Unread(); unread > 0 { // the end of the connection shows in Exchange
+		c.pool.recordFault(c, FaultUnread, "", zap.Int("bytesBefore", unread))
+	}
 	n, err = c.Conn.Exchange(limit, requests, answers)
-	if n > 0 {
-		c.state = answers[n-1].State
+	for i := range n {
+		if fault, _ := c.answers.observe(&requests[i], &answers[i]); fault != FaultNone {
+			c.pool.recordFault(c, fault, operationName(requests[i].Operation), zap.Int("number", i+1), zap.Int("of", len(requests)))
+		}
+	}
+	if left := c.Buffered(); left > 0 && err == nil {
+		c.pool.recordFault(c, FaultUnread, operationName(requests[len(requests)-1].Operation), zap.Int("bytesAfter", left))
 	}
 	return n, err
 }
--- /dev/null
+++ b/internal/connection/backend/fault_counts.go
@@ -0,0 +1,80 @@
+package backend
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+const (
+	// maxFaultLines is how many faults of a database's answers are logged in
+	// faultLogPeriod.
+	maxFaultLines  = 5
+	faultLogPeriod = clock.Second
+)
+
+// faultCounts counts the faults of a database's answers and bounds their log lines.
+type faultCounts struct {
+	mu     sync.Mutex
+	counts [answerFaults]int64
+	// began is when the current period began, in which written lines were logged.
+	began   clock.Time
+	written int
+	// skipped counts the faults without a line since the last line.
+	skipped int
+}
+
+// add counts a fault. It reports whether it may be logged, and how many were not since
+// the last one that was.
+func (f *faultCounts) add(now clock.Time, fault AnswerFault) (bool, int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts[fault]++
+	if now.Sub(f.began) >= faultLogPeriod {
+		f.began, f.written = now, 0
+	}
+	if f.written >= maxFaultLines {
+		f.skipped++
+		return false, 0
+	}
+	f.written++
+	skipped := f.skipped
+	f.skipped = 0
+	return true, skipped
+}
+
+// recordFault counts and logs a fault of an answer that arrived on a connection.
+func (p *Pool) recordFault(c *PooledConn, fault AnswerFault, operation string, fields ...zap.Field) {
+	now := p.clock.Now()
+	admitted, skipped := p.faults.add(now, fault)
+	if !admitted {
+		return
+	}
+	fields = append(fields, zap.String("database", p.ID), zap.Stringer("fault", fault), zap.String("operation", operation),
+		zap.Int64("openedMillisAgo", int64(now.Sub(c.OpenedAt))), zap.Int64("usedMillisAgo", int64(now.Sub(c.UsedAt))))
+	if skipped > 0 {
+		fields = append(fields, zap.Int("skipped", skipped))
+	}
+	p.log.Warn("unexpected answer of a database", fields...)
+}
+
+// AnswerFaults calls f with the number of answers with each fault.
+func (p *Pool) AnswerFaults(f func(AnswerFault, int64)) {
+	p.faults.mu.Lock()
+	counts := p.faults.counts
+	p.faults.mu.Unlock()
+	for fault := FaultUnread; fault < answerFaults; fault++ {
+		f(fault, counts[fault])
+	}
+}
+
+// operationName returns the name of an operation's type.
+func operationName(o statement.Operation) string {
+	_, name, _ := strings.Cut(fmt.Sprintf("%T", o), ".")
+	return name
+}
--- a/internal/connection/backend/group_client_test.go
+++ b/internal/connection/backend/group_client_test.go
@@ -37,6 +37,10 @@
 	return database.Status{}, errSilent
 }
 
+func (silentConn) Buffered() int { return 0 }
+
+func (silentConn) Unread() (int, error) { return 0, nil }
+
 func (silentConn) Close() {}
 
 // newTestClient returns a client of a group with primary a and replicas b and
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -121,6 +121,7 @@
 	onDial   func(statement.Answer, clock.Time, error)
 	// exchangePart names an exchange with the database in logs of a contained panic.
 	exchangePart string
+	faults       faultCounts
 
 	mu      sync.Mutex
 	idle    []*PooledConn
@@ -528,7 +529,7 @@
 // open is closed instead, which rolls the transaction back.
 func (c *PooledConn) Release() {
 	p := c.pool
-	if c.state != statement.Idle {
+	if c.answers.state != statement.Idle {
 		p.log.Info("connection closed: a transaction is open on it", zap.String("database", p.ID))
 		c.Discard()
 		return
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -160,6 +160,12 @@
 	return database.Status{Role: role, Term: 1, Received: a.Position, Applied: a.Position}, nil
 }
 
+// Buffered implements backend.Conn.
+func (*memoryConn) Buffered() int { return 0 }
+
+// Unread implements backend.Conn.
+func (*memoryConn) Unread() (int, error) { return 0, nil }
+
 // Close implements backend.Conn.
 func (c *memoryConn) Close() {
 	c.mu.Lock()
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -195,6 +195,9 @@
 			database.Gauge("connections_idle").Update(float64(c.Idle))
 			database.Gauge("connections_awaited").Update(float64(c.Waiting))
 			if p := g.Pool(id); p != nil {
+				p.AnswerFaults(func(fault backend.AnswerFault, n int64) {
+					database.Tagged(map[string]string{"fault": fault.String()}).Gauge("unexpected_answers").Update(float64(n))
+				})
 				limiter := p.Limiter.Stats()
 				database.Gauge("limit").Update(limiter.Limit)
 				database.Gauge("limit_latency_ms").Update(limiter.Latency)
