Name prepared statements by a digest that cannot be made to collide

An EXECUTE could run the shape that another caller had prepared. Sessions share the prepared statements of a pooled connection, under a name that was the FNV-64 of the shape, after a byte 1 if it may write. "READ" with the shape "\x01q2c" was one name with "WRITE" and "q2c", so that a read ran as a write and the reverse, and two shapes with the same FNV-64 are easily found: "8yn0iYCKYHlIj4-BwPqk" and "GReLUrM4wMqfg9yzV3KQ" are such a pair.

It is made when the statement is prepared and no longer with each EXECUTE.

TestPreparedStatementsOfOneConnectionStayApart failed before:

/FNV expected "GReLUrM4wMqfg9yzV3KQ", actual "8yn0iYCKYHlIj4-BwPqk" /kind_and_shape expected "\x01q2c", actual "q2c"

--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -184,7 +184,7 @@
 	}
 	if e, ok := r.Operation.(statement.Execute); ok {
 		if p, known := s.prepared[e.Name]; known {
-			run.Prepared = &peer.Prepared{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
+			run.Prepared = &peer.Prepared{Name: e.Name, Writes: p.Writes, Shape: p.Shape}
 		}
 	}
 	return run, true
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -40,6 +40,8 @@
 	// transaction is the request ID of the BEGIN of the open transaction.
 	transaction   string
 	inTransaction bool
+	// prepared is the prepared statement that has run.
+	prepared statement.Prepare
 }
 
 // memoryConn is a connection to a memoryDatabase.
@@ -78,6 +80,12 @@
 	return list
 }
 
+func (d *memoryDatabase) dialCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dials
+}
+
 func (d *memoryDatabase) commits() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -123,10 +131,12 @@
 	case statement.Prepare:
 		c.prepared[o.Name] = o
 	case statement.Execute:
-		if _, ok := c.prepared[o.Name]; !ok {
+		p, ok := c.prepared[o.Name]
+		if !ok {
 			return &statement.Failure{Code: statement.CodeUnprepared}
 		}
 		c.record(r.ID)
+		c.ran[len(c.ran)-1].prepared = p
 	case statement.Read:
 		c.record(r.ID)
 	case statement.Write:
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -117,8 +117,8 @@
 	// key is the caller's key. It must not be logged, nor sent to other processes.
 	key string
 
-	// values holds the session variables and prepared the prepared statements by
-	// name; both together are the session's state. valueTexts maps the names in
+	// values holds the session variables and prepared the prepared statements, with
+	// their shared names, by the caller's name; both together are the session's state. valueTexts maps the names in
 	// values to their statement texts. The maps are nil while they are empty: most
 	// sessions hosted for other proxies serve one statement without state.
 	values     []statement.Set
@@ -496,7 +496,9 @@
 	if s.prepared == nil {
 		s.prepared = make(map[string]statement.Prepare)
 	}
-	s.prepared[o.Name] = o
+	name := o.Name
+	o.Name = sharedName(o)
+	s.prepared[name] = o
 }
 
 func (s *Session) setValue(o statement.Set) {
--- a/internal/connection/session/state.go
+++ b/internal/connection/session/state.go
@@ -1,8 +1,8 @@
 package session
 
 import (
-	"hash/fnv"
-	"strconv"
+	"crypto/sha256"
+	"encoding/base64"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
@@ -23,7 +23,6 @@
 		if !known {
 			return requests
 		}
-		p.Name = sharedName(p)
 		if _, loaded := c.Prepared[p.Name]; !loaded {
 			requests = append(requests, statement.Request{Operation: p})
 			c.Prepared[p.Name] = struct{}{}
@@ -56,7 +55,7 @@
 	out := *r
 	if e, ok := r.Operation.(statement.Execute); ok {
 		if p, known := s.prepared[e.Name]; known {
-			e.Name = sharedName(p)
+			e.Name = p.Name
 			out.Operation = e
 		}
 	}
@@ -65,16 +64,22 @@
 
 // sharedName derives the name of a prepared statement from its content. Sessions
 // that use the same name for different statements do not collide on a pooled
-// connection, and sessions that prepare the same statement share it.
+// connection, and sessions that prepare the same statement share it. Callers choose
+// the shapes, so the digest is one for which no two with the same name can be found.
 func sharedName(p statement.Prepare) string {
-	h := fnv.New64a()
+	kind := byte('r')
 	if p.Writes {
-		_, _ = h.Write([]byte{1})
+		kind = 'w'
 	}
-	_, _ = h.Write([]byte(p.Shape))
-	return "p" + strconv.FormatUint(h.Sum64(), 36)
+	var buffer [128]byte
+	digest := sha256.Sum256(append(append(buffer[:0], kind), p.Shape...))
+	return string(base64.RawURLEncoding.AppendEncode(append(buffer[:0], 'p'), digest[:sharedNameSize]))
 }
 
+// sharedNameSize is the number of bytes of the digest in a shared name. PostgreSQL cuts
+// names after 63 characters.
+const sharedNameSize = 24
+
 // firstFailure returns the first failure among the answers, or nil.
 func firstFailure(answers []statement.Answer) *statement.Failure {
 	for i := range answers {
--- /dev/null
+++ b/internal/connection/session/state_test.go
@@ -0,0 +1,44 @@
+package session
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
+)
+
+// Two prepared statements that are one name at the databases run each other's shape.
+func TestPreparedStatementsOfOneConnectionStayApart(t *testing.T) {
+	for name, pair := range map[string][2]statement.Prepare{
+		"kind and shape": {{Name: "s", Shape: "\x01q2c"}, {Name: "s", Writes: true, Shape: "q2c"}},
+		"kind as shape":  {{Name: "s", Shape: "rq2c"}, {Name: "s", Shape: "q2c"}},
+		"FNV":            {{Name: "s", Shape: "8yn0iYCKYHlIj4-BwPqk"}, {Name: "s", Shape: "GReLUrM4wMqfg9yzV3KQ"}},
+		"blanks":         {{Name: "s", Shape: "q2c"}, {Name: "s", Shape: "q2c "}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &memoryDatabase{}
+			g := newMemoryGroup(t, d)
+			sessions := [2]*Session{newMemorySession(g, 1, routes.Primary), newMemorySession(g, 2, routes.Primary)}
+			for i, s := range sessions {
+				requireServed(t, s, "prepare", pair[i])
+			}
+			ids := [2]string{"1", "2"}
+			for range 8 {
+				for i, s := range sessions {
+					requireServed(t, s, ids[i], statement.Execute{Name: "s", Arguments: "a"})
+				}
+			}
+			require.Less(t, d.dialCount(), 8, "the sessions share connections")
+			for i, id := range ids {
+				ran := d.runs(id)
+				require.Len(t, ran, 8)
+				for _, r := range ran {
+					require.Equal(t, pair[i].Shape, r.prepared.Shape)
+					require.Equal(t, pair[i].Writes, r.prepared.Writes)
+				}
+			}
+		})
+	}
+}
