Send an unprepared name as one that no session has prepared

EXECUTE of a name that its session had not prepared was sent to the database under that name. A caller that sent the shared name of another caller's statement ran that statement, on a connection where it was still prepared: a prepared name ran another shape than its client had prepared, and a write ran as what the proxy took for a read, without the checks of a write.

Such a name is now sent with a prefix that no shared name has, so that the database answers UNPREPARED as before.

TestUnpreparedNameRunsNoStatementOfAnotherSession failed before:

Should be empty, but was [{2 map[] false {p3Lo7nI4M-... true q2c}}]

--- a/internal/connection/session/state.go
+++ b/internal/connection/session/state.go
@@ -50,18 +50,28 @@
 }
 
 // withSharedName returns r with the name of a prepared statement replaced by
-// the shared name under which databases know it.
+// the shared name under which databases know it. A name that the session has not
+// prepared is replaced by one that no database knows.
 func (s *Session) withSharedName(r *statement.Request) statement.Request {
 	out := *r
 	if e, ok := r.Operation.(statement.Execute); ok {
 		if p, known := s.prepared[e.Name]; known {
 			e.Name = p.Name
-			out.Operation = e
+		} else {
+			e.Name = unpreparedPrefix + e.Name
 		}
+		out.Operation = e
 	}
 	return out
 }
 
+// Names at databases begin with sharedPrefix if a session has prepared them, and with
+// unpreparedPrefix if none has.
+const (
+	sharedPrefix     = 'p'
+	unpreparedPrefix = "u"
+)
+
 // sharedName derives the name of a prepared statement from its content. Sessions
 // that use the same name for different statements do not collide on a pooled
 // connection, and sessions that prepare the same statement share it. Callers choose
@@ -73,7 +83,7 @@
 	}
 	var buffer [128]byte
 	digest := sha256.Sum256(append(append(buffer[:0], kind), p.Shape...))
-	return string(base64.RawURLEncoding.AppendEncode(append(buffer[:0], 'p'), digest[:sharedNameSize]))
+	return string(base64.RawURLEncoding.AppendEncode(append(buffer[:0], sharedPrefix), digest[:sharedNameSize]))
 }
 
 // sharedNameSize is the number of bytes of the digest in a shared name. PostgreSQL cuts
--- a/internal/connection/session/state_test.go
+++ b/internal/connection/session/state_test.go
@@ -42,3 +42,22 @@
 		})
 	}
 }
+
+// The name of an EXECUTE that its session has not prepared must not be that of a
+// statement that another session has prepared on the same connection.
+func TestUnpreparedNameRunsNoStatementOfAnotherSession(t *testing.T) {
+	p := statement.Prepare{Name: "s", Writes: true, Shape: "q2c"}
+	for _, name := range []string{sharedName(p), "s"} {
+		d := &memoryDatabase{}
+		g := newMemoryGroup(t, d)
+		owner, other := newMemorySession(g, 1, routes.Primary), newMemorySession(g, 2, routes.Primary)
+		requireServed(t, owner, "prepare", p)
+		for range 8 {
+			requireServed(t, owner, "1", statement.Execute{Name: "s", Arguments: "a"})
+			f := other.request("2", statement.Execute{Name: name, Arguments: "a"})
+			require.Empty(t, d.runs("2"), name)
+			require.NotNil(t, f)
+			require.Equal(t, statement.CodeUnprepared, f.Code)
+		}
+	}
+}
