Forget a deallocated statement at the home of its transaction

EXECUTE of a name that was deallocated within a transaction ran the shape of before, if the transaction was forwarded: the home kept the prepared statements that had come with earlier statements. An EXECUTE without one now removes the name at the home, and the database answers UNPREPARED.

TestDeallocatedStatementDoesNotRunAtAHome failed before:

Should be empty, but was [{2 map[] begin true {pDrIqpVhXb... false q2c}}]

--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -143,6 +143,9 @@
 	}
 	if p := run.Prepared; p != nil {
 		s.prepare(statement.Prepare{Name: p.Name, Writes: p.Writes, Shape: p.Shape})
+	} else if e, ok := r.Operation.(statement.Execute); ok {
+		// The session may have deallocated it since.
+		delete(s.prepared, e.Name)
 	}
 	s.token = token{reserved: run.Reserve}
 	s.answerWithin = run.AnswerWithin
--- a/internal/connection/session/state_test.go
+++ b/internal/connection/session/state_test.go
@@ -4,9 +4,12 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 // Two prepared statements that are one name at the databases run each other's shape.
@@ -61,3 +64,22 @@
 		}
 	}
 }
+
+// A home must not run a statement that the session has since deallocated.
+func TestDeallocatedStatementDoesNotRunAtAHome(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	process := startForwardingProcesses(t, h, 1)[0]
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	requireServed(t, s, "prepare", statement.Prepare{Name: "s", Shape: "q2c"})
+	requireServed(t, s, "begin", statement.Begin{})
+	requireServed(t, s, "1", statement.Execute{Name: "s", Arguments: "a"})
+	requireServed(t, s, "deallocate", statement.Deallocate{Name: "s"})
+	f := s.request("2", statement.Execute{Name: "s", Arguments: "a"})
+	require.Len(t, d.runs("1"), 1)
+	require.Empty(t, d.runs("2"))
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeUnprepared, f.Code)
+}
