Do not send a request again after an answer of an invalid length

A request that does not fit into a frame is sent as a call instead, as nothing was sent before. The same was done after an error that only wrapped that of a frame's length: if a peer sent a frame of an invalid length, or an answer of more than 64 MiB, the connection broke, and each request that waited on it was sent once more. A write ran twice.

Only an error of the own request counts now. An answer that is too long ends its own request with an AnswerLengthError, and the others on the connection go on.

--- a/internal/process/proxy/frame.go
+++ b/internal/process/proxy/frame.go
@@ -57,13 +57,20 @@
 	return fmt.Sprintf("invalid length of a frame: %d bytes", e.Length)
 }
 
-// isTooLong reports whether err is a *FrameLengthError.
+// isTooLong reports whether err states that a message was not sent because it is too
+// long for a frame. A *BrokenError whose cause is a *FrameLengthError does not.
 func isTooLong(err error) bool {
-	if err == nil {
-		return false
-	}
+	var broken *BrokenError
 	var length *FrameLengthError
-	return errors.As(err, &length)
+	return err != nil && !errors.As(err, &broken) && errors.As(err, &length)
+}
+
+// AnswerLengthError reports an answer that is longer than maxAnswerSize. The request has
+// run.
+type AnswerLengthError struct{ Length int }
+
+func (e *AnswerLengthError) Error() string {
+	return fmt.Sprintf("the answer has more than %d bytes: at least %d", maxAnswerSize, e.Length)
 }
 
 // FrameKindError reports a frame of a kind that is unknown or goes the other way.
--- a/internal/process/proxy/outgoing.go
+++ b/internal/process/proxy/outgoing.go
@@ -294,8 +294,11 @@
 	}
 	if f.kind == framePart {
 		defer o.mu.Unlock()
-		if len(c.parts)+len(f.payload) > maxAnswerSize {
-			return &FrameLengthError{Length: len(c.parts) + len(f.payload)}
+		if length := len(c.parts) + len(f.payload); length > maxAnswerSize {
+			// Its other parts are dropped.
+			delete(o.pending, f.number)
+			c.done <- &AnswerLengthError{Length: length}
+			return nil
 		}
 		c.parts = append(c.parts, f.payload...)
 		return nil
