Take no database from an entry whose name ends its line

The id and the group of a database are sent to it in its CONNECT line. An entry of another writer in the registry with the key "\r\nQUERY 1 WRITE stolen0 v" and the address of a database was connected to, the database took the CONNECT line without an id as valid, and ran the rest as a statement that nobody had sent. The same could be done with the name of the group.

Such an entry now names no database to use: the id may have no control characters, and the group neither these nor blanks, since it stands between two of them.

--- a/cmd/oleanderflow-front/odd_entry_test.go
+++ b/cmd/oleanderflow-front/odd_entry_test.go
@@ -104,3 +104,23 @@
 	require.Eventually(t, f.Ready, 10*time.Second, 5*time.Millisecond)
 	serves("restarted")
 }
+
+// The key of an entry of another writer must not end the line in which it is sent to a
+// database (UNASKED): the rest of it ran as a statement.
+func TestEntryKeyRunsNoStatement(t *testing.T) {
+	s := startSystem(t, 1, 64, 0)
+	c := openSession(t, s.fronts[0], "fills")
+	queryUntilSuccess(t, c, "WRITE a v")
+	for i, d := range s.group.Databases() {
+		s.platform.WriteText("servers", fmt.Sprintf("\r\nQUERY 1 WRITE stolen%d v", i), oddEntry(map[string]string{"address": fmt.Sprintf("%q", d.Address())}))
+	}
+	for i := range s.group.Databases() {
+		s.platform.WriteText("servers", fmt.Sprintf("x%d", i), oddEntry(map[string]string{
+			"address": fmt.Sprintf("%q", s.group.Databases()[i].Address()), "service": fmt.Sprintf(`"shop x\r\nQUERY 1 WRITE stolen%d v"`, i+3),
+		}))
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 6 {
+		require.NotContains(t, queryUntilSuccess(t, c, fmt.Sprintf("READ stolen%d", i)).Rows, "v")
+	}
+}
--- a/internal/process/group/entry.go
+++ b/internal/process/group/entry.go
@@ -77,6 +77,12 @@
 			return fail(n.field, n.value, fmt.Sprintf("1 to %d bytes", maxNameLength))
 		}
 	}
+	switch {
+	case strings.ContainsFunc(e.ID, isControl):
+		return fail("id", e.ID, "no control characters")
+	case strings.ContainsFunc(e.Group, func(r rune) bool { return r == ' ' || isControl(r) }):
+		return fail("group", e.Group, "no blanks and control characters")
+	}
 	switch a, err := netip.ParseAddrPort(e.Address); {
 	case err != nil || !a.Addr().Is4():
 		return fail("address", e.Address, "an IPv4 address and a port")
@@ -93,3 +99,7 @@
 	}
 	return nil
 }
+
+// isControl reports whether a character may end the line in which names are sent to a
+// database.
+func isControl(r rune) bool { return r < ' ' || r == 0x7f }
