--- a/internal/front/metrics_test.go
+++ b/internal/front/metrics_test.go
@@ -3,9 +3,11 @@
 import (
 	"math"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
@@ -45,3 +47,18 @@
 	require.Contains(t, text, `oleanderflow_slot_wait_count{class="0"} 1`)
 	require.Equal(t, maxNamedClass+2, strings.Count(text, "oleanderflow_slot_refused{"))
 }
+
+// One label that the exposition format does not know fails a whole scrape.
+func TestLabelsWithAnyBytes(t *testing.T) {
+	line := regexp.MustCompile(`^m\{(a|b)="([^"\\\n]|\\["\\n])*"(,(a|b)="([^"\\\n]|\\["\\n])*")*\}$`)
+	values := []string{"", "shop", "a b", "\t", "\x00", "\x7f", "\r\n", "\n", `"`, `\`, `\n`, `"} 1`, "\xff", "\u2028", "\ufeff", "ä", `a",b="c`}
+	seen := make(map[string]string)
+	for _, value := range values {
+		name := seriesName("m", map[string]string{"a": value})
+		require.Regexp(t, line, name, "%q", value)
+		require.True(t, utf8.ValidString(name), "%q", value)
+		require.Empty(t, seen[name], "%q", value)
+		seen[name] = value
+		require.Regexp(t, line, seriesName("m", map[string]string{"b": "c"}, "a", value))
+	}
+}
