Quote texts that explain prints if they could forge a field or a line

`explain` printed the fields of log lines as they are. The id of a request, which its caller chooses, or the text of a database's error could end its line and begin one that looked like another request's, add fields such as code=inDoubt, or send control sequences to the terminal. Texts with "=", quotes or characters that are not printed are now quoted, those of names and common messages stay as they are. A request whose id is not UTF-8 is found now: logs hold U+FFFD in place of such bytes.

--- a/internal/front/explain.go
+++ b/internal/front/explain.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -33,6 +34,27 @@
 	return text
 }
 
+// printed returns a field as it is printed, an empty string if the line does not have it.
+func (l *logLine) printed(name string) string {
+	switch value := l.fields[name].(type) {
+	case nil:
+		return ""
+	case string:
+		return printedText(value)
+	default:
+		return printedText(fmt.Sprint(value))
+	}
+}
+
+// printedText quotes a text that could be taken for more than one field or line.
+func printedText(text string) string {
+	odd := func(r rune) bool { return !strconv.IsPrint(r) || r == '=' || r == '"' }
+	if strings.ContainsFunc(text, odd) {
+		return strconv.Quote(text)
+	}
+	return text
+}
+
 // maxLineLength is the maximum length of a log line, in bytes.
 const maxLineLength = 1 << 20
 
@@ -113,9 +135,10 @@
 		}
 		lines = append(lines, read...)
 	}
-	selected := selectLines(lines, o.ID, o.Span)
+	id := loggedText(o.ID)
+	selected := selectLines(lines, id, o.Span)
 	if len(selected) == 0 {
-		fmt.Fprintf(os.Stderr, "oleanderflow-front: no log line of request or key %s found: requests that are served in time are not logged, and lines may have been dropped\n", o.ID)
+		fmt.Fprintf(os.Stderr, "oleanderflow-front: no log line of request or key %q found: requests that are served in time are not logged, and lines may have been dropped\n", o.ID)
 		return exitFailed
 	}
 	for i := range selected {
@@ -123,16 +146,20 @@
 			_, _ = fmt.Fprintln(out, selected[i].text)
 			continue
 		}
-		_, _ = fmt.Fprintln(out, selected[i].format(o.ID))
+		_, _ = fmt.Fprintln(out, selected[i].format(id))
 	}
 	for i := range selected {
-		if l := &selected[i]; !o.JSON && l.concerns(o.ID) && l.refusal() != "" {
+		if l := &selected[i]; !o.JSON && l.concerns(id) && l.refusal() != "" {
 			_, _ = fmt.Fprintln(out, "= "+l.refusal())
 		}
 	}
 	return exitOK
 }
 
+// loggedText returns a text as it is read from a log, whose JSON holds no bytes that are
+// not UTF-8.
+func loggedText(text string) string { return string([]rune(text)) }
+
 // concerns reports whether the line is about the request or the key with an id.
 func (l *logLine) concerns(id string) bool { return l.field("request") == id || l.field("keyId") == id }
 
@@ -156,9 +183,9 @@
 		}
 	}
 	slices.Sort(names)
-	text := prefix + l.timestamp.Format("15:04:05.000") + " " + l.field("instance") + ": " + l.field("msg")
+	text := prefix + l.timestamp.Format("15:04:05.000") + " " + l.printed("instance") + ": " + l.printed("msg")
 	for _, name := range names {
-		text += fmt.Sprintf(" %s=%v", name, l.fields[name])
+		text += " " + printedText(name) + "=" + l.printed(name)
 	}
 	return text
 }
--- a/internal/front/explain_refusal.go
+++ b/internal/front/explain_refusal.go
@@ -9,27 +9,27 @@
 // refusal returns in one sentence why a line's request was refused because of its
 // workspace, or an empty string if the line is not about that.
 func (l *logLine) refusal() string {
-	who := fmt.Sprintf("%s of workspace %s at %s", l.field("request"), orUnknown(l.field("workspace")), l.field("instance"))
+	who := fmt.Sprintf("%s of workspace %s at %s", l.printed("request"), orUnknown(l.printed("workspace")), l.printed("instance"))
 	if l.field("request") == "" {
-		who = fmt.Sprintf("the start of session %v at %s", l.fields["session"], l.field("instance"))
+		who = fmt.Sprintf("the start of session %v at %s", l.printed("session"), l.printed("instance"))
 	}
 	switch l.field("reason") {
 	case session.ReasonLimit.String():
 		return who + ": limit: " + l.limitRefusal()
 	case session.ReasonKey.String():
-		if holder := l.field("holder"); holder != "" {
-			return fmt.Sprintf("%s: key: workspace %s holds key %s in configuration %v, and did not when the transaction began", who, holder, l.field("keyId"), l.fields["version"])
+		if holder := l.printed("holder"); holder != "" {
+			return fmt.Sprintf("%s: key: workspace %s holds key %s in configuration %v, and did not when the transaction began", who, holder, l.printed("keyId"), l.printed("version"))
 		}
 		if l.field("keyId") == "" {
-			return fmt.Sprintf("%s: key: the caller sent none, and route %s is not public", who, l.field("route"))
+			return fmt.Sprintf("%s: key: the caller sent none, and route %s is not public", who, l.printed("route"))
 		}
-		return fmt.Sprintf("%s: key: no workspace holds key %s in configuration %v", who, l.field("keyId"), l.fields["version"])
+		return fmt.Sprintf("%s: key: no workspace holds key %s in configuration %v", who, l.printed("keyId"), l.printed("version"))
 	case session.ReasonProof.String():
-		return fmt.Sprintf("%s: old proof: configuration %v was not confirmed for %s, %s is the most that is allowed", who, l.fields["version"], l.field("proofAge"), l.field("proofLimit"))
+		return fmt.Sprintf("%s: old proof: configuration %v was not confirmed for %s, %s is the most that is allowed", who, l.printed("version"), l.printed("proofAge"), l.printed("proofLimit"))
 	case session.ReasonCapacity.String():
-		text := who + ": capacity: " + l.field("cause")
+		text := who + ": capacity: " + l.printed("cause")
 		if l.field("database") != "" {
-			text += fmt.Sprintf(" (database %s: %v of %v connections open, %v requests waiting for one)", l.field("database"), l.fields["count"], l.fields["limit"], l.fields["waiting"])
+			text += fmt.Sprintf(" (database %s: %v of %v connections open, %v requests waiting for one)", l.printed("database"), l.printed("count"), l.printed("limit"), l.printed("waiting"))
 		}
 		return text
 	default:
@@ -38,9 +38,9 @@
 }
 
 func (l *logLine) limitRefusal() string {
-	age := l.field("shareAge")
+	age := l.printed("shareAge")
 	if silent, _ := l.fields["accountantSilent"].(bool); !silent {
-		return fmt.Sprintf("this proxy ran %v operations in the last second, %v a second are allowed over all proxies; share is %s old, retry after %s", l.fields["count"], l.fields["limit"], orUnknown(age), l.field("retry"))
+		return fmt.Sprintf("this proxy ran %v operations in the last second, %v a second are allowed over all proxies; share is %s old, retry after %s", l.printed("count"), l.printed("limit"), orUnknown(age), l.printed("retry"))
 	}
 	text := fmt.Sprintf("no accountant has answered for %s, and there is no reserve", orUnknown(age))
 	if _, hosted := l.fields["session"].(string); hosted {
--- a/internal/front/explain_test.go
+++ b/internal/front/explain_test.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/session"
 )
 
 func writeLog(t *testing.T, name string, lines ...string) string {
@@ -114,3 +118,36 @@
 	_, err = LoadSettings("")
 	require.ErrorContains(t, err, "--settings")
 }
+
+// Callers choose the ids of requests, and databases the texts of errors. None may look
+// like a line or a field of another.
+func TestExplainedTextsForgeNoLinesAndFields(t *testing.T) {
+	quoted := regexp.MustCompile(`"([^"\\]|\\.)*"`)
+	forged := "7\n> 10:00:05.000 front-a: request failed code=inDoubt"
+	for _, id := range []string{forged, "7 code=inDoubt", "7\r", "7\x00", "7\xff\xfe", "7\x1b[2K", "7\u2028"} {
+		path := filepath.Join(t.TempDir(), "a.log")
+		file, err := os.Create(path)
+		require.NoError(t, err)
+		lines := NewLogWriter(file)
+		log, err := NewLog(lines, "info", "front-a")
+		require.NoError(t, err)
+		log.Info("request failed", zap.String("request", id), zap.String("code", "busy"), zap.String("cause", forged),
+			zap.String("workspace", forged), zap.Stringer("reason", session.ReasonCapacity), zap.String("other", id))
+		lines.Close()
+		require.NoError(t, file.Close())
+		var out bytes.Buffer
+		require.Equal(t, exitOK, explain(&ExplainOptions{ID: id, Files: []string{path}}, &out), "%q", id)
+		printed := strings.Split(out.String(), "\n")
+		require.Len(t, printed, 3, "%q", out.String())
+		unquoted := quoted.ReplaceAllString(printed[0], `""`)
+		require.Equal(t, 1, strings.Count(unquoted, " code="), "%q", printed[0])
+		require.Contains(t, unquoted, " code=busy ")
+		require.True(t, strings.HasPrefix(printed[1], "= "))
+		require.Empty(t, printed[2])
+		for _, text := range printed {
+			require.NotContains(t, text, "\x1b")
+			require.NotContains(t, text, "\r")
+			require.NotContains(t, text, "\x00")
+		}
+	}
+}
