PostgreSQL: keep unread answers from the next request

Callers saw: rows of another request. A database's answer that arrived twice in one segment stayed in the connection's read buffer. The pool looked for unread data in the socket alone, reused the connection, and the next request got the rows that were left, as did all requests after it.

The pool now also looks at the read buffer, and at that of a TLS connection, when a connection is given back and when it is taken. Notifications, notices and parameter changes may arrive at any time: whole ones are dropped, and the connection is kept. Before, one of them in the socket had the connection closed. A changed parameter has the settings reset before the next use. In the socket of a TLS connection they cannot be told from an answer, and the connection is still closed.

The stand-in can change what it sends as an answer, such as sending it twice. This is off by default.

No round trip is added: one more look at a length for plaintext, and a read that does not reach the socket for TLS.

--- a/internal/connection/database/alive.go
+++ b/internal/connection/database/alive.go
@@ -2,35 +2,167 @@
 
 import (
 	"crypto/tls"
+	"encoding/binary"
 	"net"
+	"os"
 	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const (
+	// maxPeek limits the length of asynchronous messages that are read from an
+	// idle connection at once, in bytes.
+	maxPeek = 4 << 10
+	// asyncReadTimeout limits the time to read them. They have arrived already.
+	asyncReadTimeout = time.Millisecond
+	// headerSize is the length of a message's type and length fields, in bytes.
+	headerSize = 5
 )
 
-// alive reports whether an idle connection can be used: neither side has
-// closed it and no data is waiting to be read. It peeks at the socket and does
-// not block.
-func (c *Conn) alive() bool {
-	if c.closed.Load() {
+// longAgo is a deadline that ends a read unless its data is buffered.
+var longAgo = time.Unix(1, 0)
+
+// Idle reports whether the connection can be used for an exchange: neither side
+// has closed it, and nothing that the database sent is unread, buffered or not.
+// Asynchronous messages (notifications, notices and parameter changes) are read
+// and dropped. It does not wait for data.
+func (c *Conn) Idle() bool {
+	if c.closed.Load() || !c.dropBuffered() {
+		return false
+	}
+	peeked, open := c.peek(false)
+	if !open {
+		return false
+	}
+	if len(peeked) == 0 {
+		return true
+	}
+	if _, encrypted := c.net.(*tls.Conn); encrypted || !isAsync(peeked[0]) {
+		return false
+	}
+	if peeked, open = c.peek(true); !open || !wholeAsync(peeked) {
+		return false
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(asyncReadTimeout))
+	defer func() { _ = c.net.SetReadDeadline(time.Time{}) }()
+	return c.dropOne() && c.dropUntilEmpty()
+}
+
+// dropBuffered reads the asynchronous messages in the connection's buffers. It
+// returns false if anything else is there.
+func (c *Conn) dropBuffered() bool {
+	encrypted, isTLS := c.net.(*tls.Conn)
+	if c.Frontend.ReadBufferLen() == 0 && !isTLS {
+		return true
+	}
+	_ = c.net.SetReadDeadline(longAgo)
+	defer func() { _ = c.net.SetReadDeadline(time.Time{}) }()
+	if !c.dropUntilEmpty() {
+		return false
+	}
+	if !isTLS {
+		return true
+	}
+	// A record that was read together with an earlier one is in the buffers of
+	// the TLS connection.
+	var next [1]byte
+	n, err := encrypted.Read(next[:])
+	return n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func (c *Conn) dropUntilEmpty() bool {
+	for c.Frontend.ReadBufferLen() > 0 {
+		if !c.dropOne() {
+			return false
+		}
+	}
+	return true
+}
+
+// dropOne reads one asynchronous message. It returns false if the next message
+// is another one or has not arrived whole.
+func (c *Conn) dropOne() bool {
+	msg, err := c.Frontend.Receive()
+	if err != nil {
 		return false
 	}
+	switch msg.(type) {
+	case *pgproto3.NotificationResponse, *pgproto3.NoticeResponse:
+		return true
+	case *pgproto3.ParameterStatus:
+		c.SettingsChanged = true
+		return true
+	}
+	return false
+}
+
+// isAsync reports whether messages of a type may arrive between exchanges.
+func isAsync(messageType byte) bool {
+	return messageType == 'A' || messageType == 'N' || messageType == 'S'
+}
+
+// wholeAsync reports whether data consists of whole asynchronous messages and is
+// not longer than can be peeked at.
+func wholeAsync(data []byte) bool {
+	if len(data) == maxPeek {
+		return false
+	}
+	for len(data) > 0 {
+		if len(data) < headerSize || !isAsync(data[0]) {
+			return false
+		}
+		length := int64(binary.BigEndian.Uint32(data[1:])) + 1
+		if length < headerSize || length > int64(len(data)) {
+			return false
+		}
+		data = data[length:]
+	}
+	return true
+}
+
+// peeking is one look at the data that waits in a socket.
+type peeking struct {
+	buffer []byte
+	first  [1]byte
+	n      int
+	err    error
+}
+
+// peek returns the data that waits in the socket, without reading it: up to
+// maxPeek bytes if all is set, otherwise at most one. It returns false if the
+// connection has ended. It does not block.
+func (c *Conn) peek(all bool) ([]byte, bool) {
 	socket := c.net
 	if t, ok := socket.(*tls.Conn); ok {
 		socket = t.NetConn()
 	}
 	tcp, ok := socket.(*net.TCPConn)
 	if !ok {
-		return true
+		return nil, true
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return nil, false
+	}
+	p := &peeking{}
+	p.buffer = p.first[:]
+	if all {
+		p.buffer = make([]byte, maxPeek)
 	}
-	empty := false
-	var buffer [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		p.n, _, p.err = syscall.Recvfrom(int(fd), p.buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && empty
+	switch {
+	case err != nil:
+		return nil, false
+	case p.err == syscall.EAGAIN || p.err == syscall.EWOULDBLOCK:
+		return nil, true
+	case p.err != nil || p.n == 0:
+		return nil, false
+	}
+	return p.buffer[:p.n], true
 }
--- a/internal/connection/database/control.go
+++ b/internal/connection/database/control.go
@@ -71,7 +71,7 @@
 func (c *ControlConn) run(ctx context.Context, operation, statement string) (process.Status, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil && !c.conn.alive() {
+	if c.conn != nil && !c.conn.Idle() {
 		c.conn.Close()
 		c.conn = nil
 	}
--- a/internal/connection/database/pool.go
+++ b/internal/connection/database/pool.go
@@ -165,7 +165,8 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.alive() {
+		if c.Idle() {
+			c.noteSettings()
 			p.leased[c] = lease{class: class, since: time.Now()}
 			return c, dead
 		}
@@ -274,18 +275,25 @@
 // use.
 const unknownSettings = "unknown"
 
-// Release returns a connection to the pool. A connection that is over the
-// pool's limit, whose protocol state is unknown, or on which a transaction is open
-// is closed instead.
-func (p *Pool) Release(c *Conn) {
+// noteSettings has the settings reset before the next use if they have changed.
+func (c *Conn) noteSettings() {
 	if c.SettingsChanged {
 		c.Settings, c.SettingsChanged = unknownSettings, false
 	}
+}
+
+// Release returns a connection to the pool. A connection that is over the
+// pool's limit, whose protocol state is unknown, on which a transaction is open or
+// with unread data is closed instead.
+func (p *Pool) Release(c *Conn) {
+	// The socket is looked at before the next use.
+	unread := !c.StateUnknown && !c.dropBuffered()
+	c.noteSettings()
 	p.mu.Lock()
 	l := p.leased[c]
 	delete(p.leased, c)
 	p.admission.Release(l.class, clock.FromStd(time.Since(l.since)))
-	discard := c.StateUnknown || c.InTransaction || c.closed.Load() || p.closed || p.open > p.admission.Limit()
+	discard := c.StateUnknown || unread || c.InTransaction || c.closed.Load() || p.closed || p.open > p.admission.Limit()
 	if discard {
 		p.open--
 	} else {
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -50,8 +50,9 @@
 	stopped atomic.Bool
 	// replayAll makes applyLog ignore the lag while a promotion waits for
 	// the received log to be applied.
-	replayAll atomic.Bool
-	partition atomic.Pointer[zonePartition]
+	replayAll   atomic.Bool
+	partition   atomic.Pointer[zonePartition]
+	answerFault atomic.Pointer[AnswerFault]
 	// healed points to a channel that Heal closes and replaces.
 	healed atomic.Pointer[chan struct{}]
 
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -40,6 +40,8 @@
 	zone     string
 	pid      uint32
 	secret   []byte
+	// request is the message that is being answered, nil during the startup.
+	request pgproto3.FrontendMessage
 
 	inTransaction bool
 	failed        bool
@@ -115,10 +117,11 @@
 	defer d.group.wg.Done()
 	defer conn.Close()
 	s := &session{
-		database: d, conn: conn, backend: pgproto3.NewBackend(conn, conn),
+		database: d, conn: conn,
 		prepared: make(map[string]*preparedStatement), portals: make(map[string]*portal),
 		settings: make(map[string]string),
 	}
+	s.backend = pgproto3.NewBackend(conn, &answerWriter{Conn: conn, session: s})
 	if !d.register(s) {
 		s.sendError(&sqlError{Code: codeTooManyConnections, Message: "too many connections for database " + d.settings.Name})
 		s.backend.Flush()
@@ -173,6 +176,7 @@
 		if _, ok := msg.(*pgproto3.Terminate); ok {
 			return nil
 		}
+		s.request = msg
 		s.handle(msg)
 		if !s.database.awaitReachable(s.zone) {
 			return nil
