PostgreSQL: take an answer only where it fits what was asked

Callers saw: "SET" as the success of an INSERT, and "SHOW" with the rows of a status query as the answer to BEGIN. A request is sent together with queries of the proxy's own, for settings, status and the ledger. Each answer was taken to be that of the next query, whatever it held: if the database answered one of them twice, all that followed were off by one. An INSERT was acknowledged in this way without waiting for its commit. A batch of the extended protocol took any reply for any message, and ended with a ReadyForQuery that came before its replies.

An answer to the proxy's own query now has to hold what was asked for and the transaction status that goes with it. The replies to a batch have to be of the kind that its messages expect. A simple query of one statement is answered once, not by the tag of a status query or of settings. A session's settings are applied, and a statement of a transaction is sent, only if nothing is unread; an answer is a success only if nothing is left in the read buffer. The error of a server that ends the connection after an answer takes nothing back. Otherwise the connection is lost, and the outcome unknown.

After an error in a batch that ends with Flush, the proxy drops messages until Sync, as the database does.

Evidence, without the change: TestRepeatedAnswerToOwnQueryIsNotTheCallers: expected "INSERT 0 1", actual "SET"; expected "BEGIN", actual "SHOW". TestRepeatedReplyInABatchIsNoSuccess hung: a caller waited for an answer that another request had got. Cost: one recv call for a statement of a transaction, no round trip.

Open: on a connection in a transaction, a repeated answer to a simple query that arrives after the next one was sent, with a tag that fits, cannot be told from the right one.

--- a/internal/connection/database/alive.go
+++ b/internal/connection/database/alive.go
@@ -30,7 +30,7 @@
 // Asynchronous messages (notifications, notices and parameter changes) are read
 // and dropped. It does not wait for data.
 func (c *Conn) Idle() bool {
-	if c.closed.Load() || !c.dropBuffered() {
+	if c.closed.Load() || !c.Settled() || c.StateUnknown {
 		return false
 	}
 	peeked, open := c.peek(false)
@@ -51,9 +51,10 @@
 	return c.dropOne() && c.dropUntilEmpty()
 }
 
-// dropBuffered reads the asynchronous messages in the connection's buffers. It
-// returns false if anything else is there.
-func (c *Conn) dropBuffered() bool {
+// Settled reports whether nothing but asynchronous messages, which it drops, is
+// in the connection's buffers. It does not look at the socket. An error that ends
+// the connection sets StateUnknown: it takes nothing back from earlier answers.
+func (c *Conn) Settled() bool {
 	encrypted, isTLS := c.net.(*tls.Conn)
 	if c.Frontend.ReadBufferLen() == 0 && !isTLS {
 		return true
@@ -89,9 +90,12 @@
 	if err != nil {
 		return false
 	}
-	switch msg.(type) {
+	switch m := msg.(type) {
 	case *pgproto3.NotificationResponse, *pgproto3.NoticeResponse:
 		return true
+	case *pgproto3.ErrorResponse:
+		c.StateUnknown = true
+		return m.Severity == "FATAL" || m.Severity == "PANIC" || m.SeverityUnlocalized == "FATAL" || m.SeverityUnlocalized == "PANIC"
 	case *pgproto3.ParameterStatus:
 		c.SettingsChanged = true
 		return true
--- a/internal/connection/database/pool.go
+++ b/internal/connection/database/pool.go
@@ -287,7 +287,7 @@
 // with unread data is closed instead.
 func (p *Pool) Release(c *Conn) {
 	// The socket is looked at before the next use.
-	unread := !c.StateUnknown && !c.dropBuffered()
+	unread := !c.StateUnknown && !c.Settled()
 	c.noteSettings()
 	p.mu.Lock()
 	l := p.leased[c]
--- a/internal/core/answers_test.go
+++ b/internal/core/answers_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
@@ -76,3 +79,102 @@
 		}
 	}
 }
+
+// isQuery reports whether request is a simple query that contains text.
+func isQuery(request pgproto3.FrontendMessage, text string) bool {
+	q, ok := request.(*pgproto3.Query)
+	return ok && strings.Contains(q.String, text)
+}
+
+// repeatIf repeats the answers to the requests that match.
+func repeatIf(match func(pgproto3.FrontendMessage) bool) database.AnswerFault {
+	return func(request pgproto3.FrontendMessage, answer []byte) database.Answer {
+		if match(request) {
+			return database.Repeat(0)(request, answer)
+		}
+		return database.Answer{First: answer}
+	}
+}
+
+// faultAtAll has all databases of the group change their answers.
+func faultAtAll(d *Dev, f database.AnswerFault) {
+	for _, each := range d.Group.Databases {
+		each.SetAnswerFault(f)
+	}
+}
+
+// A repeated answer to a query of the proxy's own must not be taken for the
+// answer to the caller's statement, which follows it on the connection.
+func TestRepeatedAnswerToOwnQueryIsNotTheCallers(t *testing.T) {
+	ctx := context.Background()
+	for name, test := range map[string]struct{ repeated, statement, want string }{
+		"settings before a write": {"SET search_path", "INSERT INTO t VALUES (1)", "INSERT 0 1"},
+		"settings before a read":  {"SET search_path", "SELECT 'own'", "SELECT 1"},
+		"status before a read":    {dbconn.StatusStatement, "SELECT 'own'", "SELECT 1"},
+		"status before BEGIN":     {dbconn.StatusStatement, "BEGIN", "BEGIN"},
+		"ledger before a write":   {"INSERT INTO oleanderflow_ledger", "INSERT INTO t VALUES (1) /*requestId='a1'*/", "INSERT 0 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startDev(t, DevSettings{Proxies: 1, ExtraGroupConfig: "writeWait = 2s\n"})
+			c := connect(t, d.Proxies[0], "")
+			mustExec(t, c, "CREATE TABLE t (id INTEGER)")
+			mustExec(t, c, "INSERT INTO t VALUES (0) /*requestId='a0'*/")
+			mustExec(t, c, "SET search_path = 'public'")
+			faultAtAll(d, repeatIf(func(request pgproto3.FrontendMessage) bool { return isQuery(request, test.repeated) }))
+			for range 10 {
+				results, err := c.PgConn().Exec(ctx, test.statement).ReadAll()
+				if err != nil {
+					t.Log(err)
+					continue
+				}
+				require.Len(t, results, 1)
+				require.Equal(t, test.want, results[0].CommandTag.String())
+				if strings.HasPrefix(test.statement, "SELECT") {
+					require.Equal(t, "own", string(results[0].Rows[0][0]))
+				}
+				if test.statement == "BEGIN" {
+					break
+				}
+			}
+		})
+	}
+}
+
+// The replies to a batch of the extended protocol must be those that its
+// messages expect.
+func TestRepeatedReplyInABatchIsNoSuccess(t *testing.T) {
+	ctx := context.Background()
+	for name, match := range map[string]func(pgproto3.FrontendMessage) bool{
+		"parse":    func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Parse); return ok },
+		"bind":     func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Bind); return ok },
+		"describe": func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Describe); return ok },
+		"execute":  func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Execute); return ok },
+		"sync":     func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Sync); return ok },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startDev(t, DevSettings{Proxies: 1})
+			c := connect(t, d.Proxies[0], "")
+			mustExec(t, c, "CREATE TABLE t (id INTEGER)")
+			faultAtAll(d, repeatIf(match))
+			var tx pgx.Tx
+			for i := range 20 {
+				if tx == nil && i%4 == 2 {
+					if tx, _ = c.Begin(ctx); tx == nil {
+						continue
+					}
+				}
+				results := c.PgConn().ExecParams(ctx, "SELECT $1 AS v", [][]byte{fmt.Append(nil, "own", i)}, []uint32{25}, nil, nil).Read()
+				if results.Err != nil {
+					require.NotContains(t, results.Err.Error(), "conn closed")
+					if tx != nil {
+						_ = tx.Rollback(ctx)
+						tx = nil
+					}
+					continue
+				}
+				require.Len(t, results.Rows, 1)
+				require.Equal(t, fmt.Sprint("own", i), string(results.Rows[0][0]))
+			}
+		})
+	}
+}
--- a/internal/request/caller/exchange.go
+++ b/internal/request/caller/exchange.go
@@ -106,6 +106,10 @@
 	ledgerCode string
 	// settingsError is the error that applying the settings ended with, nil for none.
 	settingsError *settingsError
+	// own is the answer to the proxy's own query in the current phase.
+	own ownAnswer
+	// completed is the number of statements of a simple query that are answered.
+	completed int
 	// token is the session's token as reported by a home proxy.
 	token string
 	// recording collects the answer for the ledger, if not nil.
@@ -140,6 +144,7 @@
 	x.awaitingSync, x.copyIn, x.callerErr = false, false, nil
 	x.ledgerCode, x.recording, x.token = "", nil, ""
 	x.settingsSize, x.settingsError = 0, nil
+	x.own, x.completed = ownAnswer{}, 0
 }
 
 // releaseBuffers frees large buffers after a request.
@@ -158,6 +163,9 @@
 // run sends the request and relays the whole answer. It returns a *lostError
 // if the connection failed, and a *settingsError if the batch was not sent.
 func (x *exchange) run() error {
+	if x.session.Transaction != nil && !x.conn.Idle() {
+		return x.connLost(errUnread)
+	}
 	if err := x.applySettings(); err != nil {
 		return err
 	}
@@ -180,6 +188,9 @@
 			return err
 		}
 	}
+	if !x.conn.Settled() {
+		return x.connLost(errUnread)
+	}
 	return nil
 }
 
@@ -201,6 +212,9 @@
 		x.conn.StateUnknown = true
 		return x.settingsError
 	}
+	if !x.conn.Idle() {
+		return x.connLost(errUnread)
+	}
 	return nil
 }
 
@@ -214,6 +228,7 @@
 	if p == phaseBatch {
 		x.appendLocalReplies()
 	}
+	x.own = ownAnswer{}
 	for {
 		msg, err := x.conn.Frontend.Receive()
 		if err != nil {
@@ -240,27 +255,19 @@
 		return false, nil
 	case *pgproto3.NotificationResponse:
 		return false, nil
-	case *pgproto3.DataRow:
-		if p == phaseBefore || p == phaseAfter {
-			return false, x.storeStatus(p, m)
-		}
-	case *pgproto3.ErrorResponse:
-		if p == phaseLedger && x.ledgerCode == "" {
-			x.ledgerCode = m.Code
-		}
-		if p == phaseSettings && x.settingsError == nil {
-			x.settingsError = &settingsError{Code: m.Code, Message: m.Message}
-		}
 	case *pgproto3.ReadyForQuery:
+		if !knownStatus(m.TxStatus) {
+			return false, x.connLost(errors.Errorf("unknown transaction status %q", m.TxStatus))
+		}
 		x.conn.InTransaction = m.TxStatus != 'I'
-		if p != phaseBatch {
-			return true, nil
+		if p == phaseBatch {
+			x.txStatus = m.TxStatus
+			return true, x.endBatch(m)
 		}
-		x.txStatus = m.TxStatus
-		return true, x.endBatch(m)
+		return true, x.endOwnQuery(p, m.TxStatus)
 	}
 	if p != phaseBatch {
-		return false, nil
+		return false, x.handleOwnAnswer(p, msg)
 	}
 	return false, x.relay(msg)
 }
@@ -278,12 +285,26 @@
 	return nil
 }
 
-// endBatch relays ReadyForQuery and ends the queue of expected replies.
+// endBatch relays ReadyForQuery and ends the queue of expected replies. It
+// returns a *lostError if replies are missing.
 func (x *exchange) endBatch(m *pgproto3.ReadyForQuery) error {
+	if x.failedCode == "" && !x.answered(m.TxStatus) {
+		return x.connLost(errors.New("the database was ready before it had answered"))
+	}
 	x.next = len(x.queue)
 	return x.append(m)
 }
 
+// answered reports whether the database, which is ready in txStatus, has answered
+// all of the batch.
+func (x *exchange) answered(txStatus byte) bool {
+	if x.batch.steps[0].kind == stepQuery {
+		begins := x.batch.kind == KindBegin && isSingle(x.batch.query)
+		return x.completed > 0 && !(begins && txStatus == 'I')
+	}
+	return x.next < len(x.queue) && x.queue[x.next].kind == stepSync
+}
+
 // relay relays one message of the batch's answer.
 func (x *exchange) relay(msg pgproto3.BackendMessage) error {
 	switch m := msg.(type) {
@@ -297,8 +318,15 @@
 		}
 		return x.relayReply(msg)
 	case *pgproto3.CommandComplete:
+		if !x.fitsStatement(m.CommandTag) {
+			return x.connLost(errors.Errorf("the database answered another statement: %q", m.CommandTag))
+		}
 		x.inspectTag(m.CommandTag)
 		return x.relayReply(msg)
+	case *pgproto3.DataRow, *pgproto3.ParameterDescription:
+		if !x.fitsNext(msg) {
+			return x.connLost(errUnexpected(msg))
+		}
 	case *pgproto3.ErrorResponse:
 		return x.relayError(m)
 	case *pgproto3.CopyInResponse:
@@ -335,12 +363,13 @@
 
 // relayReply takes the next expected reply off the queue and relays it.
 func (x *exchange) relayReply(msg pgproto3.BackendMessage) error {
+	if !x.fitsNext(msg) {
+		return x.connLost(errUnexpected(msg))
+	}
 	if x.batch.steps[0].kind == stepQuery {
+		x.completed++
 		return x.append(msg)
 	}
-	if x.next >= len(x.queue) {
-		return x.connLost(errors.Errorf("unexpected %T from the database", msg))
-	}
 	expected := x.queue[x.next]
 	x.next++
 	if expected.kind == stepParse && expected.statement != "" {
--- a/internal/request/caller/forward.go
+++ b/internal/request/caller/forward.go
@@ -79,6 +79,7 @@
 	}
 	if x.awaitingSync || x.txStatus != 'I' {
 		w.awaitingSync = x.awaitingSync
+		w.skipUntilSync = w.awaitingSync && x.failedCode != ""
 		w.session.Transaction, w.txGroup = &caller.HeldConn{Conn: conn, Pool: home.Pool, Forwarded: true}, r.group
 		return w.deliver()
 	}
--- a/internal/request/caller/transaction.go
+++ b/internal/request/caller/transaction.go
@@ -14,6 +14,8 @@
 // with a request id, it also records the id in the ledger.
 func (w *worker) holdConnection(r *request, pool *connection.Pool, conn *connection.Conn, i int) error {
 	w.awaitingSync = w.x.awaitingSync
+	// After an error, the database drops messages until Sync.
+	w.skipUntilSync = w.awaitingSync && w.x.failedCode != ""
 	held := &caller.HeldConn{Conn: conn, Pool: pool, Database: i}
 	w.session.Transaction, w.txGroup = held, r.group
 	if w.batch.kind == KindBegin && r.id != "" {
