PostgreSQL: a status without its row is an error

What happened: the answer to a status query, a fence or a promotion that held no row was a success with an empty status, and an error that a status query of a statement's connection met, such as a cancel request that came late, was ignored. The empty status was reported to the monitor. A query of the ledger counted as answered by ReadyForQuery alone, a COMMIT among them.

Group operations and the status after a commit now share one reader, which wants one row or returns the database's error. A query of the ledger wants the end of a statement and a known transaction status.

--- a/internal/connection/database/control.go
+++ b/internal/connection/database/control.go
@@ -97,28 +97,53 @@
 }
 
 func (c *ControlConn) exchange(operation, statement string) (process.Status, error) {
+	status, err := c.conn.QueryStatus(statement)
+	var server *ServerError
+	if errors.As(err, &server) && server.Code == codeTermRefused {
+		return status, &process.RefusedError{Operation: operation, Message: server.Message}
+	}
+	return status, err
+}
+
+// QueryStatus runs a statement that is answered with one row, the status of the
+// database. It returns a *ServerError for an error of the database. The connection
+// is not reused after any other error.
+func (c *Conn) QueryStatus(statement string) (process.Status, error) {
+	c.Frontend.Send(&pgproto3.Query{String: statement})
+	if err := c.Frontend.Flush(); err != nil {
+		c.StateUnknown = true
+		return process.Status{}, err
+	}
+	status, err := c.receiveStatus()
+	var server *ServerError
+	if err != nil && !errors.As(err, &server) {
+		c.StateUnknown = true
+	}
+	return status, err
+}
+
+func (c *Conn) receiveStatus() (process.Status, error) {
 	var status process.Status
 	var failure error
-	c.conn.Frontend.Send(&pgproto3.Query{String: statement})
-	if err := c.conn.Frontend.Flush(); err != nil {
-		return status, err
-	}
+	rows := 0
 	for {
-		msg, err := c.conn.Frontend.Receive()
+		msg, err := c.Frontend.Receive()
 		if err != nil {
 			return status, err
 		}
 		switch m := msg.(type) {
 		case *pgproto3.DataRow:
+			rows++
 			if status, err = ParseStatus(m.Values); err != nil {
 				return status, err
 			}
 		case *pgproto3.ErrorResponse:
 			failure = &ServerError{Code: m.Code, Message: m.Message}
-			if m.Code == codeTermRefused {
-				failure = &process.RefusedError{Operation: operation, Message: m.Message}
-			}
 		case *pgproto3.ReadyForQuery:
+			c.InTransaction = m.TxStatus != 'I'
+			if failure == nil && rows != 1 {
+				return process.Status{}, errors.Errorf("status has %d rows, expected 1", rows)
+			}
 			return status, failure
 		}
 	}
--- a/internal/core/answers_test.go
+++ b/internal/core/answers_test.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -178,3 +180,44 @@
 		})
 	}
 }
+
+// withoutRows returns a fault that leaves the rows out of the answers to the
+// simple queries that contain text.
+func withoutRows(t *testing.T, text string) database.AnswerFault {
+	return func(request pgproto3.FrontendMessage, answer []byte) database.Answer {
+		if !isQuery(request, text) {
+			return database.Answer{First: answer}
+		}
+		var out []byte
+		f := pgproto3.NewFrontend(bytes.NewReader(answer), io.Discard)
+		for {
+			msg, err := f.Receive()
+			if err != nil {
+				return database.Answer{First: out}
+			}
+			if _, row := msg.(*pgproto3.DataRow); !row {
+				out, err = msg.Encode(out)
+				require.NoError(t, err)
+			}
+		}
+	}
+}
+
+// A group operation without the row that shows its result has not succeeded.
+func TestAnswerWithoutItsRowIsNoStatus(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	target := dbconn.Target{Address: d.Group.Primary().Address(), Database: devGroup, User: "test"}
+	control := dbconn.NewControlConn(target)
+	defer control.Close()
+	ctx := context.Background()
+	_, err := control.Status(ctx)
+	require.NoError(t, err)
+	faultAtAll(d, withoutRows(t, "oleanderflow."))
+	_, err = control.Status(ctx)
+	require.Error(t, err)
+	_, err = control.Fence(ctx, 1, "creation")
+	require.Error(t, err)
+	faultAtAll(d, nil)
+	_, err = control.Status(ctx)
+	require.NoError(t, err)
+}
--- a/internal/request/caller/ledger.go
+++ b/internal/request/caller/ledger.go
@@ -425,13 +425,14 @@
 // protocol and returns the first column of its last row. It returns a
 // *connection.ServerError for an error of the database.
 func runSimpleQuery(conn *connection.Conn, query string) (string, error) {
-	var value string
-	var failure error
 	conn.Frontend.Send(&pgproto3.Query{String: query})
 	if err := conn.Frontend.Flush(); err != nil {
 		conn.StateUnknown = true
 		return "", err
 	}
+	var value string
+	var failure error
+	completed := 0
 	for {
 		msg, err := conn.Frontend.Receive()
 		if err != nil {
@@ -443,12 +444,18 @@
 			if len(m.Values) > 0 {
 				value = string(m.Values[0])
 			}
+		case *pgproto3.CommandComplete:
+			completed++
 		case *pgproto3.ErrorResponse:
 			if failure == nil {
 				failure = &connection.ServerError{Code: m.Code, Message: m.Message}
 			}
 		case *pgproto3.ReadyForQuery:
 			conn.InTransaction = m.TxStatus != 'I'
+			if failure == nil && (completed == 0 || !knownStatus(m.TxStatus)) {
+				conn.StateUnknown = true
+				return "", errors.New("the database was ready before it had answered the proxy's own query")
+			}
 			return value, failure
 		}
 	}
--- a/internal/request/caller/write.go
+++ b/internal/request/caller/write.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/go-faster/errors"
-	"github.com/jackc/pgx/v5/pgproto3"
 
 	connection "github.com/oleanderflow/oleanderflow/internal/connection/database"
 	process "github.com/oleanderflow/oleanderflow/internal/process/database"
@@ -146,40 +145,13 @@
 // confirm it.
 func (w *worker) queryAndReportStatus(r *request, conn *connection.Conn) (process.Status, error) {
 	r.sentSeq, r.sentAt = w.sequence.Next(), w.clock.Now()
-	status, err := queryStatus(conn)
+	status, err := conn.QueryStatus(connection.StatusStatement)
 	if err == nil {
 		w.report(r, status)
 	}
 	return status, err
 }
 
-// queryStatus queries the database's status on an idle connection. The
-// connection is not reused after an error.
-func queryStatus(conn *connection.Conn) (process.Status, error) {
-	var status process.Status
-	conn.Frontend.Send(&pgproto3.Query{String: connection.StatusStatement})
-	if err := conn.Frontend.Flush(); err != nil {
-		conn.StateUnknown = true
-		return status, err
-	}
-	for {
-		msg, err := conn.Frontend.Receive()
-		if err != nil {
-			conn.StateUnknown = true
-			return status, err
-		}
-		switch m := msg.(type) {
-		case *pgproto3.DataRow:
-			if status, err = connection.ParseStatus(m.Values); err != nil {
-				conn.StateUnknown = true
-				return status, err
-			}
-		case *pgproto3.ReadyForQuery:
-			return status, nil
-		}
-	}
-}
-
 // awaitCommit waits until enough databases of the group confirm the commit at
 // p. It returns an *outcome.Error of kind Unknown if they do not in time or if
 // the primary is replaced first.
