--- /dev/null
+++ b/internal/core/answers_test.go
@@ -0,0 +1,223 @@
+package core
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	dbconn "github.com/oleanderflow/oleanderflow/internal/connection/database"
+	"github.com/oleanderflow/oleanderflow/internal/standin/database"
+)
+
+// newTestPool returns a pool of one connection to the group's primary.
+func newTestPool(t *testing.T, d *Dev) *dbconn.Pool {
+	t.Helper()
+	target := dbconn.Target{Address: d.Group.Primary().Address(), Database: devGroup, User: "test"}
+	pool := dbconn.NewPool(target, dbconn.PoolSettings{MaxConnections: 1, MaxQueue: 10})
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+// A repeated answer that arrived in one segment with the right one is in the
+// connection's read buffer, where the socket does not show it.
+func TestBufferedAnswerReachesNoOtherRequest(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	pool := newTestPool(t, d)
+	first, err := pool.Acquire(ctx, dbconn.NoClass)
+	require.NoError(t, err)
+	d.Group.Primary().SetAnswerFault(database.Repeat(0))
+	require.Equal(t, "theirs", firstValue(t, first, "SELECT 'theirs'"))
+	d.Group.Primary().SetAnswerFault(nil)
+	pool.Release(first)
+	second, err := pool.Acquire(ctx, dbconn.NoClass)
+	require.NoError(t, err)
+	defer pool.Release(second)
+	require.Equal(t, "own", firstValue(t, second, "SELECT 'own'"))
+}
+
+// A notification between two requests is no answer, and no reason for a new
+// connection.
+func TestAsynchronousMessagesKeepTheConnection(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	for name, message := range map[string]pgproto3.BackendMessage{
+		"notification": &pgproto3.NotificationResponse{PID: 1, Channel: "orders"},
+		"notice":       &pgproto3.NoticeResponse{Severity: "WARNING", Message: "not for the next request"},
+		"parameter":    &pgproto3.ParameterStatus{Name: "TimeZone", Value: "Asia/Tokyo"},
+	} {
+		for when, pause := range map[string]time.Duration{"buffered": 0, "in the socket": 50 * time.Millisecond} {
+			t.Run(name+" "+when, func(t *testing.T) {
+				encoded, err := message.Encode(nil)
+				require.NoError(t, err)
+				pool := newTestPool(t, d)
+				first, err := pool.Acquire(ctx, dbconn.NoClass)
+				require.NoError(t, err)
+				d.Group.Primary().SetAnswerFault(func(_ pgproto3.FrontendMessage, answer []byte) database.Answer {
+					if pause == 0 {
+						return database.Answer{First: append(append([]byte(nil), answer...), encoded...)}
+					}
+					return database.Answer{First: answer, Then: encoded, Pause: pause}
+				})
+				require.Equal(t, "one", firstValue(t, first, "SELECT 'one'"))
+				d.Group.Primary().SetAnswerFault(nil)
+				time.Sleep(pause / 2)
+				pool.Release(first)
+				time.Sleep(pause)
+				second, err := pool.Acquire(ctx, dbconn.NoClass)
+				require.NoError(t, err)
+				require.Same(t, first, second)
+				require.Equal(t, "two", firstValue(t, second, "SELECT 'two'"))
+				pool.Release(second)
+			})
+		}
+	}
+}
+
+// isQuery reports whether request is a simple query that contains text.
+func isQuery(request pgproto3.FrontendMessage, text string) bool {
+	q, ok := request.(*pgproto3.Query)
+	return ok && strings.Contains(q.String, text)
+}
+
+// repeatIf repeats the answers to the requests that match.
+func repeatIf(match func(pgproto3.FrontendMessage) bool) database.AnswerFault {
+	return func(request pgproto3.FrontendMessage, answer []byte) database.Answer {
+		if match(request) {
+			return database.Repeat(0)(request, answer)
+		}
+		return database.Answer{First: answer}
+	}
+}
+
+// faultAtAll has all databases of the group change their answers.
+func faultAtAll(d *Dev, f database.AnswerFault) {
+	for _, each := range d.Group.Databases {
+		each.SetAnswerFault(f)
+	}
+}
+
+// A repeated answer to a query of the proxy's own must not be taken for the
+// answer to the caller's statement, which follows it on the connection.
+func TestRepeatedAnswerToOwnQueryIsNotTheCallers(t *testing.T) {
+	ctx := context.Background()
+	for name, test := range map[string]struct{ repeated, statement, want string }{
+		"settings before a write": {"SET search_path", "INSERT INTO t VALUES (1)", "INSERT 0 1"},
+		"settings before a read":  {"SET search_path", "SELECT 'own'", "SELECT 1"},
+		"status before a read":    {dbconn.StatusStatement, "SELECT 'own'", "SELECT 1"},
+		"status before BEGIN":     {dbconn.StatusStatement, "BEGIN", "BEGIN"},
+		"ledger before a write":   {"INSERT INTO oleanderflow_ledger", "INSERT INTO t VALUES (1) /*requestId='a1'*/", "INSERT 0 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startDev(t, DevSettings{Proxies: 1, ExtraGroupConfig: "writeWait = 2s\n"})
+			c := connect(t, d.Proxies[0], "")
+			mustExec(t, c, "CREATE TABLE t (id INTEGER)")
+			mustExec(t, c, "INSERT INTO t VALUES (0) /*requestId='a0'*/")
+			mustExec(t, c, "SET search_path = 'public'")
+			faultAtAll(d, repeatIf(func(request pgproto3.FrontendMessage) bool { return isQuery(request, test.repeated) }))
+			for range 10 {
+				results, err := c.PgConn().Exec(ctx, test.statement).ReadAll()
+				if err != nil {
+					t.Log(err)
+					continue
+				}
+				require.Len(t, results, 1)
+				require.Equal(t, test.want, results[0].CommandTag.String())
+				if strings.HasPrefix(test.statement, "SELECT") {
+					require.Equal(t, "own", string(results[0].Rows[0][0]))
+				}
+				if test.statement == "BEGIN" {
+					break
+				}
+			}
+		})
+	}
+}
+
+// The replies to a batch of the extended protocol must be those that its
+// messages expect.
+func TestRepeatedReplyInABatchIsNoSuccess(t *testing.T) {
+	ctx := context.Background()
+	for name, match := range map[string]func(pgproto3.FrontendMessage) bool{
+		"parse":    func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Parse); return ok },
+		"bind":     func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Bind); return ok },
+		"describe": func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Describe); return ok },
+		"execute":  func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Execute); return ok },
+		"sync":     func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Sync); return ok },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startDev(t, DevSettings{Proxies: 1})
+			c := connect(t, d.Proxies[0], "")
+			mustExec(t, c, "CREATE TABLE t (id INTEGER)")
+			faultAtAll(d, repeatIf(match))
+			var tx pgx.Tx
+			for i := range 20 {
+				if tx == nil && i%4 == 2 {
+					if tx, _ = c.Begin(ctx); tx == nil {
+						continue
+					}
+				}
+				results := c.PgConn().ExecParams(ctx, "SELECT $1 AS v", [][]byte{fmt.Append(nil, "own", i)}, []uint32{25}, nil, nil).Read()
+				if results.Err != nil {
+					require.NotContains(t, results.Err.Error(), "conn closed")
+					if tx != nil {
+						_ = tx.Rollback(ctx)
+						tx = nil
+					}
+					continue
+				}
+				require.Len(t, results.Rows, 1)
+				require.Equal(t, fmt.Sprint("own", i), string(results.Rows[0][0]))
+			}
+		})
+	}
+}
+
+// withoutRows returns a fault that leaves the rows out of the answers to the
+// simple queries that contain text.
+func withoutRows(t *testing.T, text string) database.AnswerFault {
+	return func(request pgproto3.FrontendMessage, answer []byte) database.Answer {
+		if !isQuery(request, text) {
+			return database.Answer{First: answer}
+		}
+		var out []byte
+		f := pgproto3.NewFrontend(bytes.NewReader(answer), io.Discard)
+		for {
+			msg, err := f.Receive()
+			if err != nil {
+				return database.Answer{First: out}
+			}
+			if _, row := msg.(*pgproto3.DataRow); !row {
+				out, err = msg.Encode(out)
+				require.NoError(t, err)
+			}
+		}
+	}
+}
+
+// A group operation without the row that shows its result has not succeeded.
+func TestAnswerWithoutItsRowIsNoStatus(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	target := dbconn.Target{Address: d.Group.Primary().Address(), Database: devGroup, User: "test"}
+	control := dbconn.NewControlConn(target)
+	defer control.Close()
+	ctx := context.Background()
+	_, err := control.Status(ctx)
+	require.NoError(t, err)
+	faultAtAll(d, withoutRows(t, "oleanderflow."))
+	_, err = control.Status(ctx)
+	require.Error(t, err)
+	_, err = control.Fence(ctx, 1, "creation")
+	require.Error(t, err)
+	faultAtAll(d, nil)
+	_, err = control.Status(ctx)
+	require.NoError(t, err)
+}
