Let the soak check answers and texts with hostile texts in every seed

The soak's callers sent words of letters only and looked at one row, so that answers of other requests and texts cut at a lone CR or LF went unseen. Texts in every seed now have lone CR and LF, blanks, tabs, NUL, bytes that are no UTF-8, whole messages, an empty last field, and up to 70 KB, through writes, transactions, session values and prepared statements.

A ledger checks that each success has the signature and the rows of its own request (MIXED), that databases run and hold exactly what callers sent under that id (UNASKED), and that statements run with the values, shapes and transaction acknowledged to their session (PINNED). In fresh seeds databases repeat and cut answers in phases.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -17,17 +18,19 @@
 func (h *harness) check() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for key := range h.acknowledged {
-		switch n := len(h.group.Writes(key)); {
-		case n == 0:
-			h.violations = append(h.violations, "an acknowledged write is lost: "+key)
-		case n > 1:
-			h.violations = append(h.violations, "a write took effect twice: "+key)
+	for key, value := range h.acknowledged {
+		switch writes := h.group.Writes(key); {
+		case len(writes) == 0:
+			h.violations = append(h.violations, fmt.Sprintf("an acknowledged write is lost: %.80q", key))
+		case len(writes) > 1:
+			h.violations = append(h.violations, fmt.Sprintf("a write took effect twice: %.80q", key))
+		case writes[0] != value:
+			h.violations = append(h.violations, fmt.Sprintf("another value was written: %.80q holds %.200q, acknowledged was %.200q", key, writes[0], value))
 		}
 	}
 	for key := range h.refused {
 		if len(h.group.Writes(key)) > 0 {
-			h.violations = append(h.violations, "a write was kept although the caller was told that it was not: "+key)
+			h.violations = append(h.violations, fmt.Sprintf("a write was kept although the caller was told that it was not: %.80q", key))
 		}
 	}
 	var last uint64
@@ -40,6 +43,9 @@
 	if len(h.acknowledged) == 0 {
 		h.violations = append(h.violations, "no write was served")
 	}
+	if h.ledger != nil {
+		h.violations = append(h.violations, h.ledger.check(h.t, h.group)...)
+	}
 	if h.keys != nil {
 		h.violations = append(h.violations, h.keys.checkWorkspaces(h.group.Arrivals())...)
 	}
@@ -66,9 +72,14 @@
 	logDir, err := os.MkdirTemp("", "soak")
 	require.NoError(h.t, err)
 	require.NoError(h.t, os.CopyFS(logDir, os.DirFS(h.dir)))
-	h.t.Errorf("%d violations; logs in %s:\n%s", len(h.violations), logDir, strings.Join(h.violations, "\n"))
+	require.NoError(h.t, os.WriteFile(filepath.Join(logDir, "violations.log"), []byte(strings.Join(h.violations, "\n")), 0o600))
+	shown := h.violations[:min(len(h.violations), maxShownViolations)]
+	h.t.Errorf("%d violations; logs in %s:\n%s", len(h.violations), logDir, strings.Join(shown, "\n"))
 }
 
+// maxShownViolations is how many violations a failed test prints. The logs have all.
+const maxShownViolations = 30
+
 // Guards against checks that pass whatever the databases hold. A lost write, a
 // repeated write, a refused write that took effect and a run without
 // acknowledged writes must each be reported.
@@ -82,15 +93,17 @@
 	primary.Append("twice", "v")
 	primary.Append("twice", "v")
 	primary.Append("kept", "v")
+	primary.Append("changed", "v")
 	h := &harness{
-		group: group, platform: platform, acknowledged: map[string]string{"lost": "v", "twice": "v"},
+		group: group, platform: platform, acknowledged: map[string]string{"lost": "v", "twice": "v", "changed": "\nv"},
 		refused: map[string]struct{}{"kept": {}},
 	}
 	h.check()
 	found := strings.Join(h.violations, "\n")
-	require.Contains(t, found, "an acknowledged write is lost: lost")
-	require.Contains(t, found, "a write took effect twice: twice")
-	require.Contains(t, found, "a write was kept although the caller was told that it was not: kept")
+	require.Contains(t, found, "an acknowledged write is lost: \"lost\"")
+	require.Contains(t, found, "a write took effect twice: \"twice\"")
+	require.Contains(t, found, "a write was kept although the caller was told that it was not: \"kept\"")
+	require.Contains(t, found, `another value was written: "changed" holds "v", acknowledged was "\nv"`)
 	empty := &harness{group: group, platform: platform}
 	empty.check()
 	require.Contains(t, strings.Join(empty.violations, "\n"), "no write was served")
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,10 +49,13 @@
 // of the caller, or had held it within revocationLimit before the caller sent the statement.
 func (k *keyring) checkKeyLocked(a standin.Arrival) (violation string) {
 	if a.ID == proxyID {
-		switch a.Statement {
-		case "BEGIN READ", "ROLLBACK":
+		switch word, _, _ := strings.Cut(a.Statement, " "); {
+		case a.Statement == "BEGIN READ", a.Statement == "ROLLBACK":
 			// A proxy asks like this whether a log has a position.
 			return ""
+		case word == "SET", word == "PREPARE":
+			// The ledger checks their texts.
+			return ""
 		}
 		return fmt.Sprintf("%q arrived at %s for %s, and no caller sent it", a.Statement, a.Database, a.User)
 	}
@@ -67,9 +71,9 @@
 		late = s.at.Sub(p.until)
 	}
 	if late < 0 {
-		return fmt.Sprintf("%s %q of %s, sent at %s, arrived at %s for %s, which did not hold the key", a.ID, a.Statement, s.key, s.at.Format(time.StampMilli), a.Database, a.User)
+		return fmt.Sprintf("%s %.120q of %s, sent at %s, arrived at %s for %s, which did not hold the key", a.ID, a.Statement, s.key, s.at.Format(time.StampMilli), a.Database, a.User)
 	}
-	return fmt.Sprintf("%s %q of %s, sent at %s, arrived at %s for %s, sent %s after the removal of the key", a.ID, a.Statement, s.key, s.at.Format(time.StampMilli), a.Database, a.User, late)
+	return fmt.Sprintf("%s %.120q of %s, sent at %s, arrived at %s for %s, sent %s after the removal of the key", a.ID, a.Statement, s.key, s.at.Format(time.StampMilli), a.Database, a.User, late)
 }
 
 // proxyID is the query id of what proxies send on their own account.
@@ -133,7 +137,7 @@
 	var b []byte
 	for _, a := range arrivals {
 		s := k.sent[a.ID]
-		b = fmt.Appendf(b, "%s sent %s %s %s %s %s operation=%t %s\n", a.At.Format(time.StampMilli), s.at.Format(time.StampMilli), a.ID, a.User, s.key, a.Database, a.Operation, a.Statement)
+		b = fmt.Appendf(b, "%s sent %s %s %s %s %s operation=%t %.200q\n", a.At.Format(time.StampMilli), s.at.Format(time.StampMilli), a.ID, a.User, s.key, a.Database, a.Operation, a.Statement)
 	}
 	return b
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,6 +88,8 @@
 	mu sync.Mutex
 	// acknowledged maps the keys of acknowledged writes to their values.
 	acknowledged map[string]string
+	ledger       *ledger
+	seed         uint64
 	// refused holds the keys of writes that were reported as not executed.
 	refused    map[string]struct{}
 	violations []string
@@ -104,11 +106,11 @@
 
 // runSeed runs the callers while faults are injected, then waits for recovery
 // and checks the writes. If fresh is set, the store also goes back to older copies of
-// itself, and two of three seeds play with workspaces.
+// itself, databases repeat and cut answers, and two of three seeds play with workspaces.
 func runSeed(t *testing.T, program string, seed uint64, fresh bool) {
 	h := &harness{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), program: program, dir: t.TempDir(), network: reserveNetwork(t), stop: make(chan struct{}),
-		acknowledged: make(map[string]string), refused: make(map[string]struct{}),
+		acknowledged: make(map[string]string), refused: make(map[string]struct{}), ledger: newLedger(), seed: seed,
 	}
 	var err error
 	h.group, err = standin.NewGroup("shop", []string{"a", "b", "c"}, 0)
@@ -145,6 +147,7 @@
 	if fresh {
 		end := time.Now().Add(*duration)
 		go h.restoreStore(rand.New(rand.NewPCG(seed, 2)), end)
+		go h.failAnswers(rand.New(rand.NewPCG(seed, 5)), end)
 		if h.keys != nil {
 			go h.changeKeys(keyRandom, end)
 		}
@@ -177,7 +180,8 @@
 // a new session at a random proxy when its session ends.
 func (h *harness) runCaller(i int) {
 	random := rand.New(rand.NewPCG(uint64(i), 7))
-	var c *standin.Caller
+	x := h.newTexts(i)
+	var c *tracked
 	for n := 0; ; n++ {
 		select {
 		case <-h.stop:
@@ -195,8 +199,13 @@
 				time.Sleep(30 * time.Millisecond)
 				continue
 			}
+			if !c.begin(x) {
+				c.Close()
+				c = nil
+				continue
+			}
 		}
-		if !h.writeAndRead(c, fmt.Sprintf("c%d-%d", i, n), n%3 == 0) || h.keys != nil && h.keys.replaces(random, i) {
+		if !h.writeAndRead(c, x, fmt.Sprintf("c%d-%d", i, n), n%3 == 0) || h.keys != nil && h.keys.replaces(random, i) {
 			c.Close()
 			c = nil
 		}
@@ -213,20 +222,31 @@
 }
 
 // open opens a session at a proxy whose statements are recorded.
-func (h *harness) open(p *process, database, key string) (*standin.Caller, error) {
+func (h *harness) open(p *process, database, key string) (*tracked, error) {
 	c, err := standin.OpenWithKey(p.callerAddress, database, key)
-	if err == nil && h.keys != nil {
-		c.BeforeSend = func(id string) { h.keys.noteSent(id, key) }
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	s := &tracked{Caller: c, ledger: h.ledger, proxy: p.name}
+	if h.keys != nil {
+		s.note = func(id string) { h.keys.noteSent(id, key) }
+	}
+	return s, nil
+}
+
+// newTexts returns what caller i sends. Its choices do not depend on the course of the run.
+func (h *harness) newTexts(i int) *texts {
+	return &texts{random: rand.New(rand.NewPCG(h.seed, uint64(1000+i))), hostile: true}
 }
 
-// writeAndRead writes a key, alone or in a transaction, and reads it back. It
-// returns false if the session can no longer be used.
-func (h *harness) writeAndRead(c *standin.Caller, key string, transaction bool) bool {
-	queries := []string{"WRITE " + key + " v"}
+// writeAndRead writes a key, alone, in a transaction or by a prepared statement, and reads
+// it back. It returns false if the session can no longer be used.
+func (h *harness) writeAndRead(c *tracked, x *texts, prefix string, transaction bool) bool {
+	key, value := x.word(prefix), x.any(prefix)
+	write, read := c.statements(x, key, value)
+	queries := []string{write}
 	if transaction {
-		queries = []string{"BEGIN", "WRITE " + key + " v", "COMMIT"}
+		queries = []string{"BEGIN", write, "COMMIT"}
 	}
 	for _, query := range queries {
 		r, err := c.Query(query)
@@ -243,14 +263,14 @@
 		}
 	}
 	h.mu.Lock()
-	h.acknowledged[key] = "v"
+	h.acknowledged[key] = value
 	h.mu.Unlock()
-	r, err := c.Query("READ " + key)
+	r, err := c.Query(read)
 	if err != nil {
 		return false
 	}
-	if r.Error == "" && (len(r.Rows) != 1 || r.Rows[0] != "v") {
-		h.addViolation("a session does not see its own write of %s", key)
+	if r.Error == "" && (len(r.Rows) != 1 || r.Rows[0] != value) {
+		h.addViolation("a session does not see its own write of %q", key)
 	}
 	return r.State == "I"
 }
--- a/soak/stale_test.go
+++ b/soak/stale_test.go
@@ -71,11 +71,11 @@
 		bound := r.at.Add(-r.maxAge)
 		i, _ := slices.BinarySearchFunc(acknowledged, bound, func(a acknowledgement, t time.Time) int { return a.at.Compare(t) })
 		if a := last[i]; a != nil && run.Lacks(commits[a.key]) {
-			violations = append(violations, fmt.Sprintf("%s %q through %s, sent at %s, ran at %s on a log that lacks %s, acknowledged %s before, with an age of %s",
+			violations = append(violations, fmt.Sprintf("%s %.120q through %s, sent at %s, ran at %s on a log that lacks %s, acknowledged %s before, with an age of %s",
 				r.id, r.text, r.proxy, r.at.Format(time.StampMilli), run.Database, a.key, r.at.Sub(a.at), r.maxAge))
 		}
 		if c, kept := commits[r.own]; r.own != "" && kept && run.Lacks(c) {
-			violations = append(violations, fmt.Sprintf("%s %q through %s, sent at %s, ran at %s on a log that lacks its session's commit of %s",
+			violations = append(violations, fmt.Sprintf("%s %.120q through %s, sent at %s, ran at %s on a log that lacks its session's commit of %s",
 				r.id, r.text, r.proxy, r.at.Format(time.StampMilli), run.Database, r.own))
 		}
 	}
@@ -96,7 +96,7 @@
 func runStaleSeed(t *testing.T, program string, seed uint64) {
 	h := &harness{
 		t: t, random: rand.New(rand.NewPCG(seed, 11)), program: program, dir: t.TempDir(), network: reserveNetwork(t), stop: make(chan struct{}),
-		acknowledged: make(map[string]string), refused: make(map[string]struct{}), logLevel: "debug",
+		acknowledged: make(map[string]string), refused: make(map[string]struct{}), logLevel: "debug", ledger: newLedger(), seed: seed,
 	}
 	var err error
 	h.group, err = standin.NewGroup("shop", []string{"a", "b", "c"}, 0)
@@ -133,7 +133,7 @@
 	close(h.stop)
 	callers.Wait()
 	violations, checked := seen.check(h.group)
-	h.violations = append(h.violations, violations...)
+	h.violations = append(append(h.violations, violations...), h.ledger.check(t, h.group)...)
 	t.Logf("%d reads checked against %d commits, %d promotions", checked, len(seen.acknowledgments), len(h.platform.Promotions()))
 	require.NotZero(t, checked)
 	require.NotEmpty(t, seen.acknowledgments)
@@ -142,7 +142,7 @@
 
 // runReader writes, and reads on a route of any kind, until the run is over.
 func (h *harness) runReader(seen *history, seed uint64, i int) {
-	random := rand.New(rand.NewPCG(seed, uint64(100+i)))
+	random, x := rand.New(rand.NewPCG(seed, uint64(100+i))), h.newTexts(i)
 	for n := 0; ; n++ {
 		select {
 		case <-h.stop:
@@ -151,14 +151,14 @@
 		}
 		p := h.proxies[random.IntN(len(h.proxies))]
 		database := []string{"fills", "bookings", "invoices", "invoices"}[random.IntN(4)]
-		c, err := standin.Open(p.callerAddress, database)
+		c, err := h.open(p, database, standin.CallerKey)
 		if err != nil {
 			time.Sleep(30 * time.Millisecond)
 			continue
 		}
-		s := &readerSession{caller: c, seen: seen, proxy: p.name, database: database, prefix: fmt.Sprintf("c%d-%d", i, n)}
-		c.BeforeSend = func(id string) { s.id, s.sentAt = id, time.Now() }
-		if r, err := c.Query("PREPARE s1 READ shape"); err == nil && r.Error == "" {
+		s := &readerSession{caller: c, seen: seen, proxy: p.name, database: database, prefix: fmt.Sprintf("c%d-%d", i, n), texts: x}
+		c.note = func(id string) { s.id, s.sentAt = id, time.Now() }
+		if r, err := c.Query("PREPARE s1 READ " + x.any("shape")); err == nil && r.Error == "" {
 			s.run(random, h.stop)
 		}
 		c.Close()
@@ -167,8 +167,9 @@
 
 // readerSession is a session of a caller that reads.
 type readerSession struct {
-	caller          *standin.Caller
+	caller          *tracked
 	seen            *history
+	texts           *texts
 	proxy, database string
 	prefix          string
 	writes          int
@@ -203,7 +204,7 @@
 
 func (s *readerSession) statement(random *rand.Rand) string {
 	if random.IntN(3) > 0 {
-		return "EXECUTE s1 tyre abcdefgh"
+		return "EXECUTE s1 tyre " + s.texts.any("data")
 	}
 	return "READ tyre"
 }
@@ -235,7 +236,7 @@
 func (s *readerSession) write(inTransaction bool) bool {
 	s.writes++
 	key := fmt.Sprintf("%s-%d", s.prefix, s.writes)
-	queries := []string{"WRITE " + key + " v"}
+	queries := []string{"WRITE " + key + " " + s.texts.any(key)}
 	if inTransaction {
 		queries = []string{"BEGIN", queries[0], "COMMIT"}
 	}
