Play hostile texts and repeated answers between real processes

Six proxies, three databases and 16 callers now play texts of any bytes, with and without homes, answers that databases send again, later or beside the next one, and answers that are cut.

--- a/soak/answer_test.go
+++ b/soak/answer_test.go
@@ -14,8 +14,11 @@
 
 // failAnswers lets databases repeat and cut answers in phases until end.
 func (h *harness) failAnswers(random *rand.Rand, end time.Time) {
-	for time.Now().Before(end) {
+	for {
 		time.Sleep(time.Duration(200+random.IntN(1000)) * time.Millisecond)
+		if time.Now().After(end) {
+			return
+		}
 		f := standin.AnswerFaults{
 			Seed: random.Uint64(), RepeatOneIn: 5 + random.IntN(40), SignedOnly: random.IntN(2) == 0, When: standin.RepeatTime(random.IntN(3)),
 			MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond, Cut: standin.CutAnyhow,
@@ -26,17 +29,30 @@
 		if random.IntN(2) == 0 {
 			f.CutOneIn = 50 + random.IntN(200)
 		}
+		h.note("%+v", f)
 		h.group.SetAnswerFaults(f)
-		time.Sleep(time.Duration(200+random.IntN(1000)) * time.Millisecond)
+		time.Sleep(min(time.Until(end), time.Duration(200+random.IntN(1000))*time.Millisecond))
 		h.group.SetAnswerFaults(standin.AnswerFaults{})
+		h.note("no faults of answers")
 	}
 }
 
 const answerProxies, answerCallers = 6, 16
 
-// runTexts lets callers write and read through proxies that nothing disturbs but the faults
-// of the databases' answers.
-func runTexts(t *testing.T, program string, seed uint64, hostile bool, length time.Duration, faults standin.AnswerFaults) {
+// textRun is a run of callers that write and read through proxies that nothing disturbs but
+// the faults of the databases' answers.
+type textRun struct {
+	hostile bool
+	// homes is set if databases accept too few connections for every proxy to have some.
+	homes  bool
+	length time.Duration
+	faults standin.AnswerFaults
+}
+
+// homeConnectionLimit is a connection limit with which some of answerProxies are homes.
+const homeConnectionLimit = 11
+
+func (r textRun) run(t *testing.T, program string, seed uint64) {
 	h := &harness{
 		t: t, program: program, dir: t.TempDir(), network: reserveNetwork(t), stop: make(chan struct{}),
 		acknowledged: make(map[string]string), refused: make(map[string]struct{}), ledger: newLedger(), seed: seed,
@@ -45,22 +61,25 @@
 	h.group, err = standin.NewGroup("shop", []string{"a", "b", "c"}, 0)
 	require.NoError(t, err)
 	defer h.group.Close()
+	if r.homes {
+		h.group.ConnectionLimit = homeConnectionLimit
+	}
 	h.startPlatform()
 	h.platformLink, err = NewLink(h.platform.Address())
 	require.NoError(t, err)
 	defer h.platformLink.Close()
-	h.platform.Configure(1, 64, 1000, standin.Route{Name: "r1", Database: "fills", Kind: standin.Primary, Timeout: 1500, Target: 300, Priority: 1, Group: "shop"})
+	h.platform.Configure(1, h.group.ConnectionLimit, 1000, standin.Route{Name: "r1", Database: "fills", Kind: standin.Primary, Timeout: 1500, Target: 300, Priority: 1, Group: "shop"})
 	for i := range answerProxies {
 		h.proxies = append(h.proxies, h.newProcess(i))
 	}
 	defer h.killAll()
 	h.awaitWrites()
-	h.group.SetAnswerFaults(faults)
+	h.group.SetAnswerFaults(r.faults)
 	var callers sync.WaitGroup
 	for i := range answerCallers {
-		callers.Go(func() { h.runWriter(i, hostile) })
+		callers.Go(func() { h.runWriter(i, r.hostile) })
 	}
-	time.Sleep(length)
+	time.Sleep(r.length)
 	close(h.stop)
 	callers.Wait()
 	h.check()
@@ -96,30 +115,38 @@
 	}
 }
 
-// The texts of other runs must not hide that these checks find nothing to check.
+// Guards against violations of these runs that are not for their texts or faults.
 func TestSoakPlainTextsStayWhole(t *testing.T) {
-	runTexts(t, buildProgram(t), 41, false, 2*time.Second, standin.AnswerFaults{})
+	textRun{length: 2 * time.Second}.run(t, buildProgram(t), 41)
 }
 
 // A lone CR or LF, a blank or any other byte of a text must not end a message or vanish
 // (UNASKED, MIXED).
 func TestSoakHostileTextsStayWhole(t *testing.T) {
-	runTexts(t, buildProgram(t), 41, true, 5*time.Second, standin.AnswerFaults{})
+	program := buildProgram(t)
+	for _, homes := range []bool{false, true} {
+		t.Run(fmt.Sprint("homes=", homes), func(t *testing.T) {
+			textRun{hostile: true, homes: homes, length: 3 * time.Second}.run(t, program, 41)
+		})
+	}
 }
 
 // An answer that a database sends again must not become the answer to another request
 // (MIXED, REFUSED, PINNED).
 func TestSoakRepeatedAnswersStayApart(t *testing.T) {
 	program := buildProgram(t)
-	for name, faults := range map[string]standin.AnswerFaults{
-		"signed":     {RepeatOneIn: 40, SignedOnly: true, MaxDelay: 40 * time.Millisecond},
-		"any":        {RepeatOneIn: 40, MaxDelay: 40 * time.Millisecond},
-		"beforeNext": {RepeatOneIn: 40, When: standin.BeforeNext},
-		"afterNext":  {RepeatOneIn: 40, When: standin.AfterNext},
+	for _, c := range []struct {
+		name   string
+		faults standin.AnswerFaults
+	}{
+		{"signed", standin.AnswerFaults{SignedOnly: true, MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond}},
+		{"any", standin.AnswerFaults{MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond}},
+		{"beforeNext", standin.AnswerFaults{When: standin.BeforeNext}},
+		{"afterNext", standin.AnswerFaults{When: standin.AfterNext}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			faults.Seed, faults.MinDelay = 41, time.Millisecond
-			runTexts(t, program, 41, false, 2500*time.Millisecond, faults)
+		t.Run(c.name, func(t *testing.T) {
+			c.faults.Seed, c.faults.RepeatOneIn = 41, 40
+			textRun{length: 2500 * time.Millisecond, faults: c.faults}.run(t, program, 41)
 		})
 	}
 }
@@ -127,9 +154,10 @@
 // An answer that is cut anywhere must not become a success or a false promise.
 func TestSoakCutAnswersAreNoSuccess(t *testing.T) {
 	program := buildProgram(t)
-	for name, hostile := range map[string]bool{"plain": false, "hostile": true} {
-		t.Run(name, func(t *testing.T) {
-			runTexts(t, program, 41, hostile, 2500*time.Millisecond, standin.AnswerFaults{Seed: 41, CutOneIn: 50, Cut: standin.CutAnyhow})
+	for _, hostile := range []bool{false, true} {
+		t.Run(fmt.Sprint("hostile=", hostile), func(t *testing.T) {
+			faults := standin.AnswerFaults{Seed: 41, CutOneIn: 50, Cut: standin.CutAnyhow}
+			textRun{hostile: hostile, length: 2500 * time.Millisecond, faults: faults}.run(t, program, 41)
 		})
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -116,6 +116,10 @@
 	h.group, err = standin.NewGroup("shop", []string{"a", "b", "c"}, 0)
 	require.NoError(t, err)
 	defer h.group.Close()
+	if limitRandom := rand.New(rand.NewPCG(seed, 6)); fresh && *proxyCount > 3 && limitRandom.IntN(2) == 0 {
+		// Too few connections for every proxy, so that some are homes of the others.
+		h.group.ConnectionLimit = 2 * *proxyCount
+	}
 	h.startPlatform()
 	h.storeLink, err = NewLink(h.platform.Address())
 	require.NoError(t, err)
@@ -147,7 +151,7 @@
 	if fresh {
 		end := time.Now().Add(*duration)
 		go h.restoreStore(rand.New(rand.NewPCG(seed, 2)), end)
-		go h.failAnswers(rand.New(rand.NewPCG(seed, 5)), end)
+		go h.failAnswers(rand.New(rand.NewPCG(seed, 5)), end.Add(2*time.Second))
 		if h.keys != nil {
 			go h.changeKeys(keyRandom, end)
 		}
@@ -361,10 +365,10 @@
 	route.Name, route.Database = fmt.Sprint("v", version), fmt.Sprint("only", version)
 	routes = append(routes, route)
 	if h.keys == nil {
-		h.platform.Configure(version, 64, 1000, routes...)
+		h.platform.Configure(version, h.group.ConnectionLimit, 1000, routes...)
 		return
 	}
-	h.platform.ConfigureWorkspaces(version, 64, 1000, h.keys.declared(), routes...)
+	h.platform.ConfigureWorkspaces(version, h.group.ConnectionLimit, 1000, h.keys.declared(), routes...)
 	h.keys.acknowledge()
 }
 
