PostgreSQL: keep a late cancel from the next caller's statement

Callers saw: "canceling statement due to user request" for a statement that they had not cancelled. A cancel request travels on a connection of its own. If it arrived after its statement had ended, the database cancelled what ran next on that connection, which was another caller's.

A connection for which a cancel request was passed on is closed when it is given back. It is marked before its request ends, so that no other request can get it. This costs a new connection for each cancelled request, and nothing for others.

The stand-in can let cancel requests be late; this is off by default.

--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -234,6 +234,10 @@
 		s.cancelled = true
 		s.stopWaiting()
 	}
+	if s.runningConn != nil {
+		// Before the request ends, so that no other can use the connection.
+		s.runningConn.MarkCancelled()
+	}
 	return s.runningConn
 }
 
--- a/internal/connection/database/conn.go
+++ b/internal/connection/database/conn.go
@@ -66,6 +66,8 @@
 
 	target Target
 	closed atomic.Bool
+	// cancelled is set once a cancel request for the connection may be on its way.
+	cancelled atomic.Bool
 }
 
 // ServerError is an ErrorResponse that a server sent while a connection was
@@ -239,6 +241,10 @@
 	return c.net.Close()
 }
 
+// MarkCancelled has the pool close the connection instead of reusing it, since a
+// cancel request may arrive late and would cancel the next request on it.
+func (c *Conn) MarkCancelled() { c.cancelled.Store(true) }
+
 // Cancel asks the server, over a separate connection, to cancel the request that
 // runs on c. The key is sent over TLS if the target requires it. The server does
 // not report whether it cancelled the request.
--- a/internal/connection/database/pool.go
+++ b/internal/connection/database/pool.go
@@ -283,8 +283,8 @@
 }
 
 // Release returns a connection to the pool. A connection that is over the
-// pool's limit, whose protocol state is unknown, on which a transaction is open or
-// with unread data is closed instead.
+// pool's limit, whose protocol state is unknown, on which a transaction is open,
+// with unread data or for which a cancel request was sent is closed instead.
 func (p *Pool) Release(c *Conn) {
 	// The socket is looked at before the next use.
 	unread := !c.StateUnknown && !c.Settled()
@@ -293,7 +293,7 @@
 	l := p.leased[c]
 	delete(p.leased, c)
 	p.admission.Release(l.class, clock.FromStd(time.Since(l.since)))
-	discard := c.StateUnknown || unread || c.InTransaction || c.closed.Load() || p.closed || p.open > p.admission.Limit()
+	discard := c.StateUnknown || unread || c.cancelled.Load() || c.InTransaction || c.closed.Load() || p.closed || p.open > p.admission.Limit()
 	if discard {
 		p.open--
 	} else {
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -50,8 +50,10 @@
 	stopped atomic.Bool
 	// replayAll makes applyLog ignore the lag while a promotion waits for
 	// the received log to be applied.
-	replayAll   atomic.Bool
-	partition   atomic.Pointer[zonePartition]
+	replayAll atomic.Bool
+	partition atomic.Pointer[zonePartition]
+	// cancelDelay is a time.Duration.
+	cancelDelay atomic.Int64
 	answerFault atomic.Pointer[AnswerFault]
 	// healed points to a channel that Heal closes and replaces.
 	healed atomic.Pointer[chan struct{}]
@@ -196,6 +198,9 @@
 // SetLag sets the minimum age at which a replica applies a log entry.
 func (d *Database) SetLag(lag clock.Duration) { d.lag.Store(int64(lag)) }
 
+// SetCancelDelay sets the time by which cancel requests are late.
+func (d *Database) SetCancelDelay(delay time.Duration) { d.cancelDelay.Store(int64(delay)) }
+
 // Stop closes all sessions and refuses connections until Heal, like a server
 // process that has exited.
 func (d *Database) Stop() {
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -209,6 +210,7 @@
 				return err
 			}
 		case *pgproto3.CancelRequest:
+			s.database.sleep(time.Duration(s.database.cancelDelay.Load()))
 			s.database.cancelSession(m.ProcessID, m.SecretKey)
 			return io.EOF
 		case *pgproto3.StartupMessage:
