PostgreSQL: name shared statements by a digest that cannot be forged

Callers could see: rows of a statement that another session had prepared. Sessions share prepared statements on a database connection by a name that was the 64-bit xxHash of the text with its length. Texts with equal names are easy to make: a change of eight bytes is undone by another 32 bytes later. A session that prepared such a text had other sessions run it in place of theirs.

Evidence, without the change: TestStatementNamesAreNotForged builds two texts of the same name: Should not be: "ofsj33b551f2w7_65". It passes with it, and TestStatementNameDependsOnAllOfADefinition, which passed before too.

--- a/internal/request/caller/batch.go
+++ b/internal/request/caller/batch.go
@@ -1,9 +1,11 @@
 package caller
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/caller"
@@ -141,16 +143,24 @@
 	return nil
 }
 
+// statementNameSize is the length of the part of a digest that names a statement,
+// in bytes.
+const statementNameSize = 16
+
 // statementName derives a statement's name on database connections from its
-// definition, so that all sessions that prepare it share one name.
+// definition, so that all sessions that prepare it share one name. The digest is
+// a cryptographic one: with any other, a session could prepare a text of the same
+// name as that of another session.
 func statementName(m *pgproto3.Parse) string {
-	h := xxhash.New()
-	_, _ = h.WriteString(m.Query)
+	var buffer [512]byte
+	// The length keeps the text apart from the types that follow it.
+	definition := binary.BigEndian.AppendUint64(buffer[:0], uint64(len(m.Query)))
+	definition = append(definition, m.Query...)
 	for _, oid := range m.ParameterOIDs {
-		_, _ = h.WriteString("," + strconv.FormatUint(uint64(oid), 10))
+		definition = binary.BigEndian.AppendUint32(definition, oid)
 	}
-	// The length makes an accidental collision of the 64-bit hash less likely.
-	return "of" + strconv.FormatUint(h.Sum64(), 36) + "_" + strconv.Itoa(len(m.Query))
+	digest := sha256.Sum256(definition)
+	return "of" + hex.EncodeToString(digest[:statementNameSize])
 }
 
 // addParse records a prepared statement in the session and adds its Parse
