PostgreSQL: one reading of a request id, and only ids that can be stored

Callers saw: "did not run" for a write that ran, and 53OF1 at the time limit for an id that no database can store. In a statement's comment, a plus in a request id was read as a blank, so that 'a+b' and 'a b' were one request, and the outcome of 'a+b', set by SET oleanderflow.requestId, was that of another id. An id with NUL (%00), which ends a text on the wire, or with bytes that are no UTF-8 was tried again until the time limit.

A plus is a plus, as sqlcommenter encodes a blank as %20. Ids with NUL or invalid UTF-8 are refused with 22023 in both forms.

Evidence, without the change: TestTags: expected "a+b", actual "a b". TestBadTagsAreErrors: "An error is expected but got nil". TestRequestIDThatCannotBeStoredIsRefused: expected "22023", actual "53OF1" after 2 s. All pass with it.

--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -314,10 +315,19 @@
 	if len(value) > maxRequestIDLength {
 		return &ProtocolError{Code: outcome.CodeInvalid, Message: "oleanderflow.requestId is longer than 128 bytes"}
 	}
+	if !IsStorable(value) {
+		return &ProtocolError{Code: outcome.CodeInvalid, Message: "oleanderflow.requestId is not UTF-8 without NUL"}
+	}
 	s.RequestID = value
 	return nil
 }
 
+// IsStorable reports whether a database can store text: PostgreSQL's texts are
+// UTF-8 and hold no NUL, which ends them on the wire.
+func IsStorable(text string) bool {
+	return utf8.ValidString(text) && strings.IndexByte(text, 0) < 0
+}
+
 func (s *Session) acceptToken(value string) error {
 	t, err := token.Parse(value)
 	if err != nil {
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -191,3 +191,17 @@
 	require.Equal(t, 1, queryInt(t, c, "SELECT count(*) FROM t"))
 	require.Equal(t, 1, queryInt(t, c, "SELECT count(*) FROM oleanderflow_ledger WHERE id = $1", id))
 }
+
+// A request id that no database can store must not be tried until the time limit.
+func TestRequestIDThatCannotBeStoredIsRefused(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1, ExtraGroupConfig: "writeWait = 2s\n"})
+	c := connect(t, d.Proxies[0], "")
+	mustExec(t, c, "CREATE TABLE t (id INTEGER)")
+	for _, id := range []string{"a%00b", "a%ff"} {
+		_, err := c.Exec(context.Background(), "INSERT INTO t VALUES (1) /*requestId='"+id+"'*/")
+		require.Equal(t, outcome.CodeInvalid, sqlState(err), id)
+	}
+	_, err := c.Exec(context.Background(), "SET oleanderflow.requestId = 'a\xff'")
+	require.Equal(t, outcome.CodeInvalid, sqlState(err))
+	require.Zero(t, queryInt(t, c, "SELECT count(*) FROM t"))
+}
--- a/internal/request/caller/tags.go
+++ b/internal/request/caller/tags.go
@@ -3,11 +3,11 @@
 import (
 	"net/url"
 	"strings"
+	"time"
 
+	"github.com/oleanderflow/oleanderflow/internal/connection/caller"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 	"github.com/oleanderflow/oleanderflow/pkg/outcome"
-
-	"time"
 )
 
 // maxTagText limits the length of a comment that is parsed for tags, in bytes.
@@ -71,7 +71,8 @@
 		if !ok || len(value) < 2 || value[0] != '\'' || value[len(value)-1] != '\'' {
 			continue
 		}
-		text, err := url.QueryUnescape(value[1 : len(value)-1])
+		// A plus is itself, as in an id that is set for the session.
+		text, err := url.PathUnescape(value[1 : len(value)-1])
 		if err != nil {
 			continue
 		}
@@ -91,8 +92,8 @@
 		}
 		t.MaxAge = clock.FromStd(d)
 	case "requestId":
-		if value == "" || len(value) > maxRequestID {
-			return &TagError{Tag: key, Value: value, Expected: "1 to 128 characters"}
+		if value == "" || len(value) > maxRequestID || !caller.IsStorable(value) {
+			return &TagError{Tag: key, Value: strings.ToValidUTF8(value, "\ufffd"), Expected: "1 to 128 bytes of UTF-8 without NUL"}
 		}
 		t.RequestID = value
 	case "read":
--- a/internal/request/caller/tags_test.go
+++ b/internal/request/caller/tags_test.go
@@ -18,6 +18,7 @@
 		"SELECT 1 /*a plain comment*/":                            {},
 		"SELECT '/*maxAge=''2s''*/'":                              {},
 		"SELECT 1 /*requestId='a%20b'*/":                          {RequestID: "a b"},
+		"SELECT 1 /*requestId='a+b'*/":                            {RequestID: "a+b"},
 		"/*maxAge='5s'*/ SELECT 1 /*read='x'*/":                   {MaxAge: 5 * clock.Second, Read: "x"},
 		"SELECT 1 /*traceparent='00-aa-bb-01',requestId='t-1'*/ ": {RequestID: "t-1"},
 	} {
@@ -28,7 +29,10 @@
 }
 
 func TestBadTagsAreErrors(t *testing.T) {
-	for _, query := range []string{"SELECT 1 /*maxAge='x'*/", "SELECT 1 /*maxAge='-2s'*/", "SELECT 1 /*requestId=''*/"} {
+	for _, query := range []string{
+		"SELECT 1 /*maxAge='x'*/", "SELECT 1 /*maxAge='-2s'*/", "SELECT 1 /*requestId=''*/",
+		"SELECT 1 /*requestId='a%00b'*/", "SELECT 1 /*requestId='a%ff'*/",
+	} {
 		_, err := caller.ParseTags(query)
 		var bad *caller.TagError
 		require.ErrorAs(t, err, &bad, query)
