PostgreSQL: keep NUL out of the texts of errors

Callers saw: an error that ended in the middle, and fields that the text of their own statement had made. The value of a tag is decoded, and stands in the error that refuses it: with %00 its text ended there on the wire, and the rest was read as further fields. Bytes that are no UTF-8 went out too.

Texts of errors have both replaced.

Evidence, without the change: TestErrorTextHoldsNoNUL: "invalid tag maxAge '" does not contain "expected". It passes with it.

--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -322,6 +322,15 @@
 	return nil
 }
 
+// ErrorText returns text as an error message can carry it: with replacements for
+// NUL, which would end it, and for bytes that are no UTF-8.
+func ErrorText(text string) string {
+	if IsStorable(text) {
+		return text
+	}
+	return strings.ReplaceAll(strings.ToValidUTF8(text, "\ufffd"), "\x00", "\ufffd")
+}
+
 // IsStorable reports whether a database can store text: PostgreSQL's texts are
 // UTF-8 and hold no NUL, which ends them on the wire.
 func IsStorable(text string) bool {
--- a/internal/connection/caller/start.go
+++ b/internal/connection/caller/start.go
@@ -83,7 +83,7 @@
 func (a *Acceptor) reject(s *Session, err error) {
 	var e *ProtocolError
 	if errors.As(err, &e) {
-		s.Backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: e.Code, Message: e.Message})
+		s.Backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: e.Code, Message: ErrorText(e.Message)})
 		_ = s.Backend.Flush()
 	}
 }
--- a/internal/core/hostile_test.go
+++ b/internal/core/hostile_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -178,3 +179,22 @@
 	clear(p.sessions)
 	p.mu.Unlock()
 }
+
+// NUL ends a text on the wire: the rest would be read as other fields of the error.
+func TestErrorTextHoldsNoNUL(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	_, f := startRawSession(t, d.Proxies[0])
+	for _, tag := range []string{"maxAge='%00Dforged%00%ff'", "requestId='%00Dforged%00%ff'"} {
+		f.Send(&pgproto3.Query{String: "SELECT 1 /*" + tag + "*/"})
+		require.NoError(t, f.Flush())
+		msg, err := f.Receive()
+		require.NoError(t, err)
+		refused, ok := msg.(*pgproto3.ErrorResponse)
+		require.True(t, ok, tag)
+		require.Contains(t, refused.Message, "expected", tag)
+		require.True(t, utf8.ValidString(refused.Message), tag)
+		require.NotEqual(t, "forged", refused.Detail)
+		require.Empty(t, refused.UnknownFields)
+		require.Equal(t, []string{"ReadyForQuery"}, receiveTypes(t, f, 1))
+	}
+}
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -129,7 +129,7 @@
 
 func (w *worker) sendError(severity, code, message, detail string) {
 	w.session.Backend.Send(&pgproto3.ErrorResponse{
-		Severity: severity, SeverityUnlocalized: severity, Code: code, Message: message, Detail: detail,
+		Severity: severity, SeverityUnlocalized: severity, Code: code, Message: caller.ErrorText(message), Detail: detail,
 	})
 	_ = w.session.Backend.Flush()
 }
@@ -228,7 +228,7 @@
 	sendReady := simple || w.expectsReady()
 	w.batch.reset()
 	w.session.Backend.Send(&pgproto3.ErrorResponse{
-		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: err.Error(), Detail: detail,
+		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: caller.ErrorText(err.Error()), Detail: detail,
 	})
 	if sendReady {
 		w.session.Backend.Send(&pgproto3.ReadyForQuery{TxStatus: w.transactionStatus()})
--- a/internal/request/caller/tags.go
+++ b/internal/request/caller/tags.go
@@ -93,7 +93,7 @@
 		t.MaxAge = clock.FromStd(d)
 	case "requestId":
 		if value == "" || len(value) > maxRequestID || !caller.IsStorable(value) {
-			return &TagError{Tag: key, Value: strings.ToValidUTF8(value, "\ufffd"), Expected: "1 to 128 bytes of UTF-8 without NUL"}
+			return &TagError{Tag: key, Value: value, Expected: "1 to 128 bytes of UTF-8 without NUL"}
 		}
 		t.RequestID = value
 	case "read":
