PostgreSQL: a test that cuts answers at every byte

An answer that is cut by a close is no success, and a promise that nothing is kept is given only where nothing is. The test cuts the answers to writes, transactions, requests with an id and the proxy's own queries after each of their first 40 bytes.

--- a/internal/core/answers_test.go
+++ b/internal/core/answers_test.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
@@ -221,3 +224,89 @@
 	_, err = control.Status(ctx)
 	require.NoError(t, err)
 }
+
+// cutAt returns a fault that ends a connection after n bytes of the answer to a
+// request that matches, and the number of answers that it has cut.
+func cutAt(n int, match func(pgproto3.FrontendMessage) bool) (database.AnswerFault, *atomic.Int64) {
+	var cut atomic.Int64
+	return func(request pgproto3.FrontendMessage, answer []byte) database.Answer {
+		if !match(request) || n >= len(answer) || !cut.CompareAndSwap(0, 1) {
+			return database.Answer{First: answer}
+		}
+		return database.Answer{First: answer[:n], Close: true}
+	}, &cut
+}
+
+// An answer that is cut at any byte is no success, and the caller is promised that
+// nothing is kept only where nothing is.
+func TestCutAnswerIsNoSuccess(t *testing.T) {
+	ctx := context.Background()
+	inserts := func(m pgproto3.FrontendMessage) bool { return isQuery(m, "INSERT INTO t") }
+	type run func(c *pgx.Conn, id int) error
+	simple := func(c *pgx.Conn, id int) error {
+		_, err := c.PgConn().Exec(ctx, fmt.Sprintf("INSERT INTO t VALUES (%d)", id)).ReadAll()
+		return err
+	}
+	extended := func(c *pgx.Conn, id int) error {
+		return c.PgConn().ExecParams(ctx, "INSERT INTO t VALUES ($1)", [][]byte{fmt.Append(nil, id)}, nil, nil, nil).Read().Err
+	}
+	transaction := func(c *pgx.Conn, id int) error {
+		for _, query := range []string{"BEGIN", fmt.Sprintf("INSERT INTO t VALUES (%d)", id), "COMMIT"} {
+			if _, err := c.PgConn().Exec(ctx, query).ReadAll(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	for name, test := range map[string]struct {
+		run   run
+		match func(pgproto3.FrontendMessage) bool
+		// maySucceed is set if the request is run again after the cut, once in all, or
+		// if the cut may be that of a connection of the monitor.
+		maySucceed bool
+	}{
+		"simple write":          {run: simple, match: inserts},
+		"status after it":       {run: simple, match: func(m pgproto3.FrontendMessage) bool { return isQuery(m, dbconn.StatusStatement) }, maySucceed: true},
+		"execute":               {run: extended, match: func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Execute); return ok }},
+		"sync":                  {run: extended, match: func(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Sync); return ok }},
+		"write in transaction":  {run: transaction, match: inserts},
+		"commit of transaction": {run: transaction, match: func(m pgproto3.FrontendMessage) bool { return isQuery(m, "COMMIT") }},
+		"write with request id": {run: func(c *pgx.Conn, id int) error {
+			_, err := c.PgConn().Exec(ctx, fmt.Sprintf("INSERT INTO t VALUES (%d) /*requestId='%d'*/", id, id)).ReadAll()
+			return err
+		}, match: inserts, maySucceed: true},
+		"commit with request id": {run: func(c *pgx.Conn, id int) error {
+			_, err := c.PgConn().Exec(ctx, fmt.Sprintf("INSERT INTO t VALUES (%d) /*requestId='%d'*/", id, id)).ReadAll()
+			return err
+		}, match: func(m pgproto3.FrontendMessage) bool { return isQuery(m, ";COMMIT") }, maySucceed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startDev(t, DevSettings{Proxies: 1})
+			mustExec(t, connect(t, d.Proxies[0], ""), "CREATE TABLE t (id INTEGER)")
+			mustExec(t, connect(t, d.Proxies[0], ""), "INSERT INTO t VALUES (-1) /*requestId='first'*/")
+			reader := connect(t, d.Proxies[0], "")
+			cuts, promises := 0, 0
+			for n := range 40 {
+				c := connect(t, d.Proxies[0], "")
+				fault, cut := cutAt(n, test.match)
+				d.Group.Primary().SetAnswerFault(fault)
+				err := test.run(c, n)
+				d.Group.Primary().SetAnswerFault(nil)
+				kept := queryInt(t, reader, "SELECT count(*) FROM t WHERE id = $1", n)
+				require.LessOrEqual(t, kept, 1)
+				if err == nil {
+					require.True(t, test.maySucceed || cut.Load() == 0, "success of an answer cut after %d bytes", n)
+					require.Equal(t, 1, kept, "cut after %d bytes", n)
+				}
+				var refused *pgconn.PgError
+				if errors.As(err, &refused) && strings.HasPrefix(refused.Detail, "outcome=refused") {
+					promises++
+					require.Zero(t, kept, "a promise that nothing is kept, cut after %d bytes: %s", n, refused.Message)
+				}
+				cuts += int(cut.Load())
+			}
+			t.Logf("%d answers cut, %d promises", cuts, promises)
+			require.Positive(t, cuts)
+		})
+	}
+}
