--- a/internal/request/caller/batch.go
+++ b/internal/request/caller/batch.go
@@ -143,12 +143,19 @@
 	return nil
 }
 
+// statementNameSize is the length of the part of a digest that names a statement,
+// in bytes.
+const statementNameSize = 24
+
 // statementName derives a statement's name on database connections from its
-// definition, so that all sessions that prepare it share one name. Callers choose the
-// queries, so the digest is one for which no two with the same name can be found.
+// definition, so that all sessions that prepare it share one name. The digest is
+// a cryptographic one: with any other, a session could prepare a text of the same
+// name as that of another session.
 func statementName(m *pgproto3.Parse) string {
-	// A query has no zero byte.
-	definition := append([]byte(m.Query), 0)
+	var buffer [512]byte
+	// The length keeps the text apart from the types that follow it.
+	definition := binary.BigEndian.AppendUint64(buffer[:0], uint64(len(m.Query)))
+	definition = append(definition, m.Query...)
 	for _, oid := range m.ParameterOIDs {
 		definition = binary.BigEndian.AppendUint32(definition, oid)
 	}
@@ -156,10 +163,6 @@
 	return "of" + hex.EncodeToString(digest[:statementNameSize])
 }
 
-// statementNameSize is the number of bytes of the digest in a statement's name. PostgreSQL
-// cuts names after 63 characters.
-const statementNameSize = 24
-
 // addParse records a prepared statement in the session and adds its Parse
 // under the shared name.
 func (b *batch) addParse(s *caller.Session, m *pgproto3.Parse) error {
