Escape the names of groups in the keys of rows

The keys of claims, votes and stored databases are the group's name with a slash after it, before the proxy's name or the era. The claim of a group "shop/2" was the row of the claim of "shop" in the second era of the store, so that one group's primary could be replaced on the other's claim. Votes, claims and databases of a group whose name has a slash were taken for those of another group: its proxies never agreed that an unreachable primary was lost.

"%" and "/" in the name are now escaped. The keys of all other names are those of earlier builds.

--- a/internal/front/agreement.go
+++ b/internal/front/agreement.go
@@ -15,7 +15,8 @@
 			continue
 		}
 		kind, rest, _ := strings.Cut(row.Key, "/")
-		name, _, _ := strings.Cut(rest, "/")
+		part, _, _ := strings.Cut(rest, "/")
+		name := groupOfKey(part)
 		switch {
 		case kind+"/" == databasesPrefix:
 			f.applyDatabases(row, starting)
--- a/internal/front/claim.go
+++ b/internal/front/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"strconv"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -15,16 +14,6 @@
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
-// claimKey returns the key of a group's claim. Each era has a key of its own: a
-// claim written in an earlier era, or a write that is done late, would otherwise meet
-// its condition again once the store has given the version to another claim.
-func claimKey(group string, era uint64) string {
-	if era <= store.FirstEra {
-		return claimPrefix + group
-	}
-	return claimPrefix + group + "/" + strconv.FormatUint(era, 10)
-}
-
 // claim acquires the group's claim. It returns a *claimedError if another proxy may
 // still act on its claim, a *store.ConflictError if the row has been written by
 // another proxy since, and an *eraError if the store has begun a new era, in which
--- a/internal/front/databases.go
+++ b/internal/front/databases.go
@@ -100,7 +100,7 @@
 	go contain.Run(f.log, "write of databases", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
 		defer cancel()
-		_, err := f.platform.Store.Put(ctx, agreementTable, map[string][]byte{databasesPrefix + g.Name: []byte(current)})
+		_, err := f.platform.Store.Put(ctx, agreementTable, map[string][]byte{databasesKey(g.Name): []byte(current)})
 		f.log.Info("databases stored for processes that start", zap.String("group", g.Name), logs.Error(err))
 	})
 }
@@ -110,7 +110,7 @@
 func (f *Front) forgetDatabases(key string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if g, ok := f.groups[strings.TrimPrefix(key, databasesPrefix)]; ok {
+	if g, ok := f.groups[groupOfKey(strings.TrimPrefix(key, databasesPrefix))]; ok {
 		g.databases.stored = ""
 	}
 }
@@ -119,7 +119,7 @@
 // databases that the registry does not list are used for as long as those whose
 // entries have just expired.
 func (f *Front) applyDatabases(row store.Row, starting bool) {
-	name := strings.TrimPrefix(row.Key, databasesPrefix)
+	name := groupOfKey(strings.TrimPrefix(row.Key, databasesPrefix))
 	f.mu.Lock()
 	g := f.groupLocked(name)
 	g.databases.stored = string(row.Value)
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -162,7 +162,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Std())
 	defer cancel()
-	_, err = r.store.Put(ctx, agreementTable, map[string][]byte{votePrefix + r.client.Name + "/" + r.self: value})
+	_, err = r.store.Put(ctx, agreementTable, map[string][]byte{voteKey(r.client.Name, r.self): value})
 	r.log.Info("primary suspected", zap.String("primary", v.Primary), zap.Uint64("term", v.Term),
 		zap.Stringer("reason", s.Reason), logs.Error(err))
 }
