Accept databases of groups whose names have dots

Names of groups and databases may have dots, and [database.GROUP.NAME] was cut at the first one: [database.shop.eu.a] named the database "eu.a" of a group "shop". A group "shop.eu" could not be declared, since it had no databases. The section now names a database of the declared group that it begins with, and is a problem if it begins with several.

TestDatabasesOfGroupsWhoseNamesHaveDots failed before:

base.ini:3: [database.shop.eu.a] no such group: shop base.ini:1: [group.shop.eu] the group has 0 databases

--- a/internal/version/operator/check.go
+++ b/internal/version/operator/check.go
@@ -262,13 +262,24 @@
 		c.addProblem(d.Source, "database."+d.Name, "", "the section does not name group and database", "[database.GROUP.NAME]", "")
 		return
 	}
-	g := c.config.FindGroup(group)
-	if g == nil {
+	// Both names may have dots.
+	var found []string
+	for _, declared := range groups {
+		if rest, ok := strings.CutPrefix(d.Name, declared+"."); ok && rest != "" {
+			found = append(found, declared)
+			group, name = declared, rest
+		}
+	}
+	switch len(found) {
+	case 0:
 		c.addProblem(d.Source, "database."+d.Name, "", "no such group: "+group, "a declared group", nearest(group, groups))
-		return
+	case 1:
+		d.Name = name
+		g := c.config.FindGroup(group)
+		g.Databases = append(g.Databases, d)
+	default:
+		c.addProblem(d.Source, "database."+d.Name, "", "the section names databases of several groups: "+strings.Join(found, ", "), "groups whose names do not begin with that of another and a dot", "")
 	}
-	d.Name = name
-	g.Databases = append(g.Databases, d)
 }
 
 // checkGroup checks that a group has an odd number of databases, at most 9, with
--- a/internal/version/operator/check_test.go
+++ b/internal/version/operator/check_test.go
@@ -129,3 +129,18 @@
 		require.ErrorContains(t, err, "replicaWait")
 	}
 }
+
+// Names may have dots. A database was assigned to the group before the first dot.
+func TestDatabasesOfGroupsWhoseNamesHaveDots(t *testing.T) {
+	dotted := strings.ReplaceAll(validBase, "shop1", "shop.eu")
+	config, err := load(t, dotted, "")
+	require.NoError(t, err)
+	require.Equal(t, "a", config.FindGroup("shop.eu").Databases[0].Name)
+
+	// The section could name database "a" of one group, or "eu.a" of the other.
+	_, err = load(t, dotted+"[group.shop]\ncustomer = shop\n[database.shop.a]\naddress = 127.0.0.1:5002\nzone = a\n", "")
+	require.ErrorContains(t, err, "base.ini:3: [database.shop.eu.a] the section names databases of several groups: shop.eu, shop; expected")
+
+	_, err = load(t, dotted+"[database.shop.us.a]\naddress = 127.0.0.1:5002\nzone = a\n", "")
+	require.ErrorContains(t, err, "[database.shop.us.a] no such group: shop; expected a declared group")
+}
