--- a/internal/request/caller/batch.go
+++ b/internal/request/caller/batch.go
@@ -1,11 +1,9 @@
 package caller
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/caller"
@@ -144,22 +142,17 @@
 }
 
 // statementName derives a statement's name on database connections from its
-// definition, so that all sessions that prepare it share one name. Callers choose the
-// queries, so the digest is one for which no two with the same name can be found.
+// definition, so that all sessions that prepare it share one name.
 func statementName(m *pgproto3.Parse) string {
-	// A query has no zero byte.
-	definition := append([]byte(m.Query), 0)
+	h := xxhash.New()
+	_, _ = h.WriteString(m.Query)
 	for _, oid := range m.ParameterOIDs {
-		definition = binary.BigEndian.AppendUint32(definition, oid)
+		_, _ = h.WriteString("," + strconv.FormatUint(uint64(oid), 10))
 	}
-	digest := sha256.Sum256(definition)
-	return "of" + hex.EncodeToString(digest[:statementNameSize])
+	// The length makes an accidental collision of the 64-bit hash less likely.
+	return "of" + strconv.FormatUint(h.Sum64(), 36) + "_" + strconv.Itoa(len(m.Query))
 }
 
-// statementNameSize is the number of bytes of the digest in a statement's name. PostgreSQL
-// cuts names after 63 characters.
-const statementNameSize = 24
-
 // addParse records a prepared statement in the session and adds its Parse
 // under the shared name.
 func (b *batch) addParse(s *caller.Session, m *pgproto3.Parse) error {
