--- a/internal/request/caller/tags.go
+++ b/internal/request/caller/tags.go
@@ -2,13 +2,12 @@
 
 import (
 	"net/url"
-	"strconv"
 	"strings"
-	"time"
-	"unicode/utf8"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 	"github.com/oleanderflow/oleanderflow/pkg/outcome"
+
+	"time"
 )
 
 // maxTagText limits the length of a comment that is parsed for tags, in bytes.
@@ -35,7 +34,7 @@
 }
 
 func (e *TagError) Error() string {
-	return "invalid tag " + e.Tag + " " + strconv.Quote(e.Value) + "; expected " + e.Expected
+	return "invalid tag " + e.Tag + " '" + e.Value + "'; expected " + e.Expected
 }
 
 // Code returns the SQLSTATE of the error.
@@ -92,9 +91,8 @@
 		}
 		t.MaxAge = clock.FromStd(d)
 	case "requestId":
-		// Statements have no zero bytes.
-		if value == "" || len(value) > maxRequestID || strings.IndexByte(value, 0) >= 0 || !utf8.ValidString(value) {
-			return &TagError{Tag: key, Value: value, Expected: "1 to 128 bytes of UTF-8 without zero bytes"}
+		if value == "" || len(value) > maxRequestID {
+			return &TagError{Tag: key, Value: value, Expected: "1 to 128 characters"}
 		}
 		t.RequestID = value
 	case "read":
