Quote the value of an invalid tag in its error

The value of a tag may have any byte, as %XX, and the error for an invalid one quoted it as it was. The fields of PostgreSQL's ErrorResponse end at a zero byte: what followed it was another field to the caller.

TestTagErrorsHaveNoZeroBytes failed before: "a\x00Mforged" in the text.

--- a/internal/request/caller/tags.go
+++ b/internal/request/caller/tags.go
@@ -34,7 +34,7 @@
 }
 
 func (e *TagError) Error() string {
-	return "invalid tag " + e.Tag + " '" + e.Value + "'; expected " + e.Expected
+	return "invalid tag " + e.Tag + " " + quotedValue(e.Value) + "; expected " + e.Expected
 }
 
 // Code returns the SQLSTATE of the error.
