Answer MALFORMED to messages that cannot be understood or sent

A caller whose message was longer than 1 MiB, or was not a request, got a close without an answer. A request that became too long with AFTER or with the name under which databases know its prepared statement was sent, so that the database closed the connection: a write was in doubt, and a read was sent to one database after another.

The session asks the connection whether the requests have a valid encoding before it counts them as sent. If not, the answer is MALFORMED; nothing has run, the connection stays, and the slot is given back. A shape that leaves no room for the shared name is refused when it is prepared. A message that is not understood is answered with ERROR MALFORMED before the close. The text of an over-long message is not read to its end, so the close may overtake the answer.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -36,6 +36,9 @@
 	// within limit. It returns the number of answers read. After an error the
 	// connection must not be used any more.
 	Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error)
+	// Check returns an error if Exchange would not send the requests, because one of
+	// them has no valid encoding. The connection stays as it is.
+	Check(requests []statement.Request) error
 	// DecodeStatus decodes the answer to an operation that returns a status,
 	// such as statement.Status.
 	DecodeStatus(a *statement.Answer) (database.Status, error)
--- a/internal/connection/backend/group_client_test.go
+++ b/internal/connection/backend/group_client_test.go
@@ -33,6 +33,8 @@
 	return 0, errSilent
 }
 
+func (silentConn) Check([]statement.Request) error { return nil }
+
 func (silentConn) DecodeStatus(*statement.Answer) (database.Status, error) {
 	return database.Status{}, errSilent
 }
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -19,7 +19,8 @@
 type exchangeOutcome uint8
 
 const (
-	// answered means that the database has answered, with success or a failure.
+	// answered means that the database has answered, with success or a failure, or that
+	// the request could not be sent to any, which is a failure too.
 	answered exchangeOutcome = iota
 	// unanswered means that the request was sent but its answer is missing.
 	unanswered
@@ -42,6 +43,9 @@
 	s.requests, s.answers = requests, answers
 	// No buffer may be used by two answers of a later exchange.
 	defer clear(answers)
+	if err := c.Check(requests); err != nil {
+		return s.failInvalid(c, p, loaded > 0, err)
+	}
 	last := len(requests) - 1
 	s.answer.Reset()
 	answers[last] = s.answer
@@ -73,6 +77,17 @@
 	return answered
 }
 
+// failInvalid fails a request that cannot be encoded, and which no other database would
+// be sent either. loading is set if requests that load the session's state, which is recorded
+// on the connection, have gone ahead of it.
+func (s *Session) failInvalid(c *backend.PooledConn, p *backend.Pool, loading bool, cause error) exchangeOutcome {
+	s.releaseSlot(p)
+	c.NeedsReset = c.NeedsReset || loading
+	s.Log.Info("request not sent", append(s.callerFields(s.workspace), logs.Error(cause))...)
+	s.fail(statement.CodeMalformed, "the request cannot be sent to a database: "+cause.Error())
+	return answered
+}
+
 // needsStatus reports whether the database has to be asked together with r whether it
 // leads. A read at the primary must see all commits, and any other database would run it
 // too: one that has stepped down, or a process that has started in place of the primary
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -24,11 +25,14 @@
 	mu sync.Mutex
 	// fail returns the failure that a request is answered with, nil to run it.
 	fail func(statement.Operation) *statement.Failure
+	// invalid reports whether a request has no encoding, nil if all have one.
+	invalid func(*statement.Request) bool
 	// ran has the statements of callers that have run.
 	ran []ranStatement
 	// committed has the texts of the writes that were committed.
 	committed []string
 	dials     int
+	closes    int
 	// replica is set once the database does not lead.
 	replica bool
 }
@@ -146,6 +150,18 @@
 
 func (c *memoryConn) end() { c.state, c.transaction, c.writes = statement.Idle, "", nil }
 
+// Check implements backend.Conn.
+func (c *memoryConn) Check(requests []statement.Request) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range requests {
+		if c.invalid != nil && c.invalid(&requests[i]) {
+			return errors.New("longer than 1 MiB")
+		}
+	}
+	return nil
+}
+
 // DecodeStatus implements backend.Conn.
 func (c *memoryConn) DecodeStatus(a *statement.Answer) (database.Status, error) {
 	if a.Failure != nil {
@@ -164,6 +180,7 @@
 func (c *memoryConn) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closes++
 	c.end()
 }
 
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -3,6 +3,7 @@
 package session
 
 import (
+	"cmp"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,15 @@
 	ErrIdle  = errors.New("no request from the caller within the idle timeout")
 )
 
+// MessageError is returned by Caller.ReadStartup and Caller.Next for a message that cannot
+// be understood. Cause must not hold the caller's key.
+type MessageError struct{ Cause error }
+
+func (e *MessageError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns Cause.
+func (e *MessageError) Unwrap() error { return e.Cause }
+
 // Startup is the content of a caller's startup message.
 type Startup struct {
 	// Database is the name of the database that the caller asks for.
@@ -197,6 +207,7 @@
 		if err != nil {
 			if !errors.Is(err, ErrEnded) {
 				s.Log.Debug("session ended", zap.Uint64("session", s.id), logs.Error(err))
+				s.refuseMessage(err)
 			}
 			return
 		}
@@ -210,6 +221,18 @@
 	}
 }
 
+// refuseMessage tells the caller that its message was not understood, if that is what err
+// reports. The session has to end, since it is not known where the next message begins.
+func (s *Session) refuseMessage(err error) {
+	var invalid *MessageError
+	if !errors.As(err, &invalid) {
+		return
+	}
+	if err := s.caller.Refuse(&statement.Failure{Code: statement.CodeMalformed, Text: invalid.Error()}); err != nil {
+		s.Log.Debug("refusal not delivered", zap.Uint64("session", s.id), logs.Error(err))
+	}
+}
+
 // refusalTimeout is how long a caller that is refused may take to send its
 // startup message.
 const refusalTimeout = clock.Second
@@ -239,6 +262,7 @@
 	startup, err := s.caller.ReadStartup(limit)
 	if err != nil {
 		s.Log.Debug("session not opened", zap.Uint64("session", s.id), logs.Error(err))
+		s.refuseMessage(err)
 		return false
 	}
 	name := startup.Database
@@ -390,6 +414,8 @@
 		s.changeState(r)
 	case statement.Read, statement.Write, statement.Execute:
 		s.run(r)
+	case statement.Unknown:
+		s.fail(statement.CodeMalformed, cmp.Or(o.Reason, "the request is not understood"))
 	default:
 		s.fail(statement.CodeMalformed, "the request is not understood")
 	}
@@ -479,6 +505,10 @@
 		s.fail(statement.CodeMalformed, "the transaction has failed")
 		return
 	}
+	if o, ok := r.Operation.(statement.Prepare); ok && len(o.Shape) > maxShapeSize {
+		s.fail(statement.CodeMalformed, "the statement is too long to be prepared at a database")
+		return
+	}
 	if o, ok := r.Operation.(statement.Set); ok && s.tx != nil && !s.setInTransaction(r, o) {
 		return
 	}
--- a/internal/connection/session/state.go
+++ b/internal/connection/session/state.go
@@ -12,6 +12,10 @@
 // connection with more is reset.
 const maxPrepared = 64
 
+// maxShapeSize is the maximum size of a prepared statement's shape, in bytes. It leaves
+// room for the name under which databases know the statement.
+const maxShapeSize = 1<<20 - 64
+
 // stateRequests returns the requests that bring a connection into the session's
 // state before r is sent, and records that state on the connection as if they
 // had succeeded. A connection in a transaction already has the session's
