Send texts between processes and to databases unchanged

EXECUTE with a blank and nothing else after its name reached the database without that blank. A request that fits into no frame, or whose home is of a build without frames, was sent as JSON, which replaced bytes that are not UTF-8: the database ran another text than the caller's.

The name and the arguments of an EXECUTE were joined again without a record of whether there had been empty arguments or none. EmptyArguments tells them apart, also between processes; earlier builds skip the new field, read it as no arguments, and their bytes are read as before (TestEncodingStays is unchanged). A request with a text that JSON would change is not sent as JSON: another home or this process serves it, and the home does not count as unreachable.

--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -360,6 +360,12 @@
 // forwardFailed records that a home did not answer a request, and returns the error
 // that Forward returns.
 func (h *Homes) forwardFailed(home string, latency *backend.LatencyTracker, now clock.Time, took clock.Duration, err error) error {
+	var changed *proxy.ChangedTextError
+	if errors.As(err, &changed) {
+		// Nothing is wrong with the home.
+		latency.Abandon(now, 0, 0)
+		return &NotRunError{Home: home, Cause: err}
+	}
 	h.recordUnreachable(home, now)
 	var unreachable *proxy.UnreachableError
 	var unknown *proxy.UnknownPeerError
--- a/internal/connection/peer/messages.go
+++ b/internal/connection/peer/messages.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"unicode/utf8"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
@@ -94,6 +95,25 @@
 	Operation Operation `json:"operation" msg:"o,omitzero"`
 }
 
+// FitsJSON reports whether JSON carries the request unchanged: its texts are any bytes,
+// those of JSON are UTF-8.
+func (r *RunRequest) FitsJSON() bool {
+	texts := [...]string{r.Session, r.Workspace, r.Route, r.Group, r.ID, r.Operation.Name, r.Operation.Text}
+	valid := !slices.ContainsFunc(texts[:], isNotUTF8)
+	for _, v := range r.Values {
+		valid = valid && !isNotUTF8(v.Name) && !isNotUTF8(v.Text)
+	}
+	if r.Begin != nil {
+		valid = valid && !isNotUTF8(r.Begin.ID)
+	}
+	if r.Prepared != nil {
+		valid = valid && !isNotUTF8(r.Prepared.Name) && !isNotUTF8(r.Prepared.Shape)
+	}
+	return valid
+}
+
+func isNotUTF8(text string) bool { return !utf8.ValidString(text) }
+
 // Begin holds the parameters of the caller's BEGIN.
 type Begin struct {
 	ID       string `json:"id" msg:"i,omitempty"`
@@ -112,6 +132,8 @@
 	Kind Kind   `json:"kind" msg:"k"`
 	Name string `json:"name,omitempty" msg:"n,omitempty"`
 	Text string `json:"text,omitempty" msg:"t,omitempty"`
+	// Empty is set if Text is empty and not left out.
+	Empty bool `json:"empty,omitempty" msg:"e,omitempty"`
 }
 
 // Kind is the kind of an Operation. In a frame it is sent as its number.
@@ -158,7 +180,7 @@
 	case statement.Set:
 		return Operation{Kind: kindSet, Name: o.Name, Text: o.Text}, true
 	case statement.Execute:
-		return Operation{Kind: kindExecute, Name: o.Name, Text: o.Arguments}, true
+		return Operation{Kind: kindExecute, Name: o.Name, Text: o.Arguments, Empty: o.EmptyArguments}, true
 	default:
 		return Operation{}, false
 	}
@@ -179,7 +201,7 @@
 	case kindSet:
 		return statement.Set{Name: o.Name, Text: o.Text}, nil
 	case kindExecute:
-		return statement.Execute{Name: o.Name, Arguments: o.Text}, nil
+		return statement.Execute{Name: o.Name, Arguments: o.Text, EmptyArguments: o.Empty && o.Text == ""}, nil
 	default:
 		return nil, &UnknownKindError{Kind: o.Kind}
 	}
--- a/internal/connection/peer/messages_gen.go
+++ b/internal/connection/peer/messages_gen.go
@@ -130,11 +130,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Operation) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Operation) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Name == "" {
 		zb0001Len--
@@ -144,6 +144,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Empty == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -162,6 +166,11 @@
 			o = append(o, 0xa1, 0x74)
 			o = msgp.AppendString(o, z.Text)
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendBool(o, z.Empty)
+		}
 	}
 	return
 }
@@ -210,6 +219,12 @@
 				err = msgp.WrapError(err, "Text")
 				return
 			}
+		case "e":
+			z.Empty, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Empty")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -223,8 +238,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Operation) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Text)
+func (z *Operation) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Text) + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/connection/peer/messages_test.go
+++ b/internal/connection/peer/messages_test.go
@@ -136,6 +136,61 @@
 	require.JSONEq(t, `{"position":{"Term":1,"Offset":2},"floor":{"Term":0,"Offset":0}}`, string(b))
 }
 
+// An EXECUTE with a blank and nothing else after its name lost that blank on its way to a
+// home. Earlier builds take it for one without arguments.
+func TestEmptyArgumentsOfExecuteArrive(t *testing.T) {
+	for _, e := range []statement.Execute{{Name: "s"}, {Name: "s", EmptyArguments: true}, {Name: "s", Arguments: " "}, {Name: "", Arguments: "a  b "}} {
+		o, ok := Encode(e)
+		require.True(t, ok)
+		b, err := o.MarshalMsg(nil)
+		require.NoError(t, err)
+		var framed, called Operation
+		_, err = framed.UnmarshalMsg(b)
+		require.NoError(t, err)
+		got, err := framed.Decode()
+		require.NoError(t, err)
+		require.Equal(t, e, got)
+		b, err = json.Marshal(o)
+		require.NoError(t, err)
+		require.NoError(t, json.Unmarshal(b, &called))
+		require.Equal(t, o, called)
+	}
+}
+
+// JSON replaces bytes that are no UTF-8 by others. A request that contains some is not sent
+// as JSON.
+func TestRequestThatJSONWouldChange(t *testing.T) {
+	require.True(t, fullRequest().FitsJSON())
+	for name, change := range map[string]func(*RunRequest){
+		"id":              func(r *RunRequest) { r.ID = "a\xff" },
+		"id of BEGIN":     func(r *RunRequest) { r.Begin.ID = "a\xff" },
+		"text":            func(r *RunRequest) { r.Operation.Text = "WRITE a \xc3" },
+		"name":            func(r *RunRequest) { r.Operation.Name = "\xc3" },
+		"value":           func(r *RunRequest) { r.Values[1].Text = "SET a \xed\xa0\x80" },
+		"name of a value": func(r *RunRequest) { r.Values[0].Name = "\xff" },
+		"prepared name":   func(r *RunRequest) { r.Prepared.Name = "\xff" },
+		"shape":           func(r *RunRequest) { r.Prepared.Shape = "\xff" },
+		"workspace":       func(r *RunRequest) { r.Workspace = "\xff" },
+		"route":           func(r *RunRequest) { r.Route = "\xff" },
+		"group":           func(r *RunRequest) { r.Group = "\xff" },
+		"session":         func(r *RunRequest) { r.Session = "\xff" },
+	} {
+		r := fullRequest()
+		change(r)
+		require.False(t, r.FitsJSON(), name)
+	}
+	for _, text := range []string{"", "\x00\t\r\n\u2028<&>\"\\", "\ufffd", "\U0010ffff\x7f"} {
+		r := fullRequest()
+		r.ID, r.Operation.Text = text, text
+		require.True(t, r.FitsJSON(), "%q", text)
+		b, err := json.Marshal(r)
+		require.NoError(t, err)
+		var got RunRequest
+		require.NoError(t, json.Unmarshal(b, &got))
+		require.Equal(t, *r, got)
+	}
+}
+
 // No bytes of a peer may panic the decoders or make them allocate much more than has
 // arrived, and what they accept stays the same when it is encoded again.
 func FuzzMessages(f *testing.F) {
--- a/internal/process/proxy/run.go
+++ b/internal/process/proxy/run.go
@@ -15,7 +15,8 @@
 
 // Run sends a request as a frame and decodes the answer into response, which no one
 // else uses once Run has returned. It waits until ctx ends, and no longer than
-// limit; the limit needs no timer for each request. The errors are those of Call.
+// limit; the limit needs no timer for each request. The errors are those of Call, and a
+// *ChangedTextError if the request could be sent only with other texts.
 // After callsPeriod a peer of an earlier build is examined again, with the opening
 // alone. Until it has answered, and if the request is too long for a frame, the
 // request is sent as a call of MethodRun.
@@ -79,7 +80,21 @@
 	}
 }
 
+// jsonFitter is implemented by requests with texts that JSON may not carry unchanged.
+type jsonFitter interface{ FitsJSON() bool }
+
+// ChangedTextError reports a request that was not sent, since the peer would have got
+// other texts than those of the request.
+type ChangedTextError struct{ Name string }
+
+func (e *ChangedTextError) Error() string {
+	return "a call would change the texts of the request to proxy " + e.Name
+}
+
 func (p *Peers) callRun(ctx context.Context, name string, request, response any, limit time.Duration) error {
+	if f, ok := request.(jsonFitter); ok && !f.FitsJSON() {
+		return &ChangedTextError{Name: name}
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return p.Call(ctx, name, MethodRun, request, response)
--- a/internal/process/proxy/run_test.go
+++ b/internal/process/proxy/run_test.go
@@ -115,6 +115,24 @@
 	})
 }
 
+// unfitText is a text that JSON would change.
+type unfitText struct{ text }
+
+func (unfitText) FitsJSON() bool { return false }
+
+// A peer of an earlier build got other bytes than those of a request that are no UTF-8.
+func TestEarlierBuildIsNotSentAChangedText(t *testing.T) {
+	p := connectTo(t, earlierBuild(t))
+	p.mu.Lock()
+	p.earlier["a"] = time.Now().Add(time.Hour)
+	p.mu.Unlock()
+	answer, err := runText(p, "a", time.Second)
+	require.NoError(t, err)
+	require.Equal(t, text("call a"), answer)
+	var changed *ChangedTextError
+	require.ErrorAs(t, p.Run(context.Background(), "a", unfitText{"a\xff"}, &answer, time.Second), &changed)
+}
+
 // Answers find their requests in whatever order they arrive, with many in flight on
 // one connection.
 func TestAnswersOutOfOrder(t *testing.T) {
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -56,6 +56,8 @@
 type Execute struct {
 	Name      string
 	Arguments string
+	// EmptyArguments is set if the caller has sent arguments that are empty, and not none.
+	EmptyArguments bool
 }
 
 // Deallocate removes the prepared statement Name. Text is the whole statement
