--- a/internal/front/explain_route_table.go
+++ b/internal/front/explain_route_table.go
@@ -16,7 +16,7 @@
 	row := func(columns ...any) {
 		texts := make([]string, len(columns))
 		for i, c := range columns {
-			texts[i] = fmt.Sprint(c)
+			texts[i] = printable(fmt.Sprint(c))
 		}
 		_, _ = fmt.Fprintln(t, strings.Join(texts, "\t"))
 	}
