--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -44,6 +44,9 @@
 	// Unread returns the number of received bytes that no request waits for, at least 1
 	// if there are any. It returns an error if the connection has ended.
 	Unread() (int, error)
+	// Check returns an error if Exchange would not send the requests, because one of
+	// them has no valid encoding. The connection stays as it is.
+	Check(requests []statement.Request) error
 	// DecodeStatus decodes the answer to an operation that returns a status,
 	// such as statement.Status.
 	DecodeStatus(a *statement.Answer) (database.Status, error)
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -56,6 +56,8 @@
 type Execute struct {
 	Name      string
 	Arguments string
+	// EmptyArguments is set if the caller has sent arguments that are empty, and not none.
+	EmptyArguments bool
 }
 
 // Deallocate removes the prepared statement Name. Text is the whole statement
@@ -66,7 +68,12 @@
 }
 
 // Unknown is a request that could not be parsed.
-type Unknown struct{ Text string }
+type Unknown struct {
+	Text string
+	// Reason is what is wrong with the request, empty if its text is not that of a
+	// statement.
+	Reason string
+}
 
 // Reset clears the session variables and prepared statements of a connection.
 type Reset struct{}
