PostgreSQL: a connection to be closed later serves its transaction

Callers would have seen: a transaction that prepares more than 512 statements is rolled back. A connection with that many is marked to be closed when it is given back, and since "take an answer only where it fits what was asked" the mark counted as unread data before each statement of a transaction.

An error by which the database ends the connection now closes it, and the mark is left to the pool.

Evidence, without the change: TestTransactionWithManyStatementsEnds: "the transaction was rolled back" at statement 513. It passes with it, as does TestErrorThatEndsTheConnectionIsNoAnswer, over plaintext and TLS.

--- a/internal/connection/database/alive.go
+++ b/internal/connection/database/alive.go
@@ -30,7 +30,7 @@
 // Asynchronous messages (notifications, notices and parameter changes) are read
 // and dropped. It does not wait for data.
 func (c *Conn) Idle() bool {
-	if c.closed.Load() || !c.Settled() || c.StateUnknown {
+	if !c.Settled() || c.closed.Load() {
 		return false
 	}
 	peeked, open := c.peek(false)
@@ -52,8 +52,9 @@
 }
 
 // Settled reports whether nothing but asynchronous messages, which it drops, is
-// in the connection's buffers. It does not look at the socket. An error that ends
-// the connection sets StateUnknown: it takes nothing back from earlier answers.
+// in the connection's buffers. It does not look at the socket. An error by which the
+// database ends the connection closes it: it takes nothing back from earlier
+// answers.
 func (c *Conn) Settled() bool {
 	encrypted, isTLS := c.net.(*tls.Conn)
 	if c.Frontend.ReadBufferLen() == 0 && !isTLS {
@@ -64,7 +65,7 @@
 	if !c.dropUntilEmpty() {
 		return false
 	}
-	if !isTLS {
+	if !isTLS || c.closed.Load() {
 		return true
 	}
 	// A record that was read together with an earlier one is in the buffers of
@@ -94,7 +95,7 @@
 	case *pgproto3.NotificationResponse, *pgproto3.NoticeResponse:
 		return true
 	case *pgproto3.ErrorResponse:
-		c.StateUnknown = true
+		c.Close()
 		return m.Severity == "FATAL" || m.Severity == "PANIC" || m.SeverityUnlocalized == "FATAL" || m.SeverityUnlocalized == "PANIC"
 	case *pgproto3.ParameterStatus:
 		c.SettingsChanged = true
--- a/internal/connection/database/alive_test.go
+++ b/internal/connection/database/alive_test.go
@@ -97,3 +97,19 @@
 		}
 	}
 }
+
+// A server that shuts down says so after its last answer, which stands.
+func TestErrorThatEndsTheConnectionIsNoAnswer(t *testing.T) {
+	for i, severity := range []string{"FATAL", "ERROR", "FATAL", "ERROR"} {
+		c, server := connPair(t, i > 1)
+		both := encoded(t, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+		both = append(both, encoded(t, &pgproto3.ErrorResponse{Severity: severity, Code: "57P01", Message: "shutting down"})...)
+		_, err := server.Write(both)
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+		_, err = c.Frontend.Receive()
+		require.NoError(t, err)
+		require.Equal(t, severity == "FATAL", c.Settled())
+		require.False(t, c.Idle())
+	}
+}
--- a/internal/core/protocol_test.go
+++ b/internal/core/protocol_test.go
@@ -495,3 +495,17 @@
 	require.ErrorAs(t, err, &e)
 	require.Equal(t, "23505", string(e.Code))
 }
+
+// A transaction may prepare more statements than a connection keeps.
+func TestTransactionWithManyStatementsEnds(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	c := connect(t, d.Proxies[0], "")
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	for i := range 600 {
+		result := c.PgConn().ExecParams(ctx, fmt.Sprint("SELECT ", i), nil, nil, nil, nil).Read()
+		require.NoError(t, result.Err, i)
+	}
+	require.NoError(t, tx.Commit(ctx))
+}
