PostgreSQL: keep what a statement leaves on its connection from others

Callers could see: another session's temporary table, prepared statement or settings. In a transaction, statements that bind a session to a connection are allowed, and their tables, statements and subscriptions outlast it. A parameter that a statement changed without SET, as by set_config, was reported by the database and ignored. After DEALLOCATE ALL the proxy believed that its shared statements were still there, and other sessions got 26000.

A connection on which such a statement ran is closed after its transaction. A reported parameter has the settings reset before the next use.

Evidence, without the change: TestTemporaryTableReachesNoOtherSession: expected "42P01", actual "" (another session read the table). Temporary tables of the stand-in now end with their session, as PostgreSQL's do. Cost: a new connection for each such transaction.

--- a/internal/core/protocol_test.go
+++ b/internal/core/protocol_test.go
@@ -509,3 +509,19 @@
 	}
 	require.NoError(t, tx.Commit(ctx))
 }
+
+// A transaction may make a temporary table, which its connection keeps.
+func TestTemporaryTableReachesNoOtherSession(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	ctx := context.Background()
+	c, other := connect(t, d.Proxies[0], ""), connect(t, d.Proxies[0], "")
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "CREATE TEMP TABLE mine (id INTEGER)")
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO mine VALUES (1)")
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit(ctx))
+	var n int
+	require.Equal(t, "42P01", sqlState(other.QueryRow(ctx, "SELECT count(*) FROM mine").Scan(&n)))
+}
--- a/internal/request/caller/exchange.go
+++ b/internal/request/caller/exchange.go
@@ -249,8 +249,12 @@
 func (x *exchange) handleMessage(p phase, msg pgproto3.BackendMessage) (bool, error) {
 	switch m := msg.(type) {
 	case *pgproto3.ParameterStatus:
-		if m.Name == tokenParameter {
+		switch {
+		case m.Name == tokenParameter:
 			x.token = m.Value
+		case p == phaseBatch:
+			// Some statement, such as a call of set_config, has changed a setting.
+			x.conn.SettingsChanged = true
 		}
 		return false, nil
 	case *pgproto3.NotificationResponse:
@@ -343,8 +347,15 @@
 // inspectTag notes whether a command may have written. The answer waits for
 // the commit from its first command tag on.
 func (x *exchange) inspectTag(tag []byte) {
-	if hasPrefix(tag, "SET") || hasPrefix(tag, "RESET") {
+	switch {
+	case hasPrefix(tag, "SET"), hasPrefix(tag, "RESET"):
 		x.conn.SettingsChanged = true
+	case hasPrefix(tag, "DEALLOCATE"), hasPrefix(tag, "DISCARD"):
+		clear(x.conn.Prepared)
+		x.conn.StateUnknown = true
+	case hasPrefix(tag, "PREPARE"), hasPrefix(tag, "LISTEN"), hasPrefix(tag, "LOAD"):
+		// The connection keeps what was made: it is closed on release.
+		x.conn.StateUnknown = true
 	}
 	switch {
 	case hasPrefix(tag, "SELECT"), hasPrefix(tag, "SHOW"), hasPrefix(tag, "BEGIN"), hasPrefix(tag, "ROLLBACK"),
--- a/internal/request/caller/transaction.go
+++ b/internal/request/caller/transaction.go
@@ -63,6 +63,10 @@
 	if mayChangeSettings(w.batch.kind, w.batch.query) {
 		held.Conn.Settings = settingsUnknown
 	}
+	if w.batch.kind == KindSessionBound {
+		// What it makes outlasts the transaction: the connection is closed after it.
+		held.Conn.StateUnknown = true
+	}
 	err := w.assembleInTransaction(held)
 	if err == nil {
 		err = w.runExchange(held.Conn)
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -56,6 +56,9 @@
 	case "rollback", "abort":
 		return s.rollback(query)
 	}
+	if fields := strings.Fields(strings.ToLower(stripComments(query))); word == "create" && len(fields) > 1 && strings.HasPrefix(fields[1], "temp") {
+		s.temporary = true
+	}
 	ctx, cancel := s.newStatementContext()
 	defer cancel()
 	if strings.Contains(query, "pg_sleep(") {
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"database/sql"
+	"database/sql/driver"
 	"io"
 	"net"
 	"strings"
@@ -48,6 +49,8 @@
 	failed        bool
 	// sqliteBegun is set once the SQLite transaction has started.
 	sqliteBegun bool
+	// temporary is set once the session has made a temporary table.
+	temporary bool
 	// pending are the transaction's writes, to be appended to the log at the
 	// commit.
 	pending []Statement
@@ -195,6 +198,10 @@
 	if s.sqliteBegun {
 		_, _ = s.sql.ExecContext(context.Background(), "ROLLBACK")
 	}
+	if s.temporary {
+		// Temporary tables end with their session: SQLite's connection is not reused.
+		_ = s.sql.Raw(func(any) error { return driver.ErrBadConn })
+	}
 	s.sql.Close()
 }
 
