PostgreSQL: settings changed by set_config end with their request

Callers could see: the search_path of another session. A database reports only some of the settings that set_config changes, and the tag of the statement is that of a SELECT, so that the connection went to other sessions with them.

A statement whose text holds set_config has the settings reset before the next use of the connection.

Evidence, without the change: TestSetConfigIsASetting: expected true, actual false. It passes with it. Open: a function that calls set_config or SET in its body, for a setting that is not reported, is not seen.

--- a/internal/request/caller/batch.go
+++ b/internal/request/caller/batch.go
@@ -61,6 +61,8 @@
 	hasCopy bool
 	// endsTransaction is set if the batch may end a transaction.
 	endsTransaction bool
+	// setsConfig is set if a statement may call set_config.
+	setsConfig bool
 	// runLocal runs a statement that the proxy answers itself.
 	runLocal func(query string) ([]pgproto3.BackendMessage, error)
 }
@@ -79,6 +81,7 @@
 	b.buffer, b.steps = b.buffer[:0], b.steps[:0]
 	b.kind, b.query = KindNone, ""
 	b.runsStatement, b.hasCopy, b.endsTransaction = false, false, false
+	b.setsConfig = false
 }
 
 // mergeKind updates the batch's kind for one more statement and returns the
@@ -89,6 +92,7 @@
 		b.query = query
 	}
 	b.hasCopy = b.hasCopy || kind == KindCopy
+	b.setsConfig = b.setsConfig || containsFold(query, "set_config")
 	b.endsTransaction = b.endsTransaction || mayEndTransaction(query)
 	switch {
 	case b.kind == KindNone || b.kind == KindLocal || b.kind == KindSet:
--- a/internal/request/caller/exchange.go
+++ b/internal/request/caller/exchange.go
@@ -347,6 +347,9 @@
 // inspectTag notes whether a command may have written. The answer waits for
 // the commit from its first command tag on.
 func (x *exchange) inspectTag(tag []byte) {
+	if x.batch.setsConfig {
+		x.conn.SettingsChanged = true
+	}
 	switch {
 	case hasPrefix(tag, "SET"), hasPrefix(tag, "RESET"):
 		x.conn.SettingsChanged = true
--- a/internal/request/caller/session_state_test.go
+++ b/internal/request/caller/session_state_test.go
@@ -36,3 +36,19 @@
 		})
 	}
 }
+
+// A database does not report all settings that set_config changes.
+func TestSetConfigIsASetting(t *testing.T) {
+	for query, changes := range map[string]bool{
+		"SELECT set_config('search_path', 'mine', false)":                 true,
+		"SELECT pg_catalog.SET_CONFIG ('statement_timeout', '1s', false)": true,
+		"SELECT 1": false,
+	} {
+		x := &exchange{}
+		b := &batch{steps: []step{{kind: stepQuery}}}
+		b.mergeKind(query)
+		x.prepare(nil, answering(t, complete("SELECT 1"), ready('I')), b)
+		require.NoError(t, x.runPhase(phaseBatch))
+		require.Equal(t, changes, x.conn.SettingsChanged, query)
+	}
+}
