--- a/internal/core/protocol_test.go
+++ b/internal/core/protocol_test.go
@@ -525,3 +525,35 @@
 	var n int
 	require.Equal(t, "42P01", sqlState(other.QueryRow(ctx, "SELECT count(*) FROM mine").Scan(&n)))
 }
+
+// During COPY FROM STDIN a database drops Sync messages, so that one more follows
+// the data. Each caller's answers must stay its own after it.
+func TestCopyInOfTheExtendedProtocol(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	mustExec(t, connect(t, d.Proxies[0], ""), "CREATE TABLE t (id INTEGER)")
+	for name, end := range map[string]pgproto3.FrontendMessage{
+		"done": &pgproto3.CopyDone{}, "failed": &pgproto3.CopyFail{Message: "not now"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, f := startRawSession(t, d.Proxies[0])
+			require.NoError(t, c.SetDeadline(time.Now().Add(3*time.Second)))
+			f.Send(&pgproto3.Parse{Query: "COPY t FROM STDIN"})
+			f.Send(&pgproto3.Bind{})
+			f.Send(&pgproto3.Execute{})
+			f.Send(&pgproto3.Sync{})
+			require.NoError(t, f.Flush())
+			require.Equal(t, []string{"ParseComplete", "BindComplete", "CopyInResponse"}, receiveTypes(t, f, 3))
+			f.Send(&pgproto3.CopyData{Data: []byte("1\n")})
+			f.Send(end)
+			f.Send(&pgproto3.Sync{})
+			f.Send(&pgproto3.Query{String: "SELECT 'own'"})
+			require.NoError(t, f.Flush())
+			want := "CommandComplete"
+			if name == "failed" {
+				want = "ErrorResponse"
+			}
+			require.Equal(t, []string{want, "ReadyForQuery", "RowDescription", "DataRow", "CommandComplete", "ReadyForQuery"}, receiveTypes(t, f, 6))
+		})
+	}
+	require.Equal(t, 1, queryInt(t, connect(t, d.Proxies[0], ""), "SELECT count(*) FROM t"))
+}
