--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 
@@ -33,10 +35,30 @@
 	committed []string
 	dials     int
 	closes    int
+	// keepOpen is set if BUSY leaves a transaction open and a COMMIT that failed ends it.
+	keepOpen bool
 	// replica is set once the database does not lead.
 	replica bool
+	// repeat returns how the answer to an operation is sent a second time, if it is.
+	repeat func(statement.Operation, *statement.Answer) repetition
+	// answered counts the answers, for their signatures.
+	answered int
+	// statuses counts the status requests and fences the BEGIN READs of the proxy itself.
+	statuses, fences int
 }
 
+// repetition is how an answer is sent a second time.
+type repetition struct {
+	// atOnce is set if it follows the first.
+	atOnce bool
+	// before matches the operation before whose answer it arrives, unless atOnce is set.
+	before func(statement.Operation) bool
+	// unread is set if it is found unread before that.
+	unread bool
+}
+
+func (r repetition) happens() bool { return r.atOnce || r.before != nil }
+
 // ranStatement is a statement with the state of its connection when it ran.
 type ranStatement struct {
 	id     string
@@ -56,6 +78,22 @@
 	state       statement.State
 	transaction string
 	writes      []string
+	// arrived are the answers that were not read yet.
+	arrived []statement.Answer
+	// late are repeated answers that have not arrived yet.
+	late []lateAnswer
+}
+
+// lateAnswer is a repeated answer that has not arrived yet.
+type lateAnswer struct {
+	statement.Answer
+	repetition
+}
+
+func cloneAnswer(a *statement.Answer) statement.Answer {
+	b := *a
+	b.Rows, b.Signature = slices.Clone(a.Rows), slices.Clone(a.Signature)
+	return b
 }
 
 // Dial implements backend.Dialer.
@@ -101,19 +139,75 @@
 func (c *memoryConn) Exchange(_ clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, r := range requests {
-		answers[i].Reset()
-		answers[i].Failure = c.run(r)
-		answers[i].State = c.state
-		answers[i].Position = position.Position{Term: 1, Offset: uint64(len(c.committed))}
+	for _, r := range requests {
+		a := c.answer(r)
+		c.late = slices.DeleteFunc(c.late, func(l lateAnswer) bool {
+			if l.before(r.Operation) {
+				c.arrived = append(c.arrived, l.Answer)
+				return true
+			}
+			return false
+		})
+		c.arrived = append(c.arrived, a)
+		if c.repeat == nil {
+			continue
+		}
+		if l := (lateAnswer{cloneAnswer(&a), c.repeat(r.Operation, &a)}); l.atOnce {
+			c.arrived = append(c.arrived, l.Answer)
+		} else if l.happens() {
+			c.late = append(c.late, l)
+		}
+	}
+	for i := range requests {
+		a := &c.arrived[0]
+		b := &answers[i]
+		b.Reset()
+		b.Rows, b.Signature = append(b.Rows, a.Rows...), append(b.Signature, a.Signature...)
+		b.Failure, b.State, b.Position = a.Failure, a.State, a.Position
+		c.arrived = c.arrived[1:]
 	}
 	return len(requests), nil
 }
 
+// answer runs a request and returns its answer. The row of a read is the request's ID.
+func (c *memoryConn) answer(r statement.Request) statement.Answer {
+	a := statement.Answer{Failure: c.run(r)}
+	a.State = c.state
+	a.Position = position.Position{Term: 1, Offset: uint64(len(c.committed))}
+	c.answered++
+	if a.Failure != nil {
+		return a
+	}
+	signature := fmt.Appendf(nil, "%d.%s", c.answered, r.ID)
+	switch o := r.Operation.(type) {
+	case statement.Read, statement.Execute:
+		a.Rows, a.Signature = []byte("ROW "+r.ID+"\r\n"), signature
+	case statement.Write, statement.Commit:
+		a.Signature = signature
+	case statement.Begin:
+		if o.ReadOnly && r.ID == "" {
+			c.fences++
+		}
+	case statement.Status:
+		c.statuses++
+		role := database.RolePrimary
+		if c.replica {
+			role = database.RoleReplica
+		}
+		a.Rows = fmt.Appendf(nil, "ROW %v\r\n", role)
+	}
+	return a
+}
+
 func (c *memoryConn) run(r statement.Request) *statement.Failure {
 	if c.fail != nil {
 		if f := c.fail(r.Operation); f != nil {
-			if c.state == statement.InTransaction {
+			_, commits := r.Operation.(statement.Commit)
+			switch {
+			case c.state != statement.InTransaction || c.keepOpen && f.Code == statement.CodeBusy:
+			case commits && c.keepOpen:
+				c.end()
+			default:
 				c.state = statement.Failed
 			}
 			return f
@@ -177,20 +271,28 @@
 	if a.Failure != nil {
 		return database.Status{}, a.Failure
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	role := database.RolePrimary
-	if c.replica {
+	if string(a.Rows) != fmt.Sprintf("ROW %v\r\n", role) {
 		role = database.RoleReplica
 	}
 	return database.Status{Role: role, Term: 1, Received: a.Position, Applied: a.Position}, nil
 }
 
 // Buffered implements backend.Conn.
-func (*memoryConn) Buffered() int { return 0 }
+func (c *memoryConn) Buffered() int { return len(c.arrived) }
 
 // Unread implements backend.Conn.
-func (*memoryConn) Unread() (int, error) { return 0, nil }
+func (c *memoryConn) Unread() (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.arrived)
+	for _, l := range c.late {
+		if l.unread {
+			n++
+		}
+	}
+	return n, nil
+}
 
 // Close implements backend.Conn.
 func (c *memoryConn) Close() {
