Do not use a connection on which bytes arrived meanwhile

Before a connection is taken from the pool and before each exchange, one read that does not wait looks for bytes, and for the end of the connection. Such a connection is closed and another one taken. Nothing was sent on it, so a write goes to another connection, and COMMIT of a transaction with writes is ABORTED and not INDOUBT. A database that has sent bytes is not lost: its other connections are kept.

Repeated answers that arrive at once or while a connection is unused are no longer taken for others; those that arrive while a request is under way still are.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"go.uber.org/zap"
 
@@ -45,7 +46,8 @@
 	// are not part of it.
 	Buffered() int
 	// Unread returns the number of received bytes that no request waits for, at least 1
-	// if there are any. It returns an error if the connection has ended.
+	// if there are any, and takes them away: the connection must not be used then. It
+	// returns an error if the connection has ended.
 	Unread() (int, error)
 	// DecodeStatus decodes the answer to an operation that returns a status,
 	// such as statement.Status.
@@ -77,15 +79,58 @@
 	OpenedAt clock.Time
 	pool     *Pool
 	answers  answerSequence
+	// probedAt is when nothing was left to read on the connection.
+	probedAt clock.Time
 }
 
-// Exchange sends requests as Conn.Exchange does. If it panics, for example over
-// an answer that nobody expected, the connection counts as broken.
+// NotSentError reports that a connection cannot be used. No request was sent on it.
+type NotSentError struct {
+	Database string
+	// Unread is how many bytes were there to read that no request waits for. It is zero
+	// if the connection has ended.
+	Unread int
+	// Cause is why the connection has ended.
+	Cause error
+}
+
+func (e *NotSentError) Error() string {
+	if e.Unread > 0 {
+		return fmt.Sprintf("%d bytes of %s that no request waits for", e.Unread, e.Database)
+	}
+	return "the connection to " + e.Database + " has ended: " + e.Cause.Error()
+}
+
+// Unwrap returns why the connection has ended.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// Probe returns a *NotSentError if the connection cannot be used: an answer to the next
+// request would be read after bytes that belong to none, or the connection has ended.
+func (c *PooledConn) Probe() error {
+	now := c.pool.clock.Now()
+	if now == c.probedAt {
+		return nil
+	}
+	unread, err := c.Unread()
+	if unread > 0 {
+		c.pool.recordFault(c, FaultUnread, "", zap.Int("bytesBefore", unread))
+		return &NotSentError{Database: c.pool.ID, Unread: unread}
+	}
+	if err != nil {
+		return &NotSentError{Database: c.pool.ID, Cause: err}
+	}
+	c.probedAt = now
+	return nil
+}
+
+// Exchange sends requests as Conn.Exchange does. It returns a *NotSentError if it has not
+// sent them. If it panics, for example over an answer that nobody expected, the connection
+// counts as broken.
 func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
 	defer contain.Recover(c.pool.log, c.pool.exchangePart, &err)
-	if unread, _ := c.Unread(); unread > 0 { // the end of the connection shows in Exchange
-		c.pool.recordFault(c, FaultUnread, "", zap.Int("bytesBefore", unread))
+	if err := c.Probe(); err != nil {
+		return 0, err
 	}
+	c.probedAt = 0
 	n, err = c.Conn.Exchange(limit, requests, answers)
 	for i := range n {
 		if fault, _ := c.answers.observe(&requests[i], &answers[i]); fault != FaultNone {
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -241,7 +241,7 @@
 	x.answers[0].Reset()
 	if _, err := c.Exchange(limit, x.requests[:], x.answers[:]); err != nil {
 		c.Discard()
-		g.RecordConnectionLoss(id, sent)
+		g.RecordExchangeError(id, sent, err)
 		return database.Status{}, err
 	}
 	now := g.clock.Now()
@@ -297,6 +297,16 @@
 	}
 }
 
+// RecordExchangeError records that an exchange that began at the given time failed with
+// err. A database that has sent bytes that nobody waits for is not lost.
+func (g *GroupClient) RecordExchangeError(id string, began clock.Time, err error) {
+	var notSent *NotSentError
+	if errors.As(err, &notSent) && notSent.Unread > 0 {
+		return
+	}
+	g.RecordConnectionLoss(id, began)
+}
+
 // Await waits until condition holds or the deadline has passed, and reports
 // whether it holds. It requests the statuses that may fulfill the condition at
 // growing intervals, first from the databases in prefer, later from all.
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/contain"
+	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
@@ -181,6 +182,23 @@
 }
 
 func (p *Pool) acquire(deadline clock.Time, w connWaiter, values map[string]string) (*PooledConn, error) {
+	for {
+		c, err := p.acquireUnprobed(deadline, w, values)
+		if err != nil {
+			return nil, err
+		}
+		err = c.Probe()
+		if err == nil {
+			return c, nil
+		}
+		p.log.Info("unused connection closed", zap.String("database", p.ID), logs.Error(err))
+		c.Discard()
+	}
+}
+
+// acquireUnprobed returns a connection on which bytes may have arrived while it was
+// unused.
+func (p *Pool) acquireUnprobed(deadline clock.Time, w connWaiter, values map[string]string) (*PooledConn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -15,7 +15,7 @@
 // probeTimeout limits how long prepareConn waits for a connection to answer.
 const probeTimeout = 150 * clock.Millisecond
 
-// exchangeOutcome tells whether a request that was sent got an answer.
+// exchangeOutcome tells whether a request was sent and got an answer.
 type exchangeOutcome uint8
 
 const (
@@ -24,6 +24,8 @@
 	answered exchangeOutcome = iota
 	// unanswered means that the request was sent but its answer is missing.
 	unanswered
+	// notSent means that the request was not sent, since the connection cannot be used.
+	notSent
 )
 
 // exchange sends r on a connection and stores its answer in s.answer. The request that
@@ -32,6 +34,11 @@
 // session's variables before, since a statement that is sent together with a SET runs
 // whether the SET succeeds or not.
 func (s *Session) exchange(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, r *statement.Request, limit clock.Duration) exchangeOutcome {
+	if err := c.Probe(); err != nil {
+		s.releaseSlot(p)
+		g.RecordExchangeError(p.ID, s.Clock.Now(), err)
+		return notSent
+	}
 	requests := s.stateRequests(c, r)
 	loaded := len(requests)
 	withStatus := s.needsStatus(g, c, p, r)
@@ -145,7 +152,7 @@
 	sent := s.Clock.Now()
 	if _, err := c.Exchange(limit, requests, answers); err != nil {
 		c.Discard()
-		g.RecordConnectionLoss(p.ID, sent)
+		g.RecordExchangeError(p.ID, sent, err)
 		return false, nil
 	}
 	f := firstFailure(answers)
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -172,7 +172,12 @@
 			s.releaseSlot(p)
 			return nil, nil
 		}
-		if s.exchange(g, c, p, &request, timeout) == unanswered {
+		switch s.exchange(g, c, p, &request, timeout) {
+		case notSent:
+			c.Discard()
+			cause = m.ID + ": the connection cannot be used"
+			continue
+		case unanswered:
 			c.Discard()
 			cause = m.ID + " has not answered"
 			exclude = append(exclude, m.ID)
@@ -236,7 +241,7 @@
 		}
 		prefer := g.FastestReplicas()
 		s.requestLeadershipProof(g, prefer)
-		if s.exchange(g, c, p, r, s.attemptTimeout(p, deadline)) == unanswered {
+		if s.exchange(g, c, p, r, s.attemptTimeout(p, deadline)) != answered {
 			c.Discard()
 			s.fail(statement.CodeTimeout, "database "+p.ID+" has not answered")
 			if tries < maxRetries && s.Clock.Now().Add(retryPause) < deadline {
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -127,7 +127,7 @@
 func (s *Session) exchangeInTransaction(g *backend.GroupClient, r *statement.Request, deadline clock.Time) bool {
 	t := s.tx
 	for tries := 0; ; tries++ {
-		if s.exchange(g, t.conn, t.pool, r, s.attemptTimeout(t.pool, deadline)) == unanswered {
+		if s.exchange(g, t.conn, t.pool, r, s.attemptTimeout(t.pool, deadline)) != answered {
 			t.abort(&statement.Failure{Code: statement.CodeAborted, Text: "the connection to database " + t.pool.ID + " was lost"})
 			s.answer.Reset()
 			s.answer.Failure = t.failure
@@ -201,7 +201,7 @@
 			s.requestLeadershipProof(g, g.FastestReplicas())
 		}
 		sent := s.Clock.Now()
-		if s.exchange(g, c, p, begin, s.attemptTimeout(p, deadline)) == unanswered {
+		if s.exchange(g, c, p, begin, s.attemptTimeout(p, deadline)) != answered {
 			c.Discard()
 			s.fail(statement.CodeBusy, "database "+p.ID+" has not answered")
 			if tries < maxRetries && s.Clock.Now().Add(retryPause) < deadline {
@@ -320,13 +320,13 @@
 		return
 	}
 	for tries := 0; ; tries++ {
-		if s.exchange(g, t.conn, t.pool, r, deadline.Sub(s.Clock.Now())) == unanswered {
+		if outcome := s.exchange(g, t.conn, t.pool, r, deadline.Sub(s.Clock.Now())); outcome != answered {
 			t.abort(nil)
-			if t.wrote {
+			if outcome == unanswered && t.wrote {
 				s.fail(statement.CodeInDoubt, "the answer to COMMIT of database "+t.pool.ID+" is missing")
 				return
 			}
-			s.fail(statement.CodeAborted, "the connection to database "+t.pool.ID+" was lost; nothing was written")
+			s.fail(statement.CodeAborted, "the connection to database "+t.pool.ID+" was lost; nothing is kept")
 			return
 		}
 		f := s.answer.Failure
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -59,6 +59,13 @@
 			c.Discard()
 			s.fail(statement.CodeInDoubt, "the answer of database "+p.ID+" is missing")
 			return
+		case notSent:
+			c.Discard()
+			if s.canRetry(tries, deadline) {
+				continue
+			}
+			s.fail(statement.CodeBusy, "no connection to database "+p.ID+" can be used")
+			return
 		default:
 			c.Release()
 		}
