--- a/internal/connection/session/answers_test.go
+++ b/internal/connection/session/answers_test.go
@@ -61,6 +61,7 @@
 func TestSecondDeliveryOfRowsIsNoAnswer(t *testing.T) {
 	for name, r := range map[string]repetition{
 		"at once": {atOnce: true}, "unread": {before: isAny, unread: true}, "before the next answer": {before: isRead},
+		"before the next answer, which is slow": {before: isRead, slow: true},
 	} {
 		for kind, route := range map[string]routes.Consistency{"bounded": routes.BoundedAge, "primary": routes.Primary} {
 			t.Run(name+" on a "+kind+" route", func(t *testing.T) {
@@ -118,6 +119,7 @@
 	for _, code := range []statement.Code{statement.CodeBusy, statement.CodeReadOnly, statement.CodeFailed} {
 		for name, r := range map[string]repetition{
 			"at once": {atOnce: true}, "unread": {before: isAny, unread: true}, "before the next answer": {before: isWrite},
+			"before the next answer, which is slow": {before: isWrite, slow: true},
 		} {
 			t.Run(code.String()+" "+name, func(t *testing.T) {
 				d := &memoryDatabase{}
@@ -151,7 +153,7 @@
 	s := newMemorySession(g, 1, routes.BoundedAge)
 	for i := range 4 {
 		d.failOnce(isRead, statement.CodeFailed)
-		d.repeatOnce(isRead, repetition{before: isRead})
+		d.repeatOnce(isRead, repetition{before: isRead, slow: true})
 		for j := range 4 {
 			requireOwnRow(t, s, fmt.Sprint("read-", i, "-", j))
 		}
@@ -173,7 +175,7 @@
 				requireServed(t, sessions[0], "calm-0", statement.Read{Text: "READ a"})
 				requireServed(t, sessions[1], "calm-1", statement.Read{Text: "READ a"})
 				for i := range 8 {
-					d.repeatOnce(matches, repetition{before: matches})
+					d.repeatOnce(matches, repetition{before: matches, slow: true})
 					requireOwnRow(t, sessions[0], fmt.Sprint(i, "-0"))
 					d.failOnce(matches, statement.CodeFailed)
 					requireOwnRow(t, sessions[1], fmt.Sprint(i, "-1"))
@@ -192,7 +194,8 @@
 // A repeated status of a database that has stepped down since was taken for proof that it
 // leads (STALE).
 func TestSecondDeliveryOfAStatusIsNoProof(t *testing.T) {
-	for name, r := range map[string]repetition{"at once": {atOnce: true}, "unread": {before: isAny, unread: true}, "before the next answer": {before: isStatus}} {
+	for name, r := range map[string]repetition{"at once": {atOnce: true}, "unread": {before: isAny, unread: true}, "before the next answer": {before: isStatus},
+		"before the next answer, which is slow": {before: isStatus, slow: true}} {
 		t.Run(name, func(t *testing.T) {
 			d := &memoryDatabase{}
 			g := newMemoryGroup(t, d)
@@ -234,7 +237,7 @@
 				d.failOnce(c.first, c.code)
 			}
 			armed := false
-			d.repeatOnce(c.first, repetition{before: func(o statement.Operation) bool { return armed && c.second(o) }})
+			d.repeatOnce(c.first, repetition{before: func(o statement.Operation) bool { return armed && c.second(o) }, slow: true})
 			attempt := func(i int) {
 				write := fmt.Sprint("WRITE a ", i)
 				promised := false
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -45,6 +45,8 @@
 	answered int
 	// statuses counts the status requests and fences the BEGIN READs of the proxy itself.
 	statuses, fences int
+	// slow is that of the last repetition.
+	slow bool
 }
 
 // repetition is how an answer is sent a second time.
@@ -55,6 +57,8 @@
 	before func(statement.Operation) bool
 	// unread is set if it is found unread before that.
 	unread bool
+	// slow is set if answers that were not awaited are found with a later exchange only.
+	slow bool
 }
 
 func (r repetition) happens() bool { return r.atOnce || r.before != nil }
@@ -152,7 +156,9 @@
 		if c.repeat == nil {
 			continue
 		}
-		if l := (lateAnswer{cloneAnswer(&a), c.repeat(r.Operation, &a)}); l.atOnce {
+		l := lateAnswer{cloneAnswer(&a), c.repeat(r.Operation, &a)}
+		c.memoryDatabase.slow = c.memoryDatabase.slow || l.slow
+		if l.atOnce {
 			c.arrived = append(c.arrived, l.Answer)
 		} else if l.happens() {
 			c.late = append(c.late, l)
@@ -279,12 +285,20 @@
 }
 
 // Buffered implements backend.Conn.
-func (c *memoryConn) Buffered() int { return len(c.arrived) }
+func (c *memoryConn) Buffered() int {
+	if c.memoryDatabase.slow {
+		return 0
+	}
+	return len(c.arrived)
+}
 
 // Unread implements backend.Conn.
 func (c *memoryConn) Unread() (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.memoryDatabase.slow {
+		return 0, nil
+	}
 	n := len(c.arrived)
 	for _, l := range c.late {
 		if l.unread {
