Do not use an answer that cannot be that of its request

From then on each answer on the connection was that of the request before: its rows, the floors and statuses taken from it, and the session values set.

PooledConn.Exchange now checks each answer in its order: a signature that the connection has delivered, one where the request has none or none where it needs one, rows, the transaction state and the code that the request can lead to, a position that goes back, and bytes left behind an answer without a signature. With one such answer none of the exchange is used, the request is unanswered, and the connection is closed. The database has answered, so that it does not count as lost. A row of a status that does not decode closes the connection too.

--- a/internal/connection/backend/answer_sequence.go
+++ b/internal/connection/backend/answer_sequence.go
@@ -32,11 +32,13 @@
 	FaultCode
 	// FaultPosition means that the position is before that of an earlier answer.
 	FaultPosition
+	// FaultForm means that the bytes are not an answer.
+	FaultForm
 	answerFaults
 )
 
 var answerFaultNames = [answerFaults]string{
-	"none", "unread", "repeated", "unsigned", "signed", "rows", "state", "code", "position",
+	"none", "unread", "repeated", "unsigned", "signed", "rows", "state", "code", "position", "form",
 }
 
 // String returns the name of the fault as it appears in logs and metrics.
--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/contain"
@@ -112,7 +113,7 @@
 	}
 	unread, err := c.Unread()
 	if unread > 0 {
-		c.pool.recordFault(c, FaultUnread, "", zap.Int("bytesBefore", unread))
+		c.pool.recordFault(c, FaultUnread, "", "connection closed", zap.Int("bytesBefore", unread))
 		return &NotSentError{Database: c.pool.ID, Unread: unread}
 	}
 	if err != nil {
@@ -122,25 +123,81 @@
 	return nil
 }
 
+// UnexpectedAnswerError reports an answer that cannot be that of its request. No answer of
+// the exchange is to be used, and the request counts as unanswered.
+type UnexpectedAnswerError struct {
+	Database string
+	// Operation is what the request asked for.
+	Operation string
+	Fault     AnswerFault
+	// Cause is the error of the decoder, if there is one.
+	Cause error
+}
+
+func (e *UnexpectedAnswerError) Error() string {
+	text := "answer of " + e.Database + " to " + e.Operation + " is not its own: " + e.Fault.String()
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the error of the decoder, if there is one.
+func (e *UnexpectedAnswerError) Unwrap() error { return e.Cause }
+
 // Exchange sends requests as Conn.Exchange does. It returns a *NotSentError if it has not
-// sent them. If it panics, for example over an answer that nobody expected, the connection
-// counts as broken.
-func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
-	defer contain.Recover(c.pool.log, c.pool.exchangePart, &err)
+// sent them, and an *UnexpectedAnswerError if an answer cannot be that of its request. If
+// it panics, for example over an answer that nobody expected, the connection counts as
+// broken. After an error the answers are empty.
+func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
 	if err := c.Probe(); err != nil {
 		return 0, err
 	}
 	c.probedAt = 0
-	n, err = c.Conn.Exchange(limit, requests, answers)
-	for i := range n {
+	n, err := c.exchangeContained(limit, requests, answers)
+	if err == nil {
+		err = c.check(requests, answers)
+	}
+	if err == nil {
+		return n, nil
+	}
+	var unexpected *UnexpectedAnswerError
+	if errors.As(err, &unexpected) {
+		unexpected.Database = c.pool.ID
+		c.pool.recordFault(c, unexpected.Fault, unexpected.Operation, "answers not used", zap.Error(unexpected.Cause))
+	}
+	for i := range answers {
+		answers[i].Reset()
+	}
+	return n, err
+}
+
+func (c *PooledConn) exchangeContained(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
+	defer contain.Recover(c.pool.log, c.pool.exchangePart, &err)
+	return c.Conn.Exchange(limit, requests, answers)
+}
+
+// check returns an *UnexpectedAnswerError if an answer cannot be that of its request.
+func (c *PooledConn) check(requests []statement.Request, answers []statement.Answer) error {
+	last := len(requests) - 1
+	for i := range requests {
 		if fault, _ := c.answers.observe(&requests[i], &answers[i]); fault != FaultNone {
-			c.pool.recordFault(c, fault, operationName(requests[i].Operation), zap.Int("number", i+1), zap.Int("of", len(requests)))
+			return &UnexpectedAnswerError{Operation: OperationName(requests[i].Operation), Fault: fault}
 		}
 	}
-	if left := c.Buffered(); left > 0 && err == nil {
-		c.pool.recordFault(c, FaultUnread, operationName(requests[len(requests)-1].Operation), zap.Int("bytesAfter", left))
+	left := c.Buffered()
+	if left == 0 {
+		return nil
 	}
-	return n, err
+	operation := OperationName(requests[last].Operation)
+	if len(answers[last].Signature) == 0 {
+		// What was left may be the answer.
+		return &UnexpectedAnswerError{Operation: operation, Fault: FaultUnread}
+	}
+	// No answer before this one had its signature: what was left follows the answer. The
+	// next Probe closes the connection.
+	c.pool.recordFault(c, FaultUnread, operation, "connection closed", zap.Int("bytesAfter", left))
+	return nil
 }
 
 // MarkReset records that the connection's session state has been reset.
--- a/internal/connection/backend/fault_counts.go
+++ b/internal/connection/backend/fault_counts.go
@@ -48,14 +48,15 @@
 	return true, skipped
 }
 
-// recordFault counts and logs a fault of an answer that arrived on a connection.
-func (p *Pool) recordFault(c *PooledConn, fault AnswerFault, operation string, fields ...zap.Field) {
+// recordFault counts and logs a fault of an answer that arrived on a connection, and what
+// was done about it.
+func (p *Pool) recordFault(c *PooledConn, fault AnswerFault, operation, action string, fields ...zap.Field) {
 	now := p.clock.Now()
 	admitted, skipped := p.faults.add(now, fault)
 	if !admitted {
 		return
 	}
-	fields = append(fields, zap.String("database", p.ID), zap.Stringer("fault", fault), zap.String("operation", operation),
+	fields = append(fields, zap.String("database", p.ID), zap.Stringer("fault", fault), zap.String("operation", operation), zap.String("action", action),
 		zap.Int64("openedMillisAgo", int64(now.Sub(c.OpenedAt))), zap.Int64("usedMillisAgo", int64(now.Sub(c.UsedAt))))
 	if skipped > 0 {
 		fields = append(fields, zap.Int("skipped", skipped))
@@ -73,8 +74,8 @@
 	}
 }
 
-// operationName returns the name of an operation's type.
-func operationName(o statement.Operation) string {
+// OperationName returns the name of an operation's type.
+func OperationName(o statement.Operation) string {
 	_, name, _ := strings.Cut(fmt.Sprintf("%T", o), ".")
 	return name
 }
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -246,7 +246,12 @@
 	}
 	now := g.clock.Now()
 	status, err := c.DecodeStatus(&x.answers[0])
-	c.Release()
+	if err == nil || x.answers[0].Failure != nil {
+		c.Release()
+	} else {
+		// The rows may be those of another request.
+		c.Discard()
+	}
 	if err != nil {
 		g.MarkAnswered(id, now)
 		return status, err
@@ -298,10 +303,13 @@
 }
 
 // RecordExchangeError records that an exchange that began at the given time failed with
-// err. A database that has sent bytes that nobody waits for is not lost.
+// err. A database that has sent bytes that nobody waits for, or an answer of another request,
+// is not lost.
 func (g *GroupClient) RecordExchangeError(id string, began clock.Time, err error) {
 	var notSent *NotSentError
-	if errors.As(err, &notSent) && notSent.Unread > 0 {
+	var unexpected *UnexpectedAnswerError
+	if errors.As(err, &notSent) && notSent.Unread > 0 || errors.As(err, &unexpected) {
+		g.MarkAnswered(id, g.clock.Now())
 		return
 	}
 	g.RecordConnectionLoss(id, began)
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -67,7 +67,7 @@
 	p.Limiter.End(now, now.Sub(sent), err == nil && s.answer.Failure != nil && s.answer.Failure.Code == statement.CodeBusy)
 	if err != nil {
 		p.Latency.Abandon(now, now.Sub(sent), unansweredPause)
-		g.RecordConnectionLoss(p.ID, sent)
+		g.RecordExchangeError(p.ID, sent, err)
 		return unanswered
 	}
 	p.Latency.End(now, now.Sub(sent))
