Verify an answer that may be sent a second time before acting on it

A failure, COMPLETE - and the row of a status may equal those of before: nothing in a second delivery tells that it is one.

BEGIN READ and ROLLBACK of the proxy itself, a fence, occupy no slot, and their answers differ from each other. An answer taken too early before them shifts theirs. - The requests that load the session's state are followed by a fence in the same write if the connection has had an unsigned success: no further round trip. - A status whose row equals an earlier one, and a failure of a write or of COMMIT that equals one, or that follows an answer that could not be told, is verified by a fence before it is used: a round trip. If that fails, the request is unanswered. - Any other such failure is followed by a fence in the next write on the connection. - In an open transaction a BUSY that may be a second delivery is not retried; the transaction is aborted, and in doubt if its COMMIT was sent. Positions of such answers are not recorded. Signed answers need no fence.

--- a/internal/connection/backend/answer_sequence.go
+++ b/internal/connection/backend/answer_sequence.go
@@ -34,11 +34,13 @@
 	FaultPosition
 	// FaultForm means that the bytes are not an answer.
 	FaultForm
+	// FaultFence means that the answers to a fence are not its own.
+	FaultFence
 	answerFaults
 )
 
 var answerFaultNames = [answerFaults]string{
-	"none", "unread", "repeated", "unsigned", "signed", "rows", "state", "code", "position", "form",
+	"none", "unread", "repeated", "unsigned", "signed", "rows", "state", "code", "position", "form", "fence",
 }
 
 // String returns the name of the fault as it appears in logs and metrics.
@@ -54,6 +56,19 @@
 
 var answerSeed = maphash.MakeSeed()
 
+// alignment is how surely the next answer of a connection is that of the next request.
+type alignment uint8
+
+const (
+	aligned alignment = iota
+	// doubtful means that the last success may have been a repetition, so that an answer
+	// without a signature may be still to come.
+	doubtful
+	// unknown means that a failure may have been a repetition, so that any answer may be
+	// still to come. Only a fence tells.
+	unknown
+)
+
 // answerSequence checks the answers that arrive on one connection, in their order.
 type answerSequence struct {
 	// state is the transaction state after the last answer.
@@ -64,11 +79,14 @@
 	// at next.
 	delivered [rememberedAnswers]uint64
 	next      int
+	alignment alignment
+	// unsigned is set once an unsigned success was delivered.
+	unsigned bool
 }
 
 // observe checks the next answer. It returns what shows that it belongs to another
-// request, and whether it equals an earlier answer, so that nothing tells it from a
-// repetition of that.
+// request, and whether it may be a repetition of an earlier answer: of one that it equals,
+// or, if it is a failure, of the one that is still to come.
 func (s *answerSequence) observe(r *statement.Request, a *statement.Answer) (fault AnswerFault, ambiguous bool) {
 	signed := len(a.Signature) > 0
 	fault = s.fault(r, a, signed)
@@ -77,7 +95,16 @@
 		if signed && seen {
 			fault = FaultRepeated
 		}
-		ambiguous = seen
+		ambiguous = seen || a.Failure != nil && s.alignment != aligned
+		switch {
+		case ambiguous && a.Failure != nil:
+			s.alignment = unknown
+		case ambiguous:
+			s.alignment = max(s.alignment, doubtful)
+		case s.alignment == doubtful:
+			s.alignment = aligned
+		}
+		s.unsigned = s.unsigned || !signed && a.Failure == nil
 	}
 	s.state = a.State
 	s.position = s.position.Max(a.Position)
--- a/internal/connection/backend/answer_sequence_test.go
+++ b/internal/connection/backend/answer_sequence_test.go
@@ -85,14 +85,42 @@
 			require.Equal(t, FaultRepeated, fault)
 		}
 	}
-	for i, code := range []statement.Code{statement.CodeBusy, statement.CodeFailed} {
-		for _, again := range []bool{false, true} {
-			a := failedAnswer(code, statement.Idle)
-			a.Position = position.Position{Term: 1, Offset: uint64(i)}
-			fault, ambiguous := s.observe(&read, &a)
+	s = answerSequence{}
+	for i, c := range []struct {
+		code      statement.Code
+		ambiguous bool
+	}{
+		{statement.CodeBusy, false}, {statement.CodeFailed, false}, {statement.CodeBusy, true},
+		// This may be the answer to the request before.
+		{statement.CodeTimeout, true},
+	} {
+		a := failedAnswer(c.code, statement.Idle)
+		a.Position = position.Position{Term: 1, Offset: uint64(i)}
+		fault, ambiguous := s.observe(&read, &a)
+		require.Equal(t, FaultNone, fault)
+		require.Equal(t, c.ambiguous, ambiguous, "failure %d", i)
+	}
+}
+
+// After a success that may be a repetition, a failure may be the answer to the request
+// before. A success that is none shows that it is not.
+func TestFailureAfterAnAmbiguousSuccess(t *testing.T) {
+	reset, read := statement.Request{Operation: statement.Reset{}}, statement.Request{Operation: statement.Read{Text: "READ a"}}
+	for _, between := range []bool{false, true} {
+		var s answerSequence
+		for i := range 2 {
+			fault, ambiguous := s.observe(&reset, &statement.Answer{})
 			require.Equal(t, FaultNone, fault)
-			require.Equal(t, again, ambiguous)
+			require.Equal(t, i > 0, ambiguous)
+		}
+		if between {
+			a := signedAnswer("1", statement.Idle)
+			_, ambiguous := s.observe(&read, &a)
+			require.False(t, ambiguous)
 		}
+		a := failedAnswer(statement.CodeFailed, statement.Idle)
+		_, ambiguous := s.observe(&read, &a)
+		require.Equal(t, !between, ambiguous)
 	}
 }
 
--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -80,6 +80,8 @@
 	OpenedAt clock.Time
 	pool     *Pool
 	answers  answerSequence
+	// ambiguous is set if the last answer may be a repetition.
+	ambiguous bool
 	// probedAt is when nothing was left to read on the connection.
 	probedAt clock.Time
 }
@@ -150,13 +152,21 @@
 // it panics, for example over an answer that nobody expected, the connection counts as
 // broken. After an error the answers are empty.
 func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+	if c.answers.alignment == unknown && c.answers.state == statement.Idle {
+		return c.exchangeFenced(limit, requests, answers, 0)
+	}
+	return c.exchange(limit, requests, answers, noFence)
+}
+
+// exchange is Exchange for requests that include a fence, which begins at the given index.
+func (c *PooledConn) exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer, fence int) (int, error) {
 	if err := c.Probe(); err != nil {
 		return 0, err
 	}
 	c.probedAt = 0
 	n, err := c.exchangeContained(limit, requests, answers)
 	if err == nil {
-		err = c.check(requests, answers)
+		err = c.check(requests, answers, fence)
 	}
 	if err == nil {
 		return n, nil
@@ -178,10 +188,19 @@
 }
 
 // check returns an *UnexpectedAnswerError if an answer cannot be that of its request.
-func (c *PooledConn) check(requests []statement.Request, answers []statement.Answer) error {
+func (c *PooledConn) check(requests []statement.Request, answers []statement.Answer, fence int) error {
 	last := len(requests) - 1
 	for i := range requests {
-		if fault, _ := c.answers.observe(&requests[i], &answers[i]); fault != FaultNone {
+		var fault AnswerFault
+		fault, c.ambiguous = c.answers.observe(&requests[i], &answers[i])
+		if fence != noFence && i >= fence && i < fence+len(fenceRequests) {
+			if fault == FaultNone && answers[i].Failure != nil {
+				fault = FaultFence
+			}
+			// Each answer before the last of the fence has its own request.
+			c.ambiguous, c.answers.alignment = false, aligned
+		}
+		if fault != FaultNone {
 			return &UnexpectedAnswerError{Operation: OperationName(requests[i].Operation), Fault: fault}
 		}
 	}
@@ -190,12 +209,12 @@
 		return nil
 	}
 	operation := OperationName(requests[last].Operation)
-	if len(answers[last].Signature) == 0 {
+	if c.ambiguous {
 		// What was left may be the answer.
 		return &UnexpectedAnswerError{Operation: operation, Fault: FaultUnread}
 	}
-	// No answer before this one had its signature: what was left follows the answer. The
-	// next Probe closes the connection.
+	// No answer before equals this one: what was left follows the answer. The next Probe
+	// closes the connection.
 	c.pool.recordFault(c, FaultUnread, operation, "connection closed", zap.Int("bytesAfter", left))
 	return nil
 }
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -245,6 +245,13 @@
 		return database.Status{}, err
 	}
 	now := g.clock.Now()
+	if x.answers[0].Failure == nil && c.Ambiguous() {
+		if err := c.Verify(limit - g.clock.Now().Sub(sent)); err != nil {
+			c.Discard()
+			g.RecordExchangeError(id, sent, err)
+			return database.Status{}, err
+		}
+	}
 	status, err := c.DecodeStatus(&x.answers[0])
 	if err == nil || x.answers[0].Failure != nil {
 		c.Release()
--- a/internal/connection/session/answers_test.go
+++ b/internal/connection/session/answers_test.go
@@ -286,3 +286,31 @@
 		})
 	}
 }
+
+// Requests of calm days are answered with signatures, which need no fence.
+func TestSignedAnswersNeedNoFence(t *testing.T) {
+	for name, kind := range map[string]routes.Consistency{"bounded": routes.BoundedAge, "own": routes.ReadYourWrites, "primary": routes.Primary} {
+		t.Run(name, func(t *testing.T) {
+			d := &memoryDatabase{}
+			g := newMemoryGroup(t, d)
+			s := newMemorySession(g, 1, kind)
+			s.prepare(statement.Prepare{Name: "p", Shape: "READ"})
+			fences := func() int {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				// One may follow each status that equals an earlier one.
+				return d.fences - d.statuses
+			}
+			for i := range 20 {
+				id := fmt.Sprint(i)
+				requireServed(t, s, id+"-read", statement.Read{Text: "READ a"})
+				requireServed(t, s, id+"-execute", statement.Execute{Name: "p"})
+				requireServed(t, s, id+"-write", statement.Write{Text: "WRITE a b"})
+				requireServed(t, s, id+"-begin", statement.Begin{})
+				requireServed(t, s, id+"-in", statement.Read{Text: "READ a"})
+				requireServed(t, s, id+"-commit", statement.Commit{})
+			}
+			require.LessOrEqual(t, fences(), 0)
+		})
+	}
+}
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -80,7 +80,13 @@
 		c.NeedsReset = true
 		s.answer.Failure = f
 	}
-	g.ObservePosition(p.ID, c.OpenedAt, sent, now, answers[n-1].Position)
+	if s.answer.Failure != nil && c.Ambiguous() && !s.settleFailure(c, r, limit-now.Sub(sent)) {
+		g.MarkAnswered(p.ID, now)
+		return unanswered
+	}
+	if !c.Ambiguous() {
+		g.ObservePosition(p.ID, c.OpenedAt, sent, now, answers[n-1].Position)
+	}
 	return answered
 }
 
@@ -95,6 +101,22 @@
 	return answered
 }
 
+// settleFailure reports whether a failure that may be a repetition of an earlier answer can
+// be acted upon. That of a write or a COMMIT can be a promise that nothing is kept, and is
+// verified first, within limit. In an open transaction it cannot be verified, and the
+// transaction is to end. What follows on the connection shows any other repetition.
+func (s *Session) settleFailure(c *backend.PooledConn, r *statement.Request, limit clock.Duration) bool {
+	_, commits := r.Operation.(statement.Commit)
+	switch {
+	case s.answer.State == statement.InTransaction, commits && s.answer.State != statement.Idle:
+		return false
+	case commits, s.tx == nil && s.writes(r):
+		return limit > 0 && c.Verify(limit) == nil
+	default:
+		return true
+	}
+}
+
 // needsStatus reports whether the database has to be asked together with r whether it
 // leads. A read at the primary must see all commits, and any other database would run it
 // too: one that has stepped down, or a process that has started in place of the primary
@@ -150,7 +172,7 @@
 func (s *Session) exchangeState(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, requests []statement.Request, limit clock.Duration) (bool, *statement.Failure) {
 	answers := make([]statement.Answer, len(requests))
 	sent := s.Clock.Now()
-	if _, err := c.Exchange(limit, requests, answers); err != nil {
+	if _, err := c.ExchangeVerified(limit, requests, answers); err != nil {
 		c.Discard()
 		g.RecordExchangeError(p.ID, sent, err)
 		return false, nil
