Take an answer to BEGIN for proof of the lead once it is known to be its own

The proof is recorded with the next answer of the transaction, which tells, unless the connection has had no such answer before.

--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -36,7 +36,10 @@
 	// database was still the primary after BEGIN had arrived. The transaction's
 	// reads require that.
 	leadershipPending bool
-	wrote             bool
+	// leadsAt is when the database leads if its answer to BEGIN was not a repetition of an
+	// earlier one, which the next answer tells. It is zero once that is known.
+	leadsAt clock.Time
+	wrote   bool
 	// valuesChanged is set once session variables were changed on the connection
 	// within the transaction.
 	valuesChanged bool
@@ -135,6 +138,7 @@
 		}
 		f := s.answer.Failure
 		if f == nil {
+			s.observeLead(g)
 			return true
 		}
 		retryable := f.Code == statement.CodeBusy && s.answer.State == statement.InTransaction
@@ -149,6 +153,15 @@
 	}
 }
 
+// observeLead records that the transaction's database leads, once that is known.
+func (s *Session) observeLead(g *backend.GroupClient) {
+	t := s.tx
+	if t.leadsAt != 0 && !t.conn.Ambiguous() {
+		g.ObserveLead(t.member.ID, t.member.Term, t.openedAt, t.leadsAt)
+		t.leadsAt = 0
+	}
+}
+
 // beginAtDatabase begins the transaction at a database. If it returns false, the
 // answer holds the failure and no statement has run.
 func (s *Session) beginAtDatabase(g *backend.GroupClient, deadline clock.Time) bool {
@@ -213,7 +226,8 @@
 		if f == nil {
 			t.conn, t.openedAt = c, c.OpenedAt
 			if !t.readOnly {
-				g.ObserveLead(m.ID, m.Term, c.OpenedAt, sent)
+				t.leadsAt = sent
+				s.observeLead(g)
 			}
 			return true
 		}
