Test the largest messages between real processes

Statements of exactly 1 MiB through five proxies, with and without homes: a write arrives and its data is read back, an EXECUTE that the shared name makes longer and a read that needs AFTER are MALFORMED, and no database gets either.

--- /dev/null
+++ b/cmd/oleanderflow-front/message_limit_test.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/platform/standin"
+)
+
+// maxMessage is the limit of a message of the wire, without its line end.
+const maxMessage = 1 << 20
+
+// wireSession is a session whose messages are sent as they are.
+type wireSession struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func openWire(t *testing.T, address, database string) *wireSession {
+	conn, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(30*time.Second)))
+	s := &wireSession{t: t, conn: conn, reader: bufio.NewReader(conn)}
+	require.Equal(t, []string{"READY I -"}, s.exchange("CONNECT "+database+" "+standin.CallerKey))
+	return s
+}
+
+// exchange sends a message and returns the messages of the answer. Their texts must have
+// no LF.
+func (s *wireSession) exchange(message string) []string {
+	_, err := s.conn.Write([]byte(message + "\r\n"))
+	require.NoError(s.t, err)
+	var answer []string
+	for {
+		line, err := s.reader.ReadString('\n')
+		require.NoError(s.t, err)
+		answer = append(answer, strings.TrimSuffix(line, "\r\n"))
+		if strings.HasPrefix(line, "READY ") {
+			return answer
+		}
+	}
+}
+
+// fill returns the message with its last field filled up to a size.
+func fill(message string, size int) string { return message + strings.Repeat("x", size-len(message)) }
+
+// A message of 1 MiB is served as others are, also by way of another process. One that would
+// be longer than that with what the proxy adds is MALFORMED, and nothing has run.
+func TestLargestMessages(t *testing.T) {
+	for name, connections := range map[string]int{"direct": 64, "homes": 6} {
+		t.Run(name, func(t *testing.T) {
+			system := startSystem(t, 5, connections, 0)
+			for _, f := range system.fronts {
+				c := openSession(t, f, "fills")
+				queryUntilSuccess(t, c, "WRITE small data")
+				s := openWire(t, f.Address(), "fills")
+				write := fill("QUERY w1 WRITE large ", maxMessage)
+				answer := s.exchange(write)
+				require.Equal(t, "COMPLETE", strings.SplitN(answer[0], " ", 2)[0], "%.200q", answer)
+				answer = s.exchange("QUERY r1 READ large")
+				require.Len(t, answer, 3)
+				require.True(t, answer[0] == "ROW "+strings.TrimPrefix(write, "QUERY w1 WRITE large "), "the data has changed")
+
+				require.Equal(t, "COMPLETE -", s.exchange("QUERY p1 PREPARE s WRITE shape")[0])
+				answer = s.exchange(fill("QUERY e1 EXECUTE s item ", maxMessage))
+				require.Contains(t, answer[0], "ERROR MALFORMED ", "%.200q", answer)
+				require.True(t, strings.HasPrefix(answer[1], "READY I "), "%q", answer[1])
+				require.Contains(t, s.exchange("QUERY e2 EXECUTE s item data")[0], "COMPLETE sig")
+
+				bounded := openWire(t, f.Address(), "bookings")
+				answer = bounded.exchange(fill("QUERY r2 READ ", maxMessage))
+				require.Contains(t, answer[0], "ERROR MALFORMED ", "%.200q", answer)
+				require.Contains(t, strings.Join(bounded.exchange("QUERY r3 READ small"), "|"), "COMPLETE sig")
+			}
+			for _, a := range system.group.Arrivals() {
+				require.NotContains(t, []string{"e1", "r2"}, a.ID)
+				require.LessOrEqual(t, len("QUERY  ")+len(a.ID)+len(a.Text), maxMessage)
+			}
+		})
+	}
+}
