--- a/cmd/oleanderflow-front/message_limit_test.go
+++ b/cmd/oleanderflow-front/message_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -51,6 +52,23 @@
 // fill returns the message with its last field filled up to a size.
 func fill(message string, size int) string { return message + strings.Repeat("x", size-len(message)) }
 
+// A caller whose message was too long got a reset connection in place of the answer, since
+// the rest of the message had not been read.
+func TestTooLongMessageIsAnswered(t *testing.T) {
+	f := startSystem(t, 1, 64, 0).fronts[0]
+	openSession(t, f, "fills")
+	for _, size := range []int{maxMessage + 1, maxMessage + 100_000, 2*maxMessage - 1} {
+		for range 5 {
+			s := openWire(t, f.Address(), "fills")
+			_, err := s.conn.Write([]byte(fill("QUERY w1 WRITE a ", size) + "\r\n"))
+			require.NoError(t, err)
+			content, err := io.ReadAll(s.reader)
+			require.NoError(t, err, size)
+			require.Regexp(t, "^ERROR MALFORMED [^\r\n]*\r\n$", string(content))
+		}
+	}
+}
+
 // A message of 1 MiB is served as others are, also by way of another process. One that would
 // be longer than that with what the proxy adds is MALFORMED, and nothing has run.
 func TestLargestMessages(t *testing.T) {
