Send the fence of a status that is probably like an earlier one with it

On a quiet group the rows of statuses are equal, and each cost another round trip for its fence. The fence now goes in the same write as a status after one that was like an earlier one, in the buffers of the exchange.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -82,6 +82,9 @@
 	answers  answerSequence
 	// ambiguous is set if the last answer may be a repetition.
 	ambiguous bool
+	// fencesStatus is set if the row of the last status was like an earlier one, which the
+	// next will probably be too.
+	fencesStatus bool
 	// probedAt is when nothing was left to read on the connection.
 	probedAt clock.Time
 }
@@ -192,6 +195,9 @@
 	last := len(requests) - 1
 	for i := range requests {
 		var fault AnswerFault
+		if i == fence && i > 0 {
+			c.fencesStatus = c.ambiguous
+		}
 		fault, c.ambiguous = c.answers.observe(&requests[i], &answers[i])
 		if fence != noFence && i >= fence && i < fence+len(fenceRequests) {
 			if fault == FaultNone && answers[i].Failure != nil {
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -238,20 +238,15 @@
 	x := exchanges.Get().(*exchange)
 	defer exchanges.Put(x)
 	x.requests[0] = statement.Request{Operation: op}
-	x.answers[0].Reset()
-	if _, err := c.Exchange(limit, x.requests[:], x.answers[:]); err != nil {
+	for i := range x.answers {
+		x.answers[i].Reset()
+	}
+	if err := c.exchangeStatus(limit, x); err != nil {
 		c.Discard()
 		g.RecordExchangeError(id, sent, err)
 		return database.Status{}, err
 	}
 	now := g.clock.Now()
-	if x.answers[0].Failure == nil && c.Ambiguous() {
-		if err := c.Verify(limit - g.clock.Now().Sub(sent)); err != nil {
-			c.Discard()
-			g.RecordExchangeError(id, sent, err)
-			return database.Status{}, err
-		}
-	}
 	status, err := c.DecodeStatus(&x.answers[0])
 	if err == nil || x.answers[0].Failure != nil {
 		c.Release()
@@ -271,10 +266,10 @@
 	return status, nil
 }
 
-// exchange holds the request and the answer of one Command.
+// exchange holds the request and the answer of one Command, and those of a fence.
 type exchange struct {
-	requests [1]statement.Request
-	answers  [1]statement.Answer
+	requests [1 + len(fenceRequests)]statement.Request
+	answers  [1 + len(fenceRequests)]statement.Answer
 }
 
 var exchanges = sync.Pool{New: func() any { return new(exchange) }}
