End comments of PostgreSQL queries where databases end them

The kind of a query is told by its first word after comments. PostgreSQL nests comments, and ends one after "--" at a carriage return too; the proxy took the first "*/" and only line feeds. "/* /* */ SELECT 1 */ DELETE FROM t" was taken for a read, without the checks of a write.

--- a/internal/request/caller/classify.go
+++ b/internal/request/caller/classify.go
@@ -107,13 +107,9 @@
 		s = strings.TrimLeft(s, " \t\r\n;(")
 		switch {
 		case strings.HasPrefix(s, "/*"):
-			end := strings.Index(s, "*/")
-			if end < 0 {
-				return ""
-			}
-			s = s[end+2:]
+			s = s[commentLength(s):]
 		case strings.HasPrefix(s, "--"):
-			end := strings.IndexByte(s, '\n')
+			end := strings.IndexAny(s, "\r\n")
 			if end < 0 {
 				return ""
 			}
@@ -124,6 +120,26 @@
 	}
 }
 
+// commentLength returns the length of the comment that s begins with, which may hold
+// others. It is that of s if the comment does not end.
+func commentLength(s string) int {
+	depth := 0
+	for i := 0; i+1 < len(s); i++ {
+		switch s[i : i+2] {
+		case "/*":
+			depth++
+			i++
+		case "*/":
+			depth--
+			i++
+			if depth == 0 {
+				return i + 1
+			}
+		}
+	}
+	return len(s)
+}
+
 // cutWord splits s after its first word, which it returns in lower case.
 func cutWord(s string) (word, rest string) {
 	s = strings.TrimLeft(s, " \t\r\n")
