Log at most 1 KiB of a text

The log is written at no more than 64 KiB a second, and lines above that are dropped. Failing requests with ids of tens of KiB, which callers choose, took it from all others: nothing told of a replacement meanwhile. Texts in log lines end after 1 KiB now, and explain finds a request by its whole id as before.

--- a/internal/front/explain.go
+++ b/internal/front/explain.go
@@ -158,7 +158,7 @@
 
 // loggedText returns a text as it is read from a log, whose JSON holds no bytes that are
 // not UTF-8.
-func loggedText(text string) string { return string([]rune(text)) }
+func loggedText(text string) string { return string([]rune(shortText(text))) }
 
 // concerns reports whether the line is about the request or the key with an id.
 func (l *logLine) concerns(id string) bool { return l.field("request") == id || l.field("keyId") == id }
--- a/internal/front/explain_test.go
+++ b/internal/front/explain_test.go
@@ -151,3 +151,31 @@
 		}
 	}
 }
+
+// The log has a maximum rate. Lines with the long texts of one caller must not take it from
+// all others.
+func TestLongTextsAreShortInTheLog(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a.log")
+	file, err := os.Create(path)
+	require.NoError(t, err)
+	lines := NewLogWriter(file)
+	log, err := NewLog(lines, "info", "front-a")
+	require.NoError(t, err)
+	long := strings.Repeat("\x00ä", 5_000)
+	for range 5 {
+		log.Info("request failed", zap.String("request", long), zap.String("code", "busy"))
+	}
+	log.With(zap.String("group", long)).Info("primary suspected")
+	log.Info("request failed", zap.String("request", "7"), zap.String("code", "busy"))
+	lines.Close()
+	require.NoError(t, file.Close())
+	require.Zero(t, lines.Dropped())
+	for _, id := range []string{"7", long} {
+		var out bytes.Buffer
+		require.Equal(t, exitOK, explain(&ExplainOptions{ID: id, Files: []string{path}}, &out))
+		require.Contains(t, out.String(), "code=busy")
+	}
+	content, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Less(t, len(content), 64<<10)
+}
--- a/internal/front/log.go
+++ b/internal/front/log.go
@@ -106,7 +106,7 @@
 }
 
 // NewLog returns a logger that writes JSON lines of at least the given level to
-// l. It returns an error if the level is unknown.
+// l, with long texts shortened. It returns an error if the level is unknown.
 func NewLog(l *LogWriter, level, instance string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
@@ -115,5 +115,5 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.TimeEncoderOfLayout(timeLayout)
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), l, parsed)
-	return zap.New(core).With(zap.String("instance", instance)), nil
+	return zap.New(shortCore{core}).With(zap.String("instance", instance)), nil
 }
