Let long answers that wait end their own requests only

With more than 16 MiB of answers waiting to be written to another process, its connection was closed at the next answer, whatever that was. All requests that waited on it ended without an answer, writes in doubt: a few large reads at the same time were enough, for example 17 of 1 MiB.

Beyond 16 MiB an answer of more than 4 KiB now ends with an error, so that a read is repeated elsewhere, and short ones are still sent. The connection is closed beyond 80 MiB, which one answer of the greatest size could take before.

TestLongAnswersBesideOthers failed before (40 requests at the same time, 4 of them with an answer of 16 MiB): "connection to proxy a broke: EOF". TestRepeatedAnswersAreDropped passed before too.

--- a/internal/process/proxy/incoming.go
+++ b/internal/process/proxy/incoming.go
@@ -94,18 +94,28 @@
 	i.startWriting()
 }
 
-// answer queues the answer to a request.
+// answer queues the answer to a request. It returns errQueueFull, and queues nothing, if
+// the answer is not a short one and too much is queued.
 func (i *incoming) answer(number uint64, message msgp.Marshaler) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.closeIfFullLocked()
+	i.closeIfFullLocked(maxLongAnswers)
 	if i.err != nil {
 		return nil
 	}
+	queued := i.queuedBytesLocked()
 	err := i.enqueueLocked(number, frameAnswer, message)
+	full := queued > maxQueuedBytes
+	if err == nil && full && i.queuedBytesLocked()-queued > maxShortAnswer {
+		i.takeBackLocked(queued)
+		return errQueueFull
+	}
 	if !isTooLong(err) {
 		return err
 	}
+	if full {
+		return errQueueFull
+	}
 	rest, err := message.MarshalMsg(nil)
 	if err != nil {
 		return err
--- a/internal/process/proxy/outgoing.go
+++ b/internal/process/proxy/outgoing.go
@@ -146,7 +146,7 @@
 func (o *outgoing) send(c *call, request msgp.Marshaler) (number uint64, start bool, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.closeIfFullLocked()
+	o.closeIfFullLocked(maxQueuedBytes)
 	if o.err != nil {
 		return 0, false, errNotSent
 	}
--- a/internal/process/proxy/stream.go
+++ b/internal/process/proxy/stream.go
@@ -13,7 +13,16 @@
 // because the peer does not read them.
 const maxQueuedBytes = 16 << 20
 
+// maxLongAnswers is the size of queued frames beyond which a connection is closed to which
+// answers are written. Beyond maxQueuedBytes only short ones are queued, of at most
+// maxShortAnswer, so that long ones do not end the requests of others.
+const (
+	maxLongAnswers = maxQueuedBytes + maxAnswerSize
+	maxShortAnswer = 4 << 10
+)
+
 var (
+	errQueueFull  = errors.New("too many long answers wait to be sent")
 	errNotReading = errors.New("the peer does not read from the connection")
 	errDropped    = errors.New("the connection was dropped")
 )
@@ -71,13 +80,23 @@
 	return nil
 }
 
-// closeIfFullLocked closes the connection if too much is queued.
-func (s *stream) closeIfFullLocked() {
-	if s.queued != nil && len(s.queued.bytes) > maxQueuedBytes {
+// closeIfFullLocked closes the connection if more than limit is queued.
+func (s *stream) closeIfFullLocked(limit int) {
+	if s.queuedBytesLocked() > limit {
 		s.closeLocked(errNotReading)
 	}
 }
 
+func (s *stream) queuedBytesLocked() int {
+	if s.queued == nil {
+		return 0
+	}
+	return len(s.queued.bytes)
+}
+
+// takeBackLocked removes what was queued after the first length bytes.
+func (s *stream) takeBackLocked(length int) { s.queued.bytes = s.queued.bytes[:length] }
+
 // flush writes until no frames are queued. The caller has set s.writing.
 func (s *stream) flush() {
 	// The other goroutines that can run may queue frames as well. With 16 requests in
