--- a/internal/front/log.go
+++ b/internal/front/log.go
@@ -115,5 +115,5 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.TimeEncoderOfLayout(timeLayout)
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), l, parsed)
-	return zap.New(shortCore{core}).With(zap.String("instance", instance)), nil
+	return zap.New(&shortCore{core}).With(zap.String("instance", instance)), nil
 }
--- a/internal/front/short_core.go
+++ b/internal/front/short_core.go
@@ -22,12 +22,12 @@
 type shortCore struct{ zapcore.Core }
 
 // With implements zapcore.Core.
-func (c shortCore) With(fields []zapcore.Field) zapcore.Core {
-	return shortCore{c.Core.With(shortFields(fields))}
+func (c *shortCore) With(fields []zapcore.Field) zapcore.Core {
+	return &shortCore{c.Core.With(shortFields(fields))}
 }
 
 // Check implements zapcore.Core.
-func (c shortCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+func (c *shortCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
 	if c.Enabled(e.Level) {
 		return checked.AddCore(e, c)
 	}
@@ -35,7 +35,7 @@
 }
 
 // Write implements zapcore.Core.
-func (c shortCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+func (c *shortCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
 	return c.Core.Write(e, shortFields(fields))
 }
 
