Close connections of a database that sends answers twice after unsigned answers

A second delivery of COMPLETE - to an earlier BEGIN may be taken for the answer to a BEGIN that has failed, and the transaction's writes are then committed one by one. Nothing in the answer tells. A database that was seen to send an answer twice is remembered for a minute, and its connections are closed after a use that left an answer without a signature; with signed answers only they are used again.

TestConnectionsOfADatabaseThatRepeatsItself fails without the check.

--- a/internal/connection/backend/answer_sequence.go
+++ b/internal/connection/backend/answer_sequence.go
@@ -80,7 +80,7 @@
 	delivered [rememberedAnswers]uint64
 	next      int
 	alignment alignment
-	// unsigned is set once an unsigned success was delivered.
+	// unsigned is set once an answer without a signature was delivered.
 	unsigned bool
 }
 
@@ -104,7 +104,7 @@
 		case s.alignment == doubtful:
 			s.alignment = aligned
 		}
-		s.unsigned = s.unsigned || !signed && a.Failure == nil
+		s.unsigned = s.unsigned || !signed
 	}
 	s.state = a.State
 	s.position = s.position.Max(a.Position)
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -544,7 +544,8 @@
 }
 
 // Release returns the connection to the pool. A connection on which a transaction is
-// open is closed instead, which rolls the transaction back.
+// open is closed instead, which rolls the transaction back, and so is one with answers that
+// cannot be told from a second delivery, if the database was seen to send answers twice.
 func (c *PooledConn) Release() {
 	p := c.pool
 	if c.answers.state != statement.Idle {
@@ -553,6 +554,11 @@
 		return
 	}
 	c.UsedAt = p.clock.Now()
+	if c.answers.unsigned && p.faults.repeats(c.UsedAt) {
+		// A second delivery of its unsigned answers could be taken for another request's.
+		c.Discard()
+		return
+	}
 	p.mu.Lock()
 	if p.closed || p.starvingLocked(c) {
 		p.mu.Unlock()
--- /dev/null
+++ b/internal/connection/backend/repetition_test.go
@@ -0,0 +1,78 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// answeringDialer opens connections that answer each request as they should.
+type answeringDialer struct{ countingDialer }
+
+type answeringConn struct {
+	silentConn
+	answers int
+	// unread is what the next Unread finds.
+	unread int
+}
+
+func (d *answeringDialer) Dial(ctx context.Context, to Target) (Conn, statement.Answer, error) {
+	_, greeting, err := d.countingDialer.Dial(ctx, to)
+	return &answeringConn{}, greeting, err
+}
+
+func (c *answeringConn) Unread() (int, error) { return c.unread, nil }
+
+func (c *answeringConn) Exchange(_ clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+	for i := range requests {
+		c.answers++
+		answers[i].Reset()
+		if _, signed := expectation(requests[i].Operation); signed {
+			answers[i].Signature = fmt.Append(answers[i].Signature, c.answers)
+		}
+	}
+	return len(requests), nil
+}
+
+// steppedClock is a clock that a test steps.
+type steppedClock struct{ atomic.Int64 }
+
+func (c *steppedClock) Now() clock.Time { return clock.Time(c.Load()) }
+
+// A database that sends answers twice may send COMPLETE - of before to a BEGIN that has
+// failed, whose transaction's writes would be committed one by one (UNASKED). Its
+// connections with such answers are not used again for a while.
+func TestConnectionsOfADatabaseThatRepeatsItself(t *testing.T) {
+	now := &steppedClock{}
+	now.Add(1000)
+	p := NewPool(Target{ID: "a"}, DefaultSettings(), &answeringDialer{}, now, zap.NewNop(), func(statement.Answer, clock.Time, error) {})
+	t.Cleanup(p.Close)
+	use := func(o statement.Operation) *PooledConn {
+		c, err := p.Acquire(now.Now().Add(clock.Second), nil)
+		require.NoError(t, err)
+		_, err = c.Exchange(clock.Second, []statement.Request{{Operation: o}}, make([]statement.Answer, 1))
+		require.NoError(t, err)
+		c.Release()
+		return c
+	}
+	read, reset := statement.Read{Text: "READ a"}, statement.Reset{}
+	first := use(reset)
+	require.Same(t, first, use(read), "not seen to repeat itself")
+	first.Conn.(*answeringConn).unread = 1
+	now.Add(1)
+	second := use(read)
+	require.NotSame(t, first, second)
+	require.Same(t, second, use(read), "signed answers only")
+	require.Same(t, second, use(reset))
+	third := use(reset)
+	require.NotSame(t, second, third)
+	now.Add(int64(repetitionMemory))
+	require.Same(t, use(reset), use(reset), "a while ago")
+}
