Keep the reason of a failed transaction until its COMMIT is answered

COMMIT of a transaction that had failed panicked if the rollback at the database failed too or was unanswered: closing the connection forgets the reason, which the answer names. The panic was contained, and the caller's session was closed.

TestCommitOfAFailedTransactionWhoseRollbackFails panicked before and passes.

--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -290,8 +290,10 @@
 	case !commit:
 		s.rollback(g, r, deadline)
 	case t.failure != nil:
+		// A rollback that fails closes the connection and forgets the failure.
+		reason := t.failure.Text
 		s.rollback(g, &statement.Request{Operation: statement.Rollback{}}, deadline)
-		s.fail(statement.CodeAborted, "the transaction had failed: "+t.failure.Text)
+		s.fail(statement.CodeAborted, "the transaction had failed: "+reason)
 	default:
 		s.commit(g, r, deadline)
 	}
--- a/internal/connection/session/transaction_test.go
+++ b/internal/connection/session/transaction_test.go
@@ -35,3 +35,16 @@
 	require.NotNil(t, s.request("read-2", statement.Read{Text: "READ a"}))
 	require.Equal(t, led, g.LedAt())
 }
+
+// COMMIT of a transaction that had failed panicked if the rollback at its database failed.
+func TestCommitOfAFailedTransactionWhoseRollbackFails(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	requireServed(t, s, "begin", statement.Begin{})
+	d.setFail(failAll(func(o statement.Operation) bool { return isWrite(o) || isRollback(o) }))
+	require.NotNil(t, s.request("write", statement.Write{Text: "WRITE a b"}))
+	f := s.request("commit", statement.Commit{})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeAborted, f.Code)
+}
