--- a/cmd/oleanderflow-front/statement_bench_test.go
+++ b/cmd/oleanderflow-front/statement_bench_test.go
@@ -78,7 +78,7 @@
 
 // requireEntry fails the benchmark if the entry has become a home, as it does if it has
 // lost sight of another proxy on a busy machine.
-func (s *benchmarkSystem) requireEntry(b *testing.B) {
+func (s *benchmarkSystem) requireEntry(b testing.TB) {
 	b.Helper()
 	r, _ := readStatus(b, s.status)
 	require.Len(b, r.Groups, 1)
@@ -86,7 +86,7 @@
 	require.Len(b, r.Groups[0].Homes, 3)
 }
 
-func startHomes(b *testing.B) *benchmarkSystem {
+func startHomes(b testing.TB) *benchmarkSystem {
 	b.Helper()
 	percent := debug.SetGCPercent(60) // as the program does
 	b.Cleanup(func() { debug.SetGCPercent(percent) })
