Repeat refusals and answers to reads of bounded age in the soak

A repeated BUSY must not become a promise for a write that runs, nor the position or the state of a repeated answer the floor of a read.

--- a/soak/stale_test.go
+++ b/soak/stale_test.go
@@ -127,6 +127,7 @@
 	for i := range 4 * len(h.proxies) {
 		callers.Go(func() { h.runReader(&seen, seed, i) })
 	}
+	go h.failAnswers(rand.New(rand.NewPCG(seed, 5)), time.Now().Add(*duration))
 	h.injectReadFaults()
 	h.heal()
 	time.Sleep(2 * time.Second)
