--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"fmt"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/process/contain"
@@ -45,7 +47,8 @@
 	// are not part of it.
 	Buffered() int
 	// Unread returns the number of received bytes that no request waits for, at least 1
-	// if there are any. It returns an error if the connection has ended.
+	// if there are any, and takes them away: the connection must not be used then. It
+	// returns an error if the connection has ended.
 	Unread() (int, error)
 	// DecodeStatus decodes the answer to an operation that returns a status,
 	// such as statement.Status.
@@ -77,27 +80,151 @@
 	OpenedAt clock.Time
 	pool     *Pool
 	answers  answerSequence
+	// ambiguous is set if the last answer may be a repetition.
+	ambiguous bool
+	// fencesStatus is set if the row of the last status was like an earlier one, which the
+	// next will probably be too.
+	fencesStatus bool
+	// probedAt is when nothing was left to read on the connection.
+	probedAt clock.Time
 }
 
-// Exchange sends requests as Conn.Exchange does. If it panics, for example over
-// an answer that nobody expected, the connection counts as broken.
-func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
-	defer contain.Recover(c.pool.log, c.pool.exchangePart, &err)
-	if unread, _ := c.Unread(); unread > 0 { // the end of the connection shows in Exchange
-		c.pool.recordFault(c, FaultUnread, "", zap.Int("bytesBefore", unread))
+// NotSentError reports that a connection cannot be used. No request was sent on it.
+type NotSentError struct {
+	Database string
+	// Unread is how many bytes were there to read that no request waits for. It is zero
+	// if the connection has ended.
+	Unread int
+	// Cause is why the connection has ended.
+	Cause error
+}
+
+func (e *NotSentError) Error() string {
+	if e.Unread > 0 {
+		return fmt.Sprintf("%d bytes of %s that no request waits for", e.Unread, e.Database)
 	}
-	n, err = c.Conn.Exchange(limit, requests, answers)
-	for i := range n {
-		if fault, _ := c.answers.observe(&requests[i], &answers[i]); fault != FaultNone {
-			c.pool.recordFault(c, fault, operationName(requests[i].Operation), zap.Int("number", i+1), zap.Int("of", len(requests)))
-		}
+	return "the connection to " + e.Database + " has ended: " + e.Cause.Error()
+}
+
+// Unwrap returns why the connection has ended.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// Probe returns a *NotSentError if the connection cannot be used: an answer to the next
+// request would be read after bytes that belong to none, or the connection has ended.
+func (c *PooledConn) Probe() error {
+	now := c.pool.clock.Now()
+	if now == c.probedAt {
+		return nil
+	}
+	unread, err := c.Unread()
+	if unread > 0 {
+		c.pool.recordFault(c, FaultUnread, "", "connection closed", zap.Int("bytesBefore", unread))
+		return &NotSentError{Database: c.pool.ID, Unread: unread}
+	}
+	if err != nil {
+		return &NotSentError{Database: c.pool.ID, Cause: err}
 	}
-	if left := c.Buffered(); left > 0 && err == nil {
-		c.pool.recordFault(c, FaultUnread, operationName(requests[len(requests)-1].Operation), zap.Int("bytesAfter", left))
+	c.probedAt = now
+	return nil
+}
+
+// UnexpectedAnswerError reports an answer that cannot be that of its request. No answer of
+// the exchange is to be used, and the request counts as unanswered.
+type UnexpectedAnswerError struct {
+	Database string
+	// Operation is what the request asked for.
+	Operation string
+	Fault     AnswerFault
+	// Cause is the error of the decoder, if there is one.
+	Cause error
+}
+
+func (e *UnexpectedAnswerError) Error() string {
+	text := "answer of " + e.Database + " to " + e.Operation + " is not its own: " + e.Fault.String()
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the error of the decoder, if there is one.
+func (e *UnexpectedAnswerError) Unwrap() error { return e.Cause }
+
+// Exchange sends requests as Conn.Exchange does. It returns a *NotSentError if it has not
+// sent them, and an *UnexpectedAnswerError if an answer cannot be that of its request. If
+// it panics, for example over an answer that nobody expected, the connection counts as
+// broken. After an error the answers are empty.
+func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+	if c.answers.alignment == unknown && c.answers.state == statement.Idle {
+		return c.exchangeFenced(limit, requests, answers, 0)
+	}
+	return c.exchange(limit, requests, answers, noFence)
+}
+
+// exchange is Exchange for requests that include a fence, which begins at the given index.
+func (c *PooledConn) exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer, fence int) (int, error) {
+	if err := c.Probe(); err != nil {
+		return 0, err
+	}
+	c.probedAt = 0
+	n, err := c.exchangeContained(limit, requests, answers)
+	if err == nil {
+		err = c.check(requests, answers, fence)
+	}
+	if err == nil {
+		return n, nil
+	}
+	var unexpected *UnexpectedAnswerError
+	if errors.As(err, &unexpected) {
+		unexpected.Database = c.pool.ID
+		c.pool.recordFault(c, unexpected.Fault, unexpected.Operation, "answers not used", zap.Error(unexpected.Cause))
+	}
+	for i := range answers {
+		answers[i].Reset()
 	}
 	return n, err
 }
 
+func (c *PooledConn) exchangeContained(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (n int, err error) {
+	defer contain.Recover(c.pool.log, c.pool.exchangePart, &err)
+	return c.Conn.Exchange(limit, requests, answers)
+}
+
+// check returns an *UnexpectedAnswerError if an answer cannot be that of its request.
+func (c *PooledConn) check(requests []statement.Request, answers []statement.Answer, fence int) error {
+	last := len(requests) - 1
+	for i := range requests {
+		var fault AnswerFault
+		if i == fence && i > 0 {
+			c.fencesStatus = c.ambiguous
+		}
+		fault, c.ambiguous = c.answers.observe(&requests[i], &answers[i])
+		if fence != noFence && i >= fence && i < fence+len(fenceRequests) {
+			if fault == FaultNone && answers[i].Failure != nil {
+				fault = FaultFence
+			}
+			// Each answer before the last of the fence has its own request.
+			c.ambiguous, c.answers.alignment = false, aligned
+		}
+		if fault != FaultNone {
+			return &UnexpectedAnswerError{Operation: OperationName(requests[i].Operation), Fault: fault}
+		}
+	}
+	left := c.Buffered()
+	if left == 0 {
+		return nil
+	}
+	operation := OperationName(requests[last].Operation)
+	if c.ambiguous {
+		// What was left may be the answer.
+		return &UnexpectedAnswerError{Operation: operation, Fault: FaultUnread}
+	}
+	// No answer before equals this one: what was left follows the answer. The next Probe
+	// closes the connection.
+	c.pool.recordFault(c, FaultUnread, operation, "connection closed", zap.Int("bytesAfter", left))
+	return nil
+}
+
 // MarkReset records that the connection's session state has been reset.
 func (c *PooledConn) MarkReset() {
 	clear(c.Values)
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -238,15 +238,22 @@
 	x := exchanges.Get().(*exchange)
 	defer exchanges.Put(x)
 	x.requests[0] = statement.Request{Operation: op}
-	x.answers[0].Reset()
-	if _, err := c.Exchange(limit, x.requests[:], x.answers[:]); err != nil {
+	for i := range x.answers {
+		x.answers[i].Reset()
+	}
+	if err := c.exchangeStatus(limit, x); err != nil {
 		c.Discard()
-		g.RecordConnectionLoss(id, sent)
+		g.RecordExchangeError(id, sent, err)
 		return database.Status{}, err
 	}
 	now := g.clock.Now()
 	status, err := c.DecodeStatus(&x.answers[0])
-	c.Release()
+	if err == nil || x.answers[0].Failure != nil {
+		c.Release()
+	} else {
+		// The rows may be those of another request.
+		c.Discard()
+	}
 	if err != nil {
 		g.MarkAnswered(id, now)
 		return status, err
@@ -259,10 +266,10 @@
 	return status, nil
 }
 
-// exchange holds the request and the answer of one Command.
+// exchange holds the request and the answer of one Command, and those of a fence.
 type exchange struct {
-	requests [1]statement.Request
-	answers  [1]statement.Answer
+	requests [1 + len(fenceRequests)]statement.Request
+	answers  [1 + len(fenceRequests)]statement.Answer
 }
 
 var exchanges = sync.Pool{New: func() any { return new(exchange) }}
@@ -297,6 +304,19 @@
 	}
 }
 
+// RecordExchangeError records that an exchange that began at the given time failed with
+// err. A database that has sent bytes that nobody waits for, or an answer of another request,
+// is not lost.
+func (g *GroupClient) RecordExchangeError(id string, began clock.Time, err error) {
+	var notSent *NotSentError
+	var unexpected *UnexpectedAnswerError
+	if errors.As(err, &notSent) && notSent.Unread > 0 || errors.As(err, &unexpected) {
+		g.MarkAnswered(id, g.clock.Now())
+		return
+	}
+	g.RecordConnectionLoss(id, began)
+}
+
 // Await waits until condition holds or the deadline has passed, and reports
 // whether it holds. It requests the statuses that may fulfill the condition at
 // growing intervals, first from the databases in prefer, later from all.
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -15,7 +15,7 @@
 // probeTimeout limits how long prepareConn waits for a connection to answer.
 const probeTimeout = 150 * clock.Millisecond
 
-// exchangeOutcome tells whether a request that was sent got an answer.
+// exchangeOutcome tells whether a request was sent and got an answer.
 type exchangeOutcome uint8
 
 const (
@@ -24,6 +24,8 @@
 	answered exchangeOutcome = iota
 	// unanswered means that the request was sent but its answer is missing.
 	unanswered
+	// notSent means that the request was not sent, since the connection cannot be used.
+	notSent
 )
 
 // exchange sends r on a connection and stores its answer in s.answer. The request that
@@ -32,6 +34,11 @@
 // session's variables before, since a statement that is sent together with a SET runs
 // whether the SET succeeds or not.
 func (s *Session) exchange(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, r *statement.Request, limit clock.Duration) exchangeOutcome {
+	if err := c.Probe(); err != nil {
+		s.releaseSlot(p)
+		g.RecordExchangeError(p.ID, s.Clock.Now(), err)
+		return notSent
+	}
 	requests := s.stateRequests(c, r)
 	loaded := len(requests)
 	withStatus := s.needsStatus(g, c, p, r)
@@ -60,7 +67,7 @@
 	p.Limiter.End(now, now.Sub(sent), err == nil && s.answer.Failure != nil && s.answer.Failure.Code == statement.CodeBusy)
 	if err != nil {
 		p.Latency.Abandon(now, now.Sub(sent), unansweredPause)
-		g.RecordConnectionLoss(p.ID, sent)
+		g.RecordExchangeError(p.ID, sent, err)
 		return unanswered
 	}
 	p.Latency.End(now, now.Sub(sent))
@@ -73,7 +80,13 @@
 		c.NeedsReset = true
 		s.answer.Failure = f
 	}
-	g.ObservePosition(p.ID, c.OpenedAt, sent, now, answers[n-1].Position)
+	if s.answer.Failure != nil && c.Ambiguous() && !s.settleFailure(c, r, limit-now.Sub(sent)) {
+		g.MarkAnswered(p.ID, now)
+		return unanswered
+	}
+	if !c.Ambiguous() {
+		g.ObservePosition(p.ID, c.OpenedAt, sent, now, answers[n-1].Position)
+	}
 	return answered
 }
 
@@ -88,6 +101,22 @@
 	return answered
 }
 
+// settleFailure reports whether a failure that may be a repetition of an earlier answer can
+// be acted upon. That of a write or a COMMIT can be a promise that nothing is kept, and is
+// verified first, within limit. In an open transaction it cannot be verified, and the
+// transaction is to end. What follows on the connection shows any other repetition.
+func (s *Session) settleFailure(c *backend.PooledConn, r *statement.Request, limit clock.Duration) bool {
+	_, commits := r.Operation.(statement.Commit)
+	switch {
+	case s.answer.State == statement.InTransaction, commits && s.answer.State != statement.Idle:
+		return false
+	case commits, s.tx == nil && s.writes(r):
+		return limit > 0 && c.Verify(limit) == nil
+	default:
+		return true
+	}
+}
+
 // needsStatus reports whether the database has to be asked together with r whether it
 // leads. A read at the primary must see all commits, and any other database would run it
 // too: one that has stepped down, or a process that has started in place of the primary
@@ -143,9 +172,9 @@
 func (s *Session) exchangeState(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, requests []statement.Request, limit clock.Duration) (bool, *statement.Failure) {
 	answers := make([]statement.Answer, len(requests))
 	sent := s.Clock.Now()
-	if _, err := c.Exchange(limit, requests, answers); err != nil {
+	if _, err := c.ExchangeVerified(limit, requests, answers); err != nil {
 		c.Discard()
-		g.RecordConnectionLoss(p.ID, sent)
+		g.RecordExchangeError(p.ID, sent, err)
 		return false, nil
 	}
 	f := firstFailure(answers)
