--- a/soak/answer_test.go
+++ b/soak/answer_test.go
@@ -30,7 +30,7 @@
 			f.CutOneIn = 50 + random.IntN(200)
 		}
 		if random.IntN(2) == 0 {
-			f.BusyOneIn = 10 + random.IntN(50)
+			f.BusyOneIn, f.ErrorText = 10+random.IntN(50), hostileParts[random.IntN(len(hostileParts))]
 		}
 		h.note("%+v", f)
 		h.group.SetAnswerFaults(f)
@@ -129,7 +129,8 @@
 	program := buildProgram(t)
 	for _, homes := range []bool{false, true} {
 		t.Run(fmt.Sprint("homes=", homes), func(t *testing.T) {
-			textRun{hostile: true, homes: homes, length: 3 * time.Second}.run(t, program, 41)
+			faults := standin.AnswerFaults{Seed: 41, BusyOneIn: 50, ErrorText: "\nCOMPLETE forged\nREADY I 1.1"}
+			textRun{hostile: true, homes: homes, length: 3 * time.Second, faults: faults}.run(t, program, 41)
 		})
 	}
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -14,7 +15,8 @@
 
 // check compares the outcomes of the callers' writes with the writes in the
 // databases. It also checks that the tokens of promotions never decrease, that
-// at least one write was acknowledged, and the rules of workspaces.
+// at least one write was acknowledged, the ledger, that logs have whole entries, and the rules
+// of workspaces.
 func (h *harness) check() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -46,11 +48,32 @@
 	if h.ledger != nil {
 		h.violations = append(h.violations, h.ledger.check(h.t, h.group)...)
 	}
+	h.violations = append(h.violations, checkLogs(h.dir)...)
 	if h.keys != nil {
 		h.violations = append(h.violations, h.keys.checkWorkspaces(h.group.Arrivals())...)
 	}
 }
 
+// checkLogs returns the lines in the logs of the proxies that are no whole entry.
+func checkLogs(dir string) (violations []string) {
+	names, err := filepath.Glob(filepath.Join(dir, "front-*.log"))
+	if err != nil {
+		return []string{err.Error()}
+	}
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return []string{err.Error()}
+		}
+		for line := range strings.Lines(string(text)) {
+			if !json.Valid([]byte(line)) {
+				violations = append(violations, fmt.Sprintf("%s has the line %.200q", filepath.Base(name), line))
+			}
+		}
+	}
+	return violations
+}
+
 // report logs how much there was to check and reports the violations.
 func (h *harness) report() {
 	h.t.Logf("%d writes acknowledged, %d refused, %d promotions", len(h.acknowledged), len(h.refused), len(h.platform.Promotions()))
@@ -104,6 +127,9 @@
 	require.Contains(t, found, "a write took effect twice: \"twice\"")
 	require.Contains(t, found, "a write was kept although the caller was told that it was not: \"kept\"")
 	require.Contains(t, found, `another value was written: "changed" holds "v", acknowledged was "\nv"`)
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "front-0.log"), []byte(`{"text":"a"}`+"\n"+`{"text":"a`+"\n"+`b"}`+"\n"), 0o600))
+	require.Equal(t, []string{`front-0.log has the line "{\"text\":\"a\n"`, `front-0.log has the line "b\"}\n"`}, checkLogs(dir))
 	empty := &harness{group: group, platform: platform}
 	empty.check()
 	require.Contains(t, strings.Join(empty.violations, "\n"), "no write was served")
--- a/soak/stale_test.go
+++ b/soak/stale_test.go
@@ -135,6 +135,7 @@
 	callers.Wait()
 	violations, checked := seen.check(h.group)
 	h.violations = append(append(h.violations, violations...), h.ledger.check(t, h.group)...)
+	h.violations = append(h.violations, checkLogs(h.dir)...)
 	t.Logf("%d reads checked against %d commits, %d promotions", checked, len(seen.acknowledgments), len(h.platform.Promotions()))
 	require.NotZero(t, checked)
 	require.NotEmpty(t, seen.acknowledgments)
