PostgreSQL: bound messages before a caller has authenticated

What happened: a caller that had sent its startup message could have 64 MB set aside with 5 bytes, the header of a password message that claims them, and hold them until the startup's time limit. A length that is negative, below 4 or above the limit ended the startup without an error.

Messages are limited to 64 KiB until the caller has authenticated, as the startup message is limited. Invalid ones are answered with an error.

Evidence, without the change: TestMessageLengthBeforeAuthentication: "read pipe: i/o timeout" for all four lengths: no error was sent. All pass with it, in less than a second. Open: after that, memory is set aside for the length that a message claims: up to 64 MB for a caller and 256 MB for a database.

--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -25,6 +25,8 @@
 const (
 	// maxMessageLength limits the length of a message from a caller, in bytes.
 	maxMessageLength = 64 << 20
+	// maxStartMessageLength limits it before the caller has authenticated.
+	maxStartMessageLength = 64 << 10
 	// MaxStatements limits the number of prepared statements of a session.
 	MaxStatements = 4096
 	// maxSettingLength limits the value of a setting, in bytes.
@@ -142,7 +144,7 @@
 func (s *Session) setConn(c net.Conn) {
 	s.net = c
 	s.Backend = pgproto3.NewBackend(c, c)
-	s.Backend.SetMaxBodyLen(maxMessageLength)
+	s.Backend.SetMaxBodyLen(maxStartMessageLength)
 }
 
 // Write sends messages to the caller that are already encoded.
--- a/internal/connection/caller/start.go
+++ b/internal/connection/caller/start.go
@@ -131,7 +131,7 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return &ProtocolError{Code: outcome.CodeProtocol, Message: "startup message not received in time"}
 	}
-	return &ProtocolError{Code: outcome.CodeProtocol, Message: "invalid startup message: " + err.Error()}
+	return &ProtocolError{Code: outcome.CodeProtocol, Message: "invalid message during startup: " + err.Error()}
 }
 
 // startTLS answers a request for TLS. It returns whether the connection is now
@@ -170,6 +170,7 @@
 	if err := a.authenticateCaller(s, m.Parameters); err != nil {
 		return err
 	}
+	s.Backend.SetMaxBodyLen(maxMessageLength)
 	if !a.HasGroup(s.Group) {
 		return &ProtocolError{Code: outcome.CodeNoGroup, Message: fmt.Sprintf("no database group %q is declared", s.Group)}
 	}
@@ -272,7 +273,7 @@
 	}
 	msg, err := s.Backend.Receive()
 	if err != nil {
-		return none, err
+		return none, startupError(err)
 	}
 	m, ok := msg.(M)
 	if !ok {
