--- a/internal/connection/database/alive.go
+++ b/internal/connection/database/alive.go
@@ -33,17 +33,23 @@
 	if !c.Settled() || c.closed.Load() {
 		return false
 	}
-	peeked, open := c.peek(false)
+	var first [1]byte
+	waiting, open := c.peek(first[:])
 	if !open {
 		return false
 	}
-	if len(peeked) == 0 {
-		return true
-	}
-	if _, encrypted := c.net.(*tls.Conn); encrypted || !isAsync(peeked[0]) {
+	return waiting == 0 || isAsync(first[0]) && c.dropWaiting()
+}
+
+// dropWaiting reads the asynchronous messages that wait in the socket. It returns
+// false if anything else is there, or if the connection is encrypted.
+func (c *Conn) dropWaiting() bool {
+	if _, encrypted := c.net.(*tls.Conn); encrypted {
 		return false
 	}
-	if peeked, open = c.peek(true); !open || !wholeAsync(peeked) {
+	data := make([]byte, maxPeek)
+	waiting, open := c.peek(data)
+	if !open || !wholeAsync(data[:waiting]) {
 		return false
 	}
 	_ = c.net.SetReadDeadline(time.Now().Add(asyncReadTimeout))
@@ -128,46 +134,29 @@
 	return true
 }
 
-// peeking is one look at the data that waits in a socket.
-type peeking struct {
-	buffer []byte
-	first  [1]byte
-	n      int
-	err    error
-}
-
-// peek returns the data that waits in the socket, without reading it: up to
-// maxPeek bytes if all is set, otherwise at most one. It returns false if the
-// connection has ended. It does not block.
-func (c *Conn) peek(all bool) ([]byte, bool) {
+// peek fills buffer with data that waits in the socket, without reading it, and
+// returns its length. It returns false if the connection has ended. It does not
+// block.
+func (c *Conn) peek(buffer []byte) (int, bool) {
 	socket := c.net
 	if t, ok := socket.(*tls.Conn); ok {
 		socket = t.NetConn()
 	}
 	tcp, ok := socket.(*net.TCPConn)
 	if !ok {
-		return nil, true
+		return 0, true
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return nil, false
-	}
-	p := &peeking{}
-	p.buffer = p.first[:]
-	if all {
-		p.buffer = make([]byte, maxPeek)
+		return 0, false
 	}
+	waiting, open := 0, false
 	err = raw.Read(func(fd uintptr) bool {
-		p.n, _, p.err = syscall.Recvfrom(int(fd), p.buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		empty := err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		open = empty || err == nil && n > 0
+		waiting = max(n, 0)
 		return true
 	})
-	switch {
-	case err != nil:
-		return nil, false
-	case p.err == syscall.EAGAIN || p.err == syscall.EWOULDBLOCK:
-		return nil, true
-	case p.err != nil || p.n == 0:
-		return nil, false
-	}
-	return p.buffer[:p.n], true
+	return waiting, err == nil && open
 }
--- a/internal/connection/database/alive_test.go
+++ b/internal/connection/database/alive_test.go
@@ -15,7 +15,7 @@
 )
 
 // connPair returns a connection and the database's end of it.
-func connPair(t *testing.T, encrypted bool) (*Conn, net.Conn) {
+func connPair(t testing.TB, encrypted bool) (*Conn, net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
