Add a failing test of a write after a repeated BEGIN

The same with a write: it was committed though its caller was told ABORTED and never sent COMMIT (REFUSED, UNASKED).

TestWriteAfterASecondDeliveryOfABeginIsNotCommitted fails:

Error: []string{"WRITE a 2"} should not contain "WRITE a 2" Messages: the caller was answered aborted: the connection to database a was lost and sent ROLLBACK

--- /dev/null
+++ b/internal/connection/session/review_test.go
@@ -0,0 +1,44 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
+	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
+)
+
+func isBegin(o statement.Operation) bool { _, ok := o.(statement.Begin); return ok }
+
+// awaitQuietPool waits until the status that follows the opening of a connection was served.
+func awaitQuietPool(t *testing.T, d *memoryDatabase, g *backend.GroupClient) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.statuses > 0 && g.Pool("a").Stats().Idle == 1
+	}, time.Second, time.Millisecond)
+}
+
+// The same with a write: it was committed though its caller was told ABORTED and never sent
+// COMMIT (REFUSED, UNASKED).
+func TestWriteAfterASecondDeliveryOfABeginIsNotCommitted(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	d.repeatOnce(isBegin, repetition{before: isBegin, slow: true})
+	requireServed(t, s, "begin-1", statement.Begin{})
+	requireServed(t, s, "read-1", statement.Read{Text: "READ a"})
+	requireServed(t, s, "end-1", statement.Rollback{})
+	awaitQuietPool(t, d, g)
+	d.failOnce(isBegin, statement.CodeBusy)
+	requireServed(t, s, "begin-2", statement.Begin{})
+	f := s.request("write-2", statement.Write{Text: "WRITE a 2"})
+	t.Log("answer:", f)
+	requireServed(t, s, "end-2", statement.Rollback{})
+	require.NotContains(t, d.commits(), "WRITE a 2", "the caller was answered %v and sent ROLLBACK", f)
+}
