Add a failing test of a read after a repeated BEGIN

A BEGIN that failed with LAGGING, READONLY or BUSY was answered with the second delivery of an earlier BEGIN: its first statement ran outside a transaction (PINNED).

TestStatementAfterASecondDeliveryOfABeginRunsInItsTransaction fails:

Error: Should be true Messages: read-2 ran outside its transaction Error: Should be true Messages: read-2 ran outside its transaction Error: Should be true Messages: read-2 ran outside its transaction

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -23,6 +23,34 @@
 	}, time.Second, time.Millisecond)
 }
 
+// A BEGIN that failed with LAGGING, READONLY or BUSY was answered with the second delivery
+// of an earlier BEGIN: its first statement ran outside a transaction (PINNED).
+func TestStatementAfterASecondDeliveryOfABeginRunsInItsTransaction(t *testing.T) {
+	for name, c := range map[string]struct {
+		readOnly bool
+		code     statement.Code
+	}{"LAGGING": {true, statement.CodeLagging}, "READONLY": {false, statement.CodeReadOnly}, "BUSY": {false, statement.CodeBusy}} {
+		t.Run(name, func(t *testing.T) {
+			d := &memoryDatabase{}
+			g := newMemoryGroup(t, d)
+			g.SetMaxOpen(1)
+			s := newMemorySession(g, 1, routes.BoundedAge)
+			d.repeatOnce(isBegin, repetition{before: isBegin, slow: true})
+			requireServed(t, s, "begin-1", statement.Begin{ReadOnly: c.readOnly})
+			requireServed(t, s, "read-1", statement.Read{Text: "READ a"})
+			requireServed(t, s, "end-1", statement.Rollback{})
+			awaitQuietPool(t, d, g)
+			d.failOnce(isBegin, c.code)
+			requireServed(t, s, "begin-2", statement.Begin{ReadOnly: c.readOnly})
+			f := s.request("read-2", statement.Read{Text: "READ a"})
+			t.Log("answer:", f)
+			for _, r := range d.runs("read-2") {
+				require.True(t, r.inTransaction, "read-2 ran outside its transaction")
+			}
+		})
+	}
+}
+
 // The same with a write: it was committed though its caller was told ABORTED and never sent
 // COMMIT (REFUSED, UNASKED).
 func TestWriteAfterASecondDeliveryOfABeginIsNotCommitted(t *testing.T) {
