Add a failing test of a repeated ROLLBACK

A ROLLBACK that failed was answered with the second delivery of an earlier success: its connection went to another session with the transaction open (PINNED).

TestSecondDeliveryOfARollbackLeavesNoTransactionToOthers fails:

Error: Should be false Messages: other ran in transaction begin-2

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -70,3 +70,26 @@
 	requireServed(t, s, "end-2", statement.Rollback{})
 	require.NotContains(t, d.commits(), "WRITE a 2", "the caller was answered %v and sent ROLLBACK", f)
 }
+
+// A ROLLBACK that failed was answered with the second delivery of an earlier success: its
+// connection went to another session with the transaction open (PINNED).
+func TestSecondDeliveryOfARollbackLeavesNoTransactionToOthers(t *testing.T) {
+	d := &memoryDatabase{keepOpen: true}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	first, second := newMemorySession(g, 1, routes.BoundedAge), newMemorySession(g, 2, routes.BoundedAge)
+	d.repeatOnce(isRollback, repetition{before: isRollback, slow: true})
+	requireServed(t, first, "begin-1", statement.Begin{ReadOnly: true})
+	requireServed(t, first, "read-1", statement.Read{Text: "READ a"})
+	requireServed(t, first, "end-1", statement.Rollback{})
+	awaitQuietPool(t, d, g)
+	requireServed(t, first, "begin-2", statement.Begin{ReadOnly: true})
+	requireServed(t, first, "read-2", statement.Read{Text: "READ a"})
+	d.failOnce(isRollback, statement.CodeBusy)
+	requireServed(t, first, "end-2", statement.Rollback{})
+	f := second.request("other", statement.Read{Text: "READ a"})
+	t.Log("answer:", f)
+	for _, r := range d.runs("other") {
+		require.False(t, r.inTransaction, "other ran in transaction %s", r.transaction)
+	}
+}
