Add a failing test of a signature after 128 others

After 128 answers, a second delivery of a signed one was the answer to a read (MIXED).

TestSignatureIsRememberedForLong fails:

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,22 @@
 		require.False(t, r.inTransaction, "other ran in transaction %s", r.transaction)
 	}
 }
+
+// After 128 answers, a second delivery of a signed one was the answer to a read (MIXED).
+func TestSignatureIsRememberedForLong(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	require.True(t, requireOwnRow(t, s, "first"))
+	left := 140
+	d.repeatOnce(isRead, repetition{slow: true, before: func(o statement.Operation) bool {
+		if isRead(o) {
+			left--
+		}
+		return left == 0
+	}})
+	for i := range 150 {
+		requireOwnRow(t, s, fmt.Sprint("read-", i))
+	}
+}
