Add a failing test of a failure that is forgotten too early

Only the first of equal answers was remembered: after 128 others, one that had just been delivered was new, and a write that ran was answered with it and ran again (TWICE).

TestRecentFailureIsRemembered fails:

Error: "2" is not less than or equal to "1" Messages: answered <nil>

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -95,6 +95,31 @@
 	}
 }
 
+// Only the first of equal answers was remembered: after 128 others, one that had just been
+// delivered was new, and a write that ran was answered with it and ran again (TWICE).
+func TestRecentFailureIsRemembered(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	d.failOnce(isRead, statement.CodeBusy)
+	require.True(t, requireOwnRow(t, s, "first"))
+	for i := range 120 {
+		require.True(t, requireOwnRow(t, s, fmt.Sprint("before-", i)))
+	}
+	// The same failure again, which arrives a second time 11 answers later.
+	d.failOnce(isRead, statement.CodeBusy)
+	d.repeatOnce(isRead, repetition{before: isWrite, slow: true})
+	for i := range 10 {
+		require.True(t, requireOwnRow(t, s, fmt.Sprint("after-", i)))
+	}
+	f := s.request("write", statement.Write{Text: "WRITE a 1"})
+	require.LessOrEqual(t, len(d.commits()), 1, "answered %v", f)
+	if f != nil {
+		require.Equal(t, statement.CodeInDoubt, f.Code)
+	}
+}
+
 // After 128 answers, a second delivery of a signed one was the answer to a read (MIXED).
 func TestSignatureIsRememberedForLong(t *testing.T) {
 	d := &memoryDatabase{}
