Add a failing test of whether a log has a commit

The answer of a request before was taken for that to the BEGIN that tells whether a log has a commit: the caller was told ABORTED for a commit that is kept (REFUSED), or success for one that is not.

TestSecondDeliveryDoesNotTellWhetherALogHasACommit fails:

Error: An error is expected but got nil. Messages: contained: false Error: An error is expected but got nil. Messages: contained: true

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
 func isBegin(o statement.Operation) bool { _, ok := o.(statement.Begin); return ok }
@@ -138,3 +139,33 @@
 		requireOwnRow(t, s, fmt.Sprint("read-", i))
 	}
 }
+
+// The answer of a request before was taken for that to the BEGIN that tells whether a log
+// has a commit: the caller was told ABORTED for a commit that is kept (REFUSED), or success
+// for one that is not.
+func TestSecondDeliveryDoesNotTellWhetherALogHasACommit(t *testing.T) {
+	for name, code := range map[string]statement.Code{"LAGGING": statement.CodeLagging, "success": 0} {
+		t.Run(name, func(t *testing.T) {
+			d := &memoryDatabase{}
+			g := newMemoryGroup(t, d)
+			g.SetMaxOpen(1)
+			s := newMemorySession(g, 1, routes.Primary)
+			m, ok := g.Primary()
+			require.True(t, ok)
+			contains := func() (bool, error) {
+				return s.logContains(g, m, position.Position{Term: 1}, s.Clock.Now().Add(1000))
+			}
+			if code != 0 {
+				d.failOnce(isBegin, code)
+			}
+			d.repeatOnce(isBegin, repetition{before: isBegin, slow: true})
+			_, err := contains()
+			require.NoError(t, err)
+			awaitQuietPool(t, d, g)
+			// This one is not told.
+			d.failOnce(isBegin, statement.CodeBusy)
+			contained, err := contains()
+			require.Error(t, err, "contained: %v", contained)
+		})
+	}
+}
