Add a failing test of a repeated status ahead of a read

The row of a status that goes ahead of a read was a second delivery, and the read failed with the BUSY of the status: the row was taken for proof of the lead (STALE).

TestSecondDeliveryOfAStatusAheadOfAReadIsNoProof fails:

Error: Not equal: expected: 1979206 actual : 1979210 Messages: a database that does not lead is proved to lead

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
 	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
@@ -140,6 +141,29 @@
 	}
 }
 
+// The row of a status that goes ahead of a read was a second delivery, and the read failed
+// with the BUSY of the status: the row was taken for proof of the lead (STALE).
+func TestSecondDeliveryOfAStatusAheadOfAReadIsNoProof(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.Primary)
+	require.True(t, requireOwnRow(t, s, "first"))
+	awaitQuietPool(t, d, g)
+	d.repeatOnce(isStatus, repetition{before: isStatus, slow: true})
+	_, err := g.Command("a", statement.Status{}, clock.Second)
+	require.NoError(t, err)
+	d.mu.Lock()
+	d.replica = true
+	d.mu.Unlock()
+	d.failOnce(isStatus, statement.CodeBusy)
+	backend.Sleep(3)
+	led := g.LedAt()
+	f := s.request("second", statement.Read{Text: "READ a"})
+	require.NotNil(t, f, "a read of a primary route was served by a replica")
+	require.Equal(t, led, g.LedAt(), "a database that does not lead is proved to lead")
+}
+
 // The answer of a request before was taken for that to the BEGIN that tells whether a log
 // has a commit: the caller was told ABORTED for a commit that is kept (REFUSED), or success
 // for one that is not.
