Add a failing test of a SET in a transaction

A SET in a transaction that failed with BUSY was answered with the second delivery of the BEGIN: the next statement ran without the acknowledged value (PINNED).

TestSecondDeliveryOfABeginDoesNotSetAValue fails:

Error: Not equal: expected: "SET tag own" actual : ""

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// A SET in a transaction that failed with BUSY was answered with the second delivery of the
+// BEGIN: the next statement ran without the acknowledged value (PINNED).
+func TestSecondDeliveryOfABeginDoesNotSetAValue(t *testing.T) {
+	d := &memoryDatabase{keepOpen: true}
+	g := newMemoryGroup(t, d)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	d.repeatOnce(isBegin, repetition{before: isSet, slow: true})
+	requireServed(t, s, "begin-1", statement.Begin{ReadOnly: true})
+	requireServed(t, s, "read-1", statement.Read{Text: "READ a"})
+	d.failOnce(isSet, statement.CodeBusy)
+	if f := s.request("set", statement.Set{Name: "tag", Text: "SET tag own"}); f != nil {
+		return
+	}
+	f := s.request("read-2", statement.Read{Text: "READ a"})
+	t.Log("answer:", f)
+	for _, r := range d.runs("read-2") {
+		require.Equal(t, "SET tag own", r.values["tag"])
+	}
+}
+
 // Only the first of equal answers was remembered: after 128 others, one that had just been
 // delivered was new, and a write that ran was answered with it and ran again (TWICE).
 func TestRecentFailureIsRemembered(t *testing.T) {
