Add a failing test of a repeated fence

A fence was passed with second deliveries of an earlier fence: a write that ran was answered with an earlier BUSY and ran again (TWICE). Three repeated answers.

TestSecondDeliveryOfAFenceDoesNotVerify fails:

Error: "2" is not less than or equal to "1" Messages: answered <nil>

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -213,3 +213,50 @@
 		})
 	}
 }
+
+// A fence was passed with second deliveries of an earlier fence: a write that ran was
+// answered with an earlier BUSY and ran again (TWICE). Three repeated answers.
+func TestSecondDeliveryOfAFenceDoesNotVerify(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.Primary)
+	require.True(t, requireOwnRow(t, s, "first"))
+	awaitQuietPool(t, d, g)
+	armed := false
+	late := repetition{before: func(o statement.Operation) bool { return armed && isWrite(o) }, slow: true}
+	// BUSY, which is repeated late.
+	d.failOnce(isRead, statement.CodeBusy)
+	d.repeatOnce(isRead, late)
+	require.True(t, requireOwnRow(t, s, "read"))
+	// A status that equals an earlier one and is followed by a fence, whose two answers are
+	// repeated late too.
+	d.mu.Lock()
+	d.repeat = func(o statement.Operation, _ *statement.Answer) repetition {
+		if isBegin(o) || isRollback(o) {
+			return late
+		}
+		return repetition{}
+	}
+	before := d.fences
+	d.mu.Unlock()
+	_, err := g.Command("a", statement.Status{}, clock.Second)
+	require.NoError(t, err)
+	d.mu.Lock()
+	d.repeat = nil
+	fences := d.fences
+	d.mu.Unlock()
+	require.Equal(t, before+1, fences)
+	armed = true
+	f := s.request("write-2", statement.Write{Text: "WRITE a 2"})
+	kept := 0
+	for _, text := range d.commits() {
+		if text == "WRITE a 2" {
+			kept++
+		}
+	}
+	require.LessOrEqual(t, kept, 1, "answered %v", f)
+	if f != nil && f.Code != statement.CodeInDoubt {
+		require.Zero(t, kept, "answered %v", f)
+	}
+}
