Add a failing test of a slow status that equals an earlier one

A primary that answers each status within its limit counted as failing, because its row was the same as before and there was no time left to verify it.

TestSlowStatusThatEqualsAnEarlierOneIsAnAnswer fails:

Error: Should be zero, but was 1983290 Messages: command: context deadline exceeded

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -1,13 +1,17 @@
 package session
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
+	"github.com/oleanderflow/oleanderflow/internal/process/database"
+	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -214,6 +218,56 @@
 	}
 }
 
+// delayedDialer delays each exchange.
+type delayedDialer struct {
+	backend.Dialer
+	delay *time.Duration
+}
+
+type delayedConn struct {
+	backend.Conn
+	delay *time.Duration
+}
+
+func (d delayedDialer) Dial(ctx context.Context, to backend.Target) (backend.Conn, statement.Answer, error) {
+	c, a, err := d.Dialer.Dial(ctx, to)
+	return &delayedConn{c, d.delay}, a, err
+}
+
+func (c *delayedConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+	if *c.delay > limit.Std() {
+		time.Sleep(max(limit.Std(), 0))
+		return 0, context.DeadlineExceeded
+	}
+	time.Sleep(*c.delay)
+	return c.Conn.Exchange(limit, requests, answers)
+}
+
+func newGroupOf(t *testing.T, dialer backend.Dialer) *backend.GroupClient {
+	c := clock.NewBoot()
+	g := backend.NewGroupClient("shop", "z", backend.DefaultSettings(), dialer, c, zap.NewNop(), func() {})
+	g.Update(group.Entry{ID: "a", Group: "shop", Address: "a", Slots: 4, Role: database.RolePrimary})
+	now := c.Now()
+	g.ObserveStatus("a", now, now, database.Status{Role: database.RolePrimary, Term: 1})
+	t.Cleanup(g.Close)
+	return g
+}
+
+// A primary that answers each status within its limit counted as failing, because its row
+// was the same as before and there was no time left to verify it.
+func TestSlowStatusThatEqualsAnEarlierOneIsAnAnswer(t *testing.T) {
+	delay := time.Duration(0)
+	g := newGroupOf(t, delayedDialer{&memoryDatabase{}, &delay})
+	g.SetMaxOpen(1)
+	_, err := g.Command("a", statement.Status{}, clock.Second)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return g.Pool("a").Stats().Idle == 1 }, time.Second, time.Millisecond)
+	backend.Sleep(20)
+	delay = 250 * time.Millisecond
+	_, err = g.Command("a", statement.Status{}, 400)
+	require.Zero(t, g.Members()[0].FailingSince, "command: %v", err)
+}
+
 // A fence was passed with second deliveries of an earlier fence: a write that ran was
 // answered with an earlier BUSY and ran again (TWICE). Three repeated answers.
 func TestSecondDeliveryOfAFenceDoesNotVerify(t *testing.T) {
