Add a failing test of unread bytes of a silent database

Bytes that were there to read before a database fell silent counted as an answer of now.

TestBytesOfBeforeAreNoAnswerOfNow fails:

Error: Should not be zero, but was 0 Messages: nothing was sent to the database, and it counts as answering

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -268,6 +268,21 @@
 	require.Zero(t, g.Members()[0].FailingSince, "command: %v", err)
 }
 
+// Bytes that were there to read before a database fell silent counted as an answer of now.
+func TestBytesOfBeforeAreNoAnswerOfNow(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	requireServed(t, s, "begin", statement.Begin{ReadOnly: true})
+	requireServed(t, s, "read-1", statement.Read{Text: "READ a"})
+	d.repeatOnce(isRead, repetition{before: isAny, unread: true})
+	requireServed(t, s, "read-2", statement.Read{Text: "READ a"})
+	backend.Sleep(5)
+	require.True(t, g.RecordFailure("a", s.Clock.Now()))
+	require.NotNil(t, s.request("read-3", statement.Read{Text: "READ a"}))
+	require.NotZero(t, g.Members()[0].FailingSince, "nothing was sent to the database, and it counts as answering")
+}
+
 // A fence was passed with second deliveries of an earlier fence: a write that ran was
 // answered with an earlier BUSY and ran again (TWICE). Three repeated answers.
 func TestSecondDeliveryOfAFenceDoesNotVerify(t *testing.T) {
