Add a failing test of a database that is busy

A BUSY that equals an earlier one was no answer of the database, which counted as failing.

TestBusyDatabaseCountsAsAnswering fails:

Error: Should be zero, but was 1986178 Messages: the database has answered BUSY

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -329,3 +329,25 @@
 		require.Zero(t, kept, "answered %v", f)
 	}
 }
+
+// A BUSY that equals an earlier one was no answer of the database, which counted as failing.
+func TestBusyDatabaseCountsAsAnswering(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	require.True(t, requireOwnRow(t, s, "first"))
+	awaitQuietPool(t, d, g)
+	d.setFail(func(o statement.Operation) *statement.Failure {
+		if isRead(o) {
+			return &statement.Failure{Code: statement.CodeBusy, Text: "a"}
+		}
+		return nil
+	})
+	require.False(t, requireOwnRow(t, s, "busy-1"))
+	backend.Sleep(2)
+	g.RecordFailure("a", s.Clock.Now())
+	backend.Sleep(2)
+	require.False(t, requireOwnRow(t, s, "busy-2"))
+	require.Zero(t, g.Members()[0].FailingSince, "the database has answered BUSY")
+}
