Add a failing test of a write that was not sent

A write that was not sent, because bytes arrived between the two probes, was in doubt.

TestWriteThatWasNotSentIsNotInDoubt fails:

Error: Should not be: 0xb Messages: nothing was sent: []

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -351,3 +351,49 @@
 	require.False(t, requireOwnRow(t, s, "busy-2"))
 	require.Zero(t, g.Members()[0].FailingSince, "the database has answered BUSY")
 }
+
+// lateConn finds unread bytes only in the second probe of a request.
+type lateConn struct {
+	backend.Conn
+	armed *bool
+	bytes int
+}
+
+type lateDialer struct {
+	backend.Dialer
+	armed *bool
+}
+
+func (d lateDialer) Dial(ctx context.Context, to backend.Target) (backend.Conn, statement.Answer, error) {
+	c, a, err := d.Dialer.Dial(ctx, to)
+	return &lateConn{Conn: c, armed: d.armed}, a, err
+}
+
+func (c *lateConn) Check(requests []statement.Request) error {
+	if _, writes := requests[0].Operation.(statement.Write); writes && *c.armed {
+		*c.armed = false
+		c.bytes = 9
+		backend.Sleep(2)
+	}
+	return c.Conn.Check(requests)
+}
+
+func (c *lateConn) Unread() (int, error) {
+	if c.bytes > 0 {
+		return c.bytes, nil
+	}
+	return c.Conn.Unread()
+}
+
+// A write that was not sent, because bytes arrived between the two probes, was in doubt.
+func TestWriteThatWasNotSentIsNotInDoubt(t *testing.T) {
+	armed := true
+	d := &memoryDatabase{}
+	g := newGroupOf(t, lateDialer{d, &armed})
+	s := newMemorySession(g, 1, routes.Primary)
+	f := s.request("write", statement.Write{Text: "WRITE a 1"})
+	require.False(t, armed)
+	if f != nil {
+		require.NotEqual(t, statement.CodeInDoubt, f.Code, "nothing was sent: %v", d.commits())
+	}
+}
