Add a failing test of a repeated greeting

Connections with unread bytes were replaced without a pause.

TestDatabaseThatRepeatsItsGreetingIsNotDialedWithoutAPause fails:

Error: "605" is not less than or equal to "40" Messages: within a request of 400ms

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -283,6 +283,26 @@
 	require.NotZero(t, g.Members()[0].FailingSince, "nothing was sent to the database, and it counts as answering")
 }
 
+// greetingTwice delivers its greeting twice.
+type greetingTwice struct{ *memoryDatabase }
+
+func (d greetingTwice) Dial(ctx context.Context, to backend.Target) (backend.Conn, statement.Answer, error) {
+	time.Sleep(time.Millisecond)
+	c, a, err := d.memoryDatabase.Dial(ctx, to)
+	c.(*memoryConn).arrived = append(c.(*memoryConn).arrived, statement.Answer{})
+	return c, a, err
+}
+
+// Connections with unread bytes were replaced without a pause.
+func TestDatabaseThatRepeatsItsGreetingIsNotDialedWithoutAPause(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newGroupOf(t, greetingTwice{d})
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	f := s.request("read", statement.Read{Text: "READ a"})
+	require.NotNil(t, f)
+	require.LessOrEqual(t, d.dialCount(), 40, "within a request of %v", 400*time.Millisecond)
+}
+
 // A fence was passed with second deliveries of an earlier fence: a write that ran was
 // answered with an earlier BUSY and ran again (TWICE). Three repeated answers.
 func TestSecondDeliveryOfAFenceDoesNotVerify(t *testing.T) {
