Leave a write in doubt that may have run outside its transaction

Behind a second delivery of COMPLETE - to an earlier BEGIN, taken for the answer to a BEGIN that failed, the transaction's first write ran for itself and was committed. The state of its answer tells, but its caller was told ABORTED, a promise that nothing is kept. It is INDOUBT now, and so is a COMMIT after it.

--- a/internal/connection/backend/fence.go
+++ b/internal/connection/backend/fence.go
@@ -18,6 +18,9 @@
 // Ambiguous reports whether the last answer may be a repetition of an earlier one.
 func (c *PooledConn) Ambiguous() bool { return c.ambiguous }
 
+// Aligned reports whether the next answer is known to be that of the next request.
+func (c *PooledConn) Aligned() bool { return c.answers.alignment == aligned }
+
 // Verify returns an error, with which the connection must not be used any more, if an
 // answer on the connection was a repetition of an earlier one. It costs a round trip if
 // that is possible. No transaction may be open.
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
@@ -24,6 +25,8 @@
 	answered exchangeOutcome = iota
 	// unanswered means that the request was sent but its answer is missing.
 	unanswered
+	// misanswered means that the request was sent and an answer of another one was read.
+	misanswered
 	// notSent means that the request was not sent, since the connection cannot be used.
 	notSent
 )
@@ -68,6 +71,10 @@
 	if err != nil {
 		p.Latency.Abandon(now, now.Sub(sent), unansweredPause)
 		g.RecordExchangeError(p.ID, sent, err)
+		var unexpected *backend.UnexpectedAnswerError
+		if errors.As(err, &unexpected) {
+			return misanswered
+		}
 		return unanswered
 	}
 	p.Latency.End(now, now.Sub(sent))
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -177,7 +177,7 @@
 			c.Discard()
 			cause = m.ID + ": the connection cannot be used"
 			continue
-		case unanswered:
+		case unanswered, misanswered:
 			c.Discard()
 			cause = m.ID + " has not answered"
 			exclude = append(exclude, m.ID)
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -130,8 +130,14 @@
 func (s *Session) exchangeInTransaction(g *backend.GroupClient, r *statement.Request, deadline clock.Time) bool {
 	t := s.tx
 	for tries := 0; ; tries++ {
-		if s.exchange(g, t.conn, t.pool, r, s.attemptTimeout(t.pool, deadline)) != answered {
-			t.abort(&statement.Failure{Code: statement.CodeAborted, Text: "the connection to database " + t.pool.ID + " was lost"})
+		aligned := t.conn.Aligned()
+		if outcome := s.exchange(g, t.conn, t.pool, r, s.attemptTimeout(t.pool, deadline)); outcome != answered {
+			f := &statement.Failure{Code: statement.CodeAborted, Text: "the connection to database " + t.pool.ID + " was lost"}
+			if outcome == misanswered && !aligned && s.writes(r) {
+				// BEGIN may have failed, and the statement has run for itself then.
+				f = &statement.Failure{Code: statement.CodeInDoubt, Text: "database " + t.pool.ID + " has mixed up its answers"}
+			}
+			t.abort(f)
 			s.answer.Reset()
 			s.answer.Failure = t.failure
 			return false
@@ -291,9 +297,12 @@
 		s.rollback(g, r, deadline)
 	case t.failure != nil:
 		// A rollback that fails closes the connection and forgets the failure.
-		reason := t.failure.Text
+		reason, code := t.failure.Text, statement.CodeAborted
+		if t.failure.Code == statement.CodeInDoubt {
+			code = statement.CodeInDoubt
+		}
 		s.rollback(g, &statement.Request{Operation: statement.Rollback{}}, deadline)
-		s.fail(statement.CodeAborted, "the transaction had failed: "+reason)
+		s.fail(code, "the transaction had failed: "+reason)
 	default:
 		s.commit(g, r, deadline)
 	}
@@ -338,7 +347,7 @@
 	for tries := 0; ; tries++ {
 		if outcome := s.exchange(g, t.conn, t.pool, r, deadline.Sub(s.Clock.Now())); outcome != answered {
 			t.abort(nil)
-			if outcome == unanswered && t.wrote {
+			if outcome != notSent && t.wrote {
 				s.fail(statement.CodeInDoubt, "the answer to COMMIT of database "+t.pool.ID+" is missing")
 				return
 			}
--- a/internal/connection/session/transaction_test.go
+++ b/internal/connection/session/transaction_test.go
@@ -48,3 +48,24 @@
 	require.NotNil(t, f)
 	require.Equal(t, statement.CodeAborted, f.Code)
 }
+
+// After the second answer to an earlier BEGIN, a write ran outside a transaction, was
+// committed, and its caller was told ABORTED (REFUSED).
+func TestWriteBehindASecondDeliveryOfABeginIsInDoubt(t *testing.T) {
+	isBegin := func(o statement.Operation) bool { _, ok := o.(statement.Begin); return ok }
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	d.repeatOnce(isBegin, repetition{before: isBegin, slow: true})
+	requireServed(t, s, "begin-1", statement.Begin{})
+	requireServed(t, s, "read-1", statement.Read{Text: "READ a"})
+	requireServed(t, s, "end-1", statement.Rollback{})
+	d.failOnce(isBegin, statement.CodeBusy)
+	requireServed(t, s, "begin-2", statement.Begin{})
+	f := s.request("write-2", statement.Write{Text: "WRITE a b"})
+	if len(d.commits()) > 0 {
+		require.NotNil(t, f)
+		require.Equal(t, statement.CodeInDoubt, f.Code)
+	}
+}
--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -55,7 +55,7 @@
 		}
 		sent := s.Clock.Now()
 		switch s.exchange(g, c, p, r, deadline.Sub(sent)) {
-		case unanswered:
+		case unanswered, misanswered:
 			c.Discard()
 			s.fail(statement.CodeInDoubt, "the answer of database "+p.ID+" is missing")
 			return
