Verify BEGIN, ROLLBACK and SET in a transaction in the write that sends them

After a second delivery of COMPLETE - to an earlier BEGIN, taken for the answer to one that had failed, the first statement ran outside its transaction; a write was committed for itself. A ROLLBACK that failed left its transaction to the connection's next session, and a SET that failed let the next statement run without its value.

The success of these three equals that of others before it, and the statement after it is sent before anything can tell. PREPARE and DEALLOCATE of a name of the proxy's own occupy no slot and are allowed in a transaction. They follow BEGIN, on a connection that has begun one before, and SET in a transaction in the same write. If an answer before them was a repetition, the failure is read as the answer to one of them. ROLLBACK is followed by BEGIN READ and ROLLBACK. No round trip is added.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -155,21 +155,27 @@
 // it panics, for example over an answer that nobody expected, the connection counts as
 // broken. After an error the answers are empty.
 func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+	var before fence
 	if c.answers.alignment == unknown && c.answers.state == statement.Idle {
-		return c.exchangeFenced(limit, requests, answers, 0)
+		before = idleFence
 	}
-	return c.exchange(limit, requests, answers, noFence)
+	after := c.answers.fenceAfter(requests[len(requests)-1].Operation)
+	if before == nil && after == nil {
+		return c.exchange(limit, requests, answers, 0, len(requests))
+	}
+	return c.exchangeFenced(limit, requests, answers, before, after)
 }
 
-// exchange is Exchange for requests that include a fence, which begins at the given index.
-func (c *PooledConn) exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer, fence int) (int, error) {
+// exchange is Exchange for requests that include fences: those before begin and those from
+// end on.
+func (c *PooledConn) exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer, begin, end int) (int, error) {
 	if err := c.Probe(); err != nil {
 		return 0, err
 	}
 	c.probedAt = 0
 	n, err := c.exchangeContained(limit, requests, answers)
 	if err == nil {
-		err = c.check(requests, answers, fence)
+		err = c.check(requests, answers, begin, end)
 	}
 	if err == nil {
 		return n, nil
@@ -191,15 +197,19 @@
 }
 
 // check returns an *UnexpectedAnswerError if an answer cannot be that of its request.
-func (c *PooledConn) check(requests []statement.Request, answers []statement.Answer, fence int) error {
+func (c *PooledConn) check(requests []statement.Request, answers []statement.Answer, begin, end int) error {
 	last := len(requests) - 1
 	for i := range requests {
 		var fault AnswerFault
-		if i == fence && i > 0 {
+		if i == end {
+			if _, ok := requests[i-1].Operation.(statement.Rollback); ok && c.answers.state != statement.Idle {
+				// It failed, and Release closes the connection.
+				break
+			}
 			c.fencesStatus = c.ambiguous
 		}
 		fault, c.ambiguous = c.answers.observe(&requests[i], &answers[i])
-		if fence != noFence && i >= fence && i < fence+len(fenceRequests) {
+		if i < begin || i >= end {
 			if fault == FaultNone && answers[i].Failure != nil {
 				fault = FaultFence
 			}
--- a/internal/connection/backend/fence.go
+++ b/internal/connection/backend/fence.go
@@ -7,13 +7,42 @@
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
-// noFence is the index of the fence in an exchange without one.
-const noFence = -1
+// fence is requests of the proxy itself that occupy no slot of the database. They follow
+// others in the same write, and all succeed. If an answer before them was a repetition, the
+// answers to them are others.
+type fence []statement.Request
 
-// fenceRequests is a fence: requests that occupy no slot of the database, and whose
-// answers differ in their states from each other and from what may come before. If an
-// answer before them was a repetition, the answers to them are others.
-var fenceRequests = [...]statement.Request{{Operation: statement.Begin{ReadOnly: true}}, {Operation: statement.Rollback{}}}
+// idleFenceSize is the number of requests of idleFence.
+const idleFenceSize = 2
+
+var (
+	// idleFence is the fence outside a transaction: its answers differ in their states.
+	idleFence = fence{{Operation: statement.Begin{ReadOnly: true}}, {Operation: statement.Rollback{}}}
+	// openFence is the fence where a transaction may be open. It leaves the transaction and
+	// the prepared statements as they are.
+	openFence = fence{
+		{Operation: statement.Prepare{Name: "fence", Shape: "fence"}},
+		{Operation: statement.Deallocate{Name: "fence", Text: "DEALLOCATE fence"}},
+	}
+)
+
+// fenceAfter returns the fence to send with a request, nil if there is none: its success
+// may be a repetition, and the next request must not be sent then.
+func (s *answerSequence) fenceAfter(o statement.Operation) fence {
+	switch o.(type) {
+	case statement.Begin:
+		if s.begun {
+			return openFence
+		}
+	case statement.Set:
+		if s.state == statement.InTransaction {
+			return openFence
+		}
+	case statement.Rollback:
+		return idleFence
+	}
+	return nil
+}
 
 // Ambiguous reports whether the last answer may be a repetition of an earlier one.
 func (c *PooledConn) Ambiguous() bool { return c.ambiguous }
@@ -28,7 +57,7 @@
 	if !c.ambiguous && c.answers.alignment == aligned {
 		return nil
 	}
-	_, err := c.exchangeFenced(limit, nil, nil, 0)
+	_, err := c.exchangeFenced(limit, nil, nil, idleFence, nil)
 	return err
 }
 
@@ -37,9 +66,9 @@
 // other round trip.
 func (c *PooledConn) ExchangeVerified(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
 	if len(requests) == 1 && !c.answers.unsigned && c.answers.alignment == aligned {
-		return c.exchange(limit, requests, answers, noFence)
+		return c.exchange(limit, requests, answers, 0, len(requests))
 	}
-	return c.exchangeFenced(limit, requests, answers, len(requests))
+	return c.exchangeFenced(limit, requests, answers, nil, idleFence)
 }
 
 // exchangeStatus sends the first of x's requests, which is answered with a status, and
@@ -57,18 +86,19 @@
 		}
 		return c.Verify(limit - c.pool.clock.Now().Sub(began))
 	}
-	copy(x.requests[1:], fenceRequests[:])
-	_, err := c.exchange(limit, x.requests[:], x.answers[:], 1)
+	copy(x.requests[1:], idleFence)
+	_, err := c.exchange(limit, x.requests[:], x.answers[:], 0, 1)
 	return err
 }
 
-// exchangeFenced is Exchange with a fence before the request at the given index.
-func (c *PooledConn) exchangeFenced(limit clock.Duration, requests []statement.Request, answers []statement.Answer, at int) (int, error) {
-	fenced := slices.Insert(slices.Clone(requests), at, fenceRequests[:]...)
-	received := slices.Insert(slices.Clone(answers), at, make([]statement.Answer, len(fenceRequests))...)
-	_, err := c.exchange(limit, fenced, received, at)
-	copy(answers, received[:at])
-	copy(answers[at:], received[at+len(fenceRequests):])
+// exchangeFenced is Exchange with fences before and after the requests.
+func (c *PooledConn) exchangeFenced(limit clock.Duration, requests []statement.Request, answers []statement.Answer, before, after fence) (int, error) {
+	begin, end := len(before), len(before)+len(requests)
+	fenced := slices.Concat(before, requests, after)
+	received := make([]statement.Answer, len(fenced))
+	copy(received[begin:], answers)
+	_, err := c.exchange(limit, fenced, received, begin, end)
+	copy(answers, received[begin:end])
 	if err != nil {
 		return 0, err
 	}
