Remember answers of a connection for longer, and unsigned ones since their last delivery

A signed answer that arrived again after 128 others was the answer to a read, and a BUSY that had just been delivered again was new if its first delivery was 128 answers ago: a write that ran was told BUSY and ran twice. The last 512 signatures are remembered now, and apart from them the last 64 different answers without one.

TestSignatureIsRememberedForLong and TestRecentFailureIsRemembered failed before and pass.

--- a/internal/connection/backend/answer_sequence.go
+++ b/internal/connection/backend/answer_sequence.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"math/bits"
+	"slices"
 
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/pkg/position"
@@ -51,8 +52,11 @@
 	return "invalid"
 }
 
-// rememberedAnswers is how many answers of a connection are told from a repetition.
-const rememberedAnswers = 128
+// How many answers of a connection are told from a repetition.
+const (
+	rememberedAnswers  = 512
+	rememberedUnsigned = 64
+)
 
 var answerSeed = maphash.MakeSeed()
 
@@ -75,10 +79,12 @@
 	state statement.State
 	// position is the highest position of an answer.
 	position position.Position
-	// delivered holds the hashes of the last answers that differ; the oldest is replaced
-	// at next.
-	delivered [rememberedAnswers]uint64
-	next      int
+	// signatures holds the hashes of the last signatures; the oldest is replaced at next.
+	signatures [rememberedAnswers]uint64
+	next       int
+	// others holds the hashes of the last different answers without a signature, the last
+	// one first.
+	others    [rememberedUnsigned]uint64
 	alignment alignment
 	// unsigned is set once an answer without a signature was delivered.
 	unsigned bool
@@ -93,7 +99,7 @@
 	signed := len(a.Signature) > 0
 	fault = s.fault(r, a, signed)
 	if fault == FaultNone {
-		seen := s.deliver(fingerprint(a, signed))
+		seen := s.deliver(fingerprint(a, signed), signed)
 		if signed && seen {
 			fault = FaultRepeated
 		}
@@ -215,13 +221,21 @@
 }
 
 // deliver remembers an answer and reports whether an equal one is remembered already.
-func (s *answerSequence) deliver(h uint64) bool {
-	for _, d := range s.delivered {
-		if d == h {
+func (s *answerSequence) deliver(h uint64, signed bool) bool {
+	if signed {
+		if slices.Contains(s.signatures[:], h) {
 			return true
 		}
+		s.signatures[s.next] = h
+		s.next = (s.next + 1) % rememberedAnswers
+		return false
+	}
+	i := slices.Index(s.others[:], h)
+	seen := i >= 0
+	if !seen {
+		i = rememberedUnsigned - 1
 	}
-	s.delivered[s.next] = h
-	s.next = (s.next + 1) % rememberedAnswers
-	return false
+	copy(s.others[1:i+1], s.others[:i])
+	s.others[0] = h
+	return seen
 }
