Believe what tells whether a log has a commit only with a fence behind it

Whether the new primary's log has a commit of the term before is asked with BEGIN READ at its position. A second delivery of LAGGING made ABORTED of a commit that was kept, and one of a success acknowledged a commit that was lost, where the question itself was answered with BUSY.

The question is followed by a fence in the same write.

--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -271,7 +271,7 @@
 		{Operation: statement.Rollback{}},
 	}
 	answers := make([]statement.Answer, len(requests))
-	if _, err := c.Exchange(deadline.Sub(s.Clock.Now()), requests, answers); err != nil {
+	if _, err := c.ExchangeVerified(deadline.Sub(s.Clock.Now()), requests, answers); err != nil {
 		c.Discard()
 		return false, err
 	}
