--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,15 +21,10 @@
 
 func isBegin(o statement.Operation) bool { _, ok := o.(statement.Begin); return ok }
 
-// secondTime matches the second operation that matches: the first is that of a fence.
-func secondTime(matches func(statement.Operation) bool) func(statement.Operation) bool {
-	n := 0
-	return func(o statement.Operation) bool {
-		if matches(o) {
-			n++
-		}
-		return n == 2
-	}
+// onceArmed matches what matches does once armed is set: the operations before may be
+// those of a fence.
+func onceArmed(armed *atomic.Bool, matches func(statement.Operation) bool) func(statement.Operation) bool {
+	return func(o statement.Operation) bool { return armed.Load() && matches(o) }
 }
 
 // awaitQuietPool waits until the status that follows the opening of a connection was served.
@@ -96,7 +92,8 @@
 	g := newMemoryGroup(t, d)
 	g.SetMaxOpen(1)
 	first, second := newMemorySession(g, 1, routes.BoundedAge), newMemorySession(g, 2, routes.BoundedAge)
-	d.repeatOnce(isRollback, repetition{before: secondTime(isRollback), slow: true})
+	var armed atomic.Bool
+	d.repeatOnce(isRollback, repetition{before: onceArmed(&armed, isRollback), slow: true})
 	requireServed(t, first, "begin-1", statement.Begin{ReadOnly: true})
 	requireServed(t, first, "read-1", statement.Read{Text: "READ a"})
 	requireServed(t, first, "end-1", statement.Rollback{})
@@ -104,6 +101,7 @@
 	requireServed(t, first, "begin-2", statement.Begin{ReadOnly: true})
 	requireServed(t, first, "read-2", statement.Read{Text: "READ a"})
 	d.failOnce(isRollback, statement.CodeBusy)
+	armed.Store(true)
 	requireServed(t, first, "end-2", statement.Rollback{})
 	f := second.request("other", statement.Read{Text: "READ a"})
 	t.Log("answer:", f)
@@ -217,12 +215,14 @@
 			if code != 0 {
 				d.failOnce(isBegin, code)
 			}
-			d.repeatOnce(isBegin, repetition{before: secondTime(isBegin), slow: true})
+			var armed atomic.Bool
+			d.repeatOnce(isBegin, repetition{before: onceArmed(&armed, isBegin), slow: true})
 			_, err := contains()
 			require.NoError(t, err)
 			awaitQuietPool(t, d, g)
 			// This one is not told.
 			d.failOnce(isBegin, statement.CodeBusy)
+			armed.Store(true)
 			contained, err := contains()
 			require.Error(t, err, "contained: %v", contained)
 		})
