Use a status that goes ahead of a read only if the read's answer is its own

A second delivery of a status row, whose own request was answered with BUSY, was proof that the database leads: the BUSY was read as the answer to the read, which was then not believed, but the row was recorded before that. Reads of primary routes could then run on an old primary.

The row is recorded once the answer to the read is known not to be a repetition. TestSecondDeliveryOfAStatusAheadOfAReadIsNoProof failed before and passes.

--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -78,7 +78,7 @@
 		return unanswered
 	}
 	p.Latency.End(now, now.Sub(sent))
-	if withStatus {
+	if withStatus && !c.Ambiguous() {
 		s.observeStatus(g, c, p, sent, now, &answers[loaded])
 	}
 	if f := firstFailure(answers[:loaded]); f != nil {
