Give the fence of a status as long as the status itself

A primary that answered statuses after 250 ms could count as failing, and its unused connections be closed: a status that equals an earlier one needs a second round trip, for which 150 ms of its 400 were left. The fence has 400 ms of its own now.

The first status on a connection that equals an earlier one still takes the second round trip; that case was only read.

--- a/internal/connection/backend/fence.go
+++ b/internal/connection/backend/fence.go
@@ -74,17 +74,16 @@
 // exchangeStatus sends the first of x's requests, which is answered with a status, and
 // returns an error if the answer may be a repetition. A fence goes in the same write if the
 // row is probably like an earlier one. A fence that turns out to be needed costs a round
-// trip.
+// trip, which may take as long as the first.
 func (c *PooledConn) exchangeStatus(limit clock.Duration, x *exchange) error {
 	if c.answers.alignment == unknown || !c.fencesStatus {
-		began := c.pool.clock.Now()
 		if _, err := c.Exchange(limit, x.requests[:1], x.answers[:1]); err != nil {
 			return err
 		}
 		if c.fencesStatus = c.ambiguous; !c.ambiguous || x.answers[0].Failure != nil {
 			return nil
 		}
-		return c.Verify(limit - c.pool.clock.Now().Sub(began))
+		return c.Verify(limit)
 	}
 	copy(x.requests[1:], idleFence)
 	_, err := c.exchange(limit, x.requests[:], x.answers[:], 0, 1)
