Do not take bytes that nobody waits for as a sign of life

Bytes that had been left unread on a connection before its database fell silent counted as an answer of the moment at which they were found, and put off its replacement. They are neither an answer nor a loss now. TestBytesOfBeforeAreNoAnswerOfNow failed before and passes.

--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -306,12 +306,11 @@
 
 // RecordExchangeError records that an exchange that began at the given time failed with
 // err. A database that has sent bytes that nobody waits for, or an answer of another request,
-// is not lost.
+// is not lost, but these may have been sent long ago.
 func (g *GroupClient) RecordExchangeError(id string, began clock.Time, err error) {
 	var notSent *NotSentError
 	var unexpected *UnexpectedAnswerError
 	if errors.As(err, &notSent) && notSent.Unread > 0 || errors.As(err, &unexpected) {
-		g.MarkAnswered(id, g.clock.Now())
 		return
 	}
 	g.RecordConnectionLoss(id, began)
