Count a database that answers each request with BUSY as one that answers

A failure that equals an earlier one states no position that can be trusted, and was not recorded at all: an overloaded database that had been unreachable before stayed so. TestBusyDatabaseCountsAsAnswering failed before and passes.

--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -91,7 +91,9 @@
 		g.MarkAnswered(p.ID, now)
 		return unanswered
 	}
-	if !c.Ambiguous() {
+	if c.Ambiguous() {
+		g.MarkAnswered(p.ID, now)
+	} else {
 		g.ObservePosition(p.ID, c.OpenedAt, sent, now, answers[n-1].Position)
 	}
 	return answered
