Do not leave a write in doubt that was not sent

Bytes that arrived between the two looks at a connection, before the slot was taken and before the write, made the write INDOUBT, though nothing was sent. It goes to another connection now. TestWriteThatWasNotSentIsNotInDoubt failed before and passes.

--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -72,10 +72,15 @@
 		p.Latency.Abandon(now, now.Sub(sent), unansweredPause)
 		g.RecordExchangeError(p.ID, sent, err)
 		var unexpected *backend.UnexpectedAnswerError
-		if errors.As(err, &unexpected) {
+		var unsent *backend.NotSentError
+		switch {
+		case errors.As(err, &unexpected):
 			return misanswered
+		case errors.As(err, &unsent):
+			return notSent
+		default:
+			return unanswered
 		}
-		return unanswered
 	}
 	p.Latency.End(now, now.Sub(sent))
 	if withStatus && !c.Ambiguous() {
