Wait before the next attempt to connect to a database that repeats its greeting

A database that sent its greeting twice was dialed without a pause, 689 times within one request of 400 ms: each new connection had unread bytes, was closed, and the next one opened. Such a connection counts as a failed attempt to connect now.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -80,6 +80,8 @@
 	OpenedAt clock.Time
 	pool     *Pool
 	answers  answerSequence
+	// exchanged is set once requests were sent on the connection.
+	exchanged bool
 	// ambiguous is set if the last answer may be a repetition.
 	ambiguous bool
 	// fencesStatus is set if the row of the last status was like an earlier one, which the
@@ -172,7 +174,7 @@
 	if err := c.Probe(); err != nil {
 		return 0, err
 	}
-	c.probedAt = 0
+	c.probedAt, c.exchanged = 0, true
 	n, err := c.exchangeContained(limit, requests, answers)
 	if err == nil {
 		err = c.check(requests, answers, begin, end)
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -181,6 +181,8 @@
 	return p.acquire(deadline, connWaiter{workspace: workspace}, values)
 }
 
+// acquire returns a connection on which nothing is unread. It returns a *NotSentError if
+// that is not so on one that was just opened, which counts as a failed attempt to connect.
 func (p *Pool) acquire(deadline clock.Time, w connWaiter, values map[string]string) (*PooledConn, error) {
 	for {
 		c, err := p.acquireUnprobed(deadline, w, values)
@@ -193,6 +195,12 @@
 		}
 		p.log.Info("unused connection closed", zap.String("database", p.ID), logs.Error(err))
 		c.Discard()
+		if !c.exchanged {
+			p.mu.Lock()
+			p.dialFailedLocked(err)
+			p.mu.Unlock()
+			return nil, err
+		}
 	}
 }
 
