Do not take a refused fence for a repeated answer

A replica that was rolled back after a promotion refuses each request for a moment, also BEGIN READ of a fence. It counted as a database that sends answers twice, so that its connections were closed after nearly every use for a minute. TestRefusedFenceIsNoRepetition failed before and passes.

--- a/internal/connection/backend/fault_counts.go
+++ b/internal/connection/backend/fault_counts.go
@@ -43,10 +43,15 @@
 }
 
 // isRepetition reports whether a fault shows that an answer was sent twice. A position
-// that goes back may be that of a replica that was rolled back, and bytes that are no
-// answer may be the database's error.
+// that goes back may be that of a replica that was rolled back, bytes that are no answer may
+// be the database's error, and a database that is busy may refuse a fence.
 func (f AnswerFault) isRepetition() bool {
-	return f != FaultNone && f != FaultPosition && f != FaultForm
+	switch f {
+	case FaultNone, FaultPosition, FaultForm, FaultFence:
+		return false
+	default:
+		return true
+	}
 }
 
 // add counts a fault. It reports whether it may be logged, and how many were not since
--- a/internal/connection/backend/repetition_test.go
+++ b/internal/connection/backend/repetition_test.go
@@ -76,3 +76,35 @@
 	now.Add(int64(repetitionMemory))
 	require.Same(t, use(reset), use(reset), "a while ago")
 }
+
+// A database that refused a fence since it was busy counted as one that sends answers twice.
+func TestRefusedFenceIsNoRepetition(t *testing.T) {
+	now := &steppedClock{}
+	now.Add(1000)
+	p := NewPool(Target{ID: "a"}, DefaultSettings(), &answeringDialer{}, now, zap.NewNop(), func(statement.Answer, clock.Time, error) {})
+	t.Cleanup(p.Close)
+	c, err := p.Acquire(now.Now().Add(clock.Second), nil)
+	require.NoError(t, err)
+	c.Conn = &busyConn{}
+	for _, ambiguous := range []bool{false, true} {
+		_, err = c.Exchange(clock.Second, []statement.Request{{Operation: statement.Read{Text: "READ a"}}}, make([]statement.Answer, 1))
+		require.NoError(t, err)
+		require.Equal(t, ambiguous, c.Ambiguous())
+	}
+	var unexpected *UnexpectedAnswerError
+	require.ErrorAs(t, c.Verify(clock.Second), &unexpected)
+	require.Equal(t, FaultFence, unexpected.Fault)
+	require.False(t, p.faults.repeats(now.Now()))
+	c.Discard()
+}
+
+// busyConn answers each request with BUSY.
+type busyConn struct{ answeringConn }
+
+func (c *busyConn) Exchange(_ clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+	for i := range requests {
+		answers[i].Reset()
+		answers[i].Failure = &statement.Failure{Code: statement.CodeBusy, Text: "a"}
+	}
+	return len(requests), nil
+}
