PostgreSQL: tests of texts with NUL and of any other bytes

A simple query with NUL is refused, and texts with line ends, blanks, tags in literals and 70,000 bytes reach the database unchanged in both protocols: no fault was found there.

A Parse with NUL in its text is run up to there, with what follows taken for parameter types. The remedy needs the length of the message, which the protocol library does not tell.

--- a/internal/core/hostile_test.go
+++ b/internal/core/hostile_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 	"unicode/utf8"
@@ -198,3 +199,50 @@
 		require.Equal(t, []string{"ReadyForQuery"}, receiveTypes(t, f, 1))
 	}
 }
+
+// A text with NUL, which ends it on the wire, must be refused and not be run up to
+// there.
+func TestPreparedTextWithNULIsRefused(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	mustExec(t, connect(t, d.Proxies[0], ""), "CREATE TABLE t (id INTEGER)")
+	c, f := startRawSession(t, d.Proxies[0])
+	body := []byte("\x00INSERT INTO t SELECT 1\x00\x00\x00 WHERE 1 = 0\x00\x00\x00")
+	parse := append(binary.BigEndian.AppendUint32([]byte{'P'}, uint32(len(body)+4)), body...)
+	_, err := c.Write(parse)
+	require.NoError(t, err)
+	f.Send(&pgproto3.Bind{})
+	f.Send(&pgproto3.Execute{})
+	f.Send(&pgproto3.Sync{})
+	require.NoError(t, f.Flush())
+	msg, err := f.Receive()
+	require.NoError(t, err)
+	require.IsType(t, &pgproto3.ErrorResponse{}, msg)
+	require.Zero(t, queryInt(t, connect(t, d.Proxies[0], ""), "SELECT count(*) FROM t"))
+}
+
+func TestQueryWithNULIsRefused(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	mustExec(t, connect(t, d.Proxies[0], ""), "CREATE TABLE t (id INTEGER)")
+	_, f := startRawSession(t, d.Proxies[0])
+	f.Send(&pgproto3.Query{String: "INSERT INTO t SELECT 1\x00 WHERE 1 = 0"})
+	require.NoError(t, f.Flush())
+	msg, err := f.Receive()
+	require.NoError(t, err)
+	require.IsType(t, &pgproto3.ErrorResponse{}, msg)
+	require.Zero(t, queryInt(t, connect(t, d.Proxies[0], ""), "SELECT count(*) FROM t"))
+}
+
+// A text is data, whatever its bytes: the database gets those that the caller sent.
+func TestTextsReachTheDatabaseUnchanged(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	c := connect(t, d.Proxies[0], "").PgConn()
+	for _, text := range []string{"a\r\nb", "a\nQUERY x", " a ", "a  b", "\t", "ä", "/*maxAge=''1s''*/", "--", ";", strings.Repeat("x", 70_000)} {
+		want := strings.ReplaceAll(text, "''", "'")
+		results, err := c.Exec(context.Background(), "SELECT '"+text+"'").ReadAll()
+		require.NoError(t, err)
+		require.Equal(t, want, string(results[0].Rows[0][0]))
+		result := c.ExecParams(context.Background(), "SELECT $1", [][]byte{[]byte(text)}, []uint32{25}, nil, nil).Read()
+		require.NoError(t, result.Err)
+		require.Equal(t, text, string(result.Rows[0][0]))
+	}
+}
