--- a/internal/core/protocol_test.go
+++ b/internal/core/protocol_test.go
@@ -557,3 +557,22 @@
 	}
 	require.Equal(t, 1, queryInt(t, connect(t, d.Proxies[0], ""), "SELECT count(*) FROM t"))
 }
+
+// After an error the proxy, like a database, answers nothing before Sync, even if
+// the batch up to the error has ended with Flush.
+func TestNothingIsAnsweredBetweenErrorAndSync(t *testing.T) {
+	d := startDev(t, DevSettings{Proxies: 1})
+	_, f := startRawSession(t, d.Proxies[0])
+	f.Send(&pgproto3.Parse{Query: "SELECT broken broken"})
+	f.Send(&pgproto3.Flush{})
+	f.Send(&pgproto3.Parse{Query: "SET search_path = 'mine'"})
+	f.Send(&pgproto3.Bind{})
+	f.Send(&pgproto3.Execute{})
+	f.Send(&pgproto3.Sync{})
+	f.Send(&pgproto3.Query{String: "SHOW search_path"})
+	require.NoError(t, f.Flush())
+	require.Equal(t, []string{"ErrorResponse", "ReadyForQuery", "RowDescription"}, receiveTypes(t, f, 3))
+	msg, err := f.Receive()
+	require.NoError(t, err)
+	require.Empty(t, string(msg.(*pgproto3.DataRow).Values[0]))
+}
