--- a/internal/core/answers_test.go
+++ b/internal/core/answers_test.go
@@ -226,14 +226,15 @@
 }
 
 // cutAt returns a fault that ends a connection after n bytes of the answer to a
-// request that matches, and the number of answers that it has cut.
+// request that matches, by a reset if n is odd, and the number of answers that it
+// has cut.
 func cutAt(n int, match func(pgproto3.FrontendMessage) bool) (database.AnswerFault, *atomic.Int64) {
 	var cut atomic.Int64
 	return func(request pgproto3.FrontendMessage, answer []byte) database.Answer {
 		if !match(request) || n >= len(answer) || !cut.CompareAndSwap(0, 1) {
 			return database.Answer{First: answer}
 		}
-		return database.Answer{First: answer[:n], Close: true}
+		return database.Answer{First: answer[:n], Close: true, Reset: n%2 == 1}
 	}, &cut
 }
 
--- a/internal/standin/database/answers.go
+++ b/internal/standin/database/answers.go
@@ -16,6 +16,8 @@
 	Pause time.Duration
 	// Close ends the connection after the answer.
 	Close bool
+	// Reset has that be a reset.
+	Reset bool
 }
 
 // AnswerFault returns what is sent instead of the encoded answer to a request.
@@ -63,6 +65,9 @@
 			return 0, err
 		}
 	}
+	if tcp, ok := w.Conn.(*net.TCPConn); ok && sent.Reset {
+		_ = tcp.SetLinger(0)
+	}
 	if sent.Close {
 		return 0, io.EOF
 	}
