Add a failing test of a slow BUSY that equals an earlier one

A write that a slow database refused with BUSY is in doubt, because there is no time left to verify the failure.

TestSlowBusyIsAPromise fails: expected BUSY (0x1), actual INDOUBT (0xb), nothing committed

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -417,3 +417,21 @@
 		require.NotEqual(t, statement.CodeInDoubt, f.Code, "nothing was sent: %v", d.commits())
 	}
 }
+
+// A write that a slow database refused with BUSY was in doubt, because there was no time left
+// to verify a failure that equals an earlier one.
+func TestSlowBusyIsAPromise(t *testing.T) {
+	delay := time.Duration(0)
+	d := &memoryDatabase{}
+	g := newGroupOf(t, delayedDialer{d, &delay})
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	d.failOnce(isRead, statement.CodeBusy)
+	require.True(t, requireOwnRow(t, s, "first"))
+	awaitQuietPool(t, d, g)
+	d.failOnce(isWrite, statement.CodeBusy)
+	delay = 210 * time.Millisecond
+	f := s.request("write", statement.Write{Text: "WRITE a 1"})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeBusy, f.Code, "commits: %v", d.commits())
+}
