Add a failing test of a transaction that a repeated BUSY leaves open

A BEGIN that is answered with the second delivery of a BUSY leaves its transaction open at the database, on an unused connection in the pool, until that is used again or closed.

TestSecondDeliveryOfABusyLeavesNoTransactionOpen fails: expected 0x0 (idle), actual 0x1

--- a/internal/connection/session/review_test.go
+++ b/internal/connection/session/review_test.go
@@ -435,3 +435,39 @@
 	require.NotNil(t, f)
 	require.Equal(t, statement.CodeBusy, f.Code, "commits: %v", d.commits())
 }
+
+// A BEGIN that was answered with the second delivery of a BUSY left its transaction open on a
+// connection in the pool.
+func TestSecondDeliveryOfABusyLeavesNoTransactionOpen(t *testing.T) {
+	d := &memoryDatabase{}
+	conns := &keptDialer{Dialer: d}
+	g := newGroupOf(t, conns)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	d.failOnce(isRead, statement.CodeBusy)
+	d.repeatOnce(isRead, repetition{before: isBegin, slow: true})
+	require.True(t, requireOwnRow(t, s, "first"))
+	awaitQuietPool(t, d, g)
+	requireServed(t, s, "begin", statement.Begin{ReadOnly: true})
+	s.Configuration.Load().Routes["fills"].Timeout = 1
+	f := s.request("read", statement.Read{Text: "READ a"})
+	s.request("end", statement.Rollback{})
+	t.Log("answer:", f)
+	backend.Sleep(100)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range conns.kept {
+		require.Equal(t, statement.Idle, c.state, "of a connection in the pool: %+v", g.Pool("a").Stats())
+	}
+}
+
+type keptDialer struct {
+	backend.Dialer
+	kept []*memoryConn
+}
+
+func (d *keptDialer) Dial(ctx context.Context, to backend.Target) (backend.Conn, statement.Answer, error) {
+	c, a, err := d.Dialer.Dial(ctx, to)
+	d.kept = append(d.kept, c.(*memoryConn))
+	return c, a, err
+}
