Fence each BEGIN on a connection that has delivered an answer without a signature

A BEGIN whose answer was taken to be a second delivery of BUSY left its transaction open at the database, on a connection in the pool. The fence after BEGIN shows that too.

--- a/internal/connection/backend/fence.go
+++ b/internal/connection/backend/fence.go
@@ -26,12 +26,12 @@
 	}
 )
 
-// fenceAfter returns the fence to send with a request, nil if there is none: its success
-// may be a repetition, and the next request must not be sent then.
+// fenceAfter returns the fence to send with a request, nil if there is none: its answer may
+// be a repetition, and neither the next request may be sent then, nor the connection kept.
 func (s *answerSequence) fenceAfter(o statement.Operation) fence {
 	switch o.(type) {
 	case statement.Begin:
-		if s.begun {
+		if s.unsigned {
 			return openFence
 		}
 	case statement.Set:
