Begin transactions on new connections of a database that repeats itself

A database that sent one answer in 40 again had each of its connections closed after a use that loaded session state: 77,221 connections in 8 s, which occupy slots. What cannot be told otherwise is only an answer to BEGIN, so that only a transaction that may write needs a connection on which none has begun, for a minute after the database was seen to send an answer twice.

The test of the pool now requires which connections may begin a transaction, in place of which are closed.

--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -552,8 +552,7 @@
 }
 
 // Release returns the connection to the pool. A connection on which a transaction is
-// open is closed instead, which rolls the transaction back, and so is one with answers that
-// cannot be told from a second delivery, if the database was seen to send answers twice.
+// open is closed instead, which rolls the transaction back.
 func (c *PooledConn) Release() {
 	p := c.pool
 	if c.answers.state != statement.Idle {
@@ -562,11 +561,7 @@
 		return
 	}
 	c.UsedAt = p.clock.Now()
-	if c.answers.unsigned && p.faults.repeats(c.UsedAt) {
-		// A second delivery of its unsigned answers could be taken for another request's.
-		c.Discard()
-		return
-	}
+	c.hasBegun = c.answers.begun
 	p.mu.Lock()
 	if p.closed || p.starvingLocked(c) {
 		p.mu.Unlock()
