Repeat answers through homes in the soak

The runs with repeated answers had connections enough for every proxy, so that none went through another one.

--- a/soak/answer_test.go
+++ b/soak/answer_test.go
@@ -141,18 +141,20 @@
 	program := buildProgram(t)
 	for _, c := range []struct {
 		name   string
+		homes  bool
 		faults standin.AnswerFaults
 	}{
-		{"signed", standin.AnswerFaults{SignedOnly: true, MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond}},
-		{"any", standin.AnswerFaults{MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond}},
-		{"beforeNext", standin.AnswerFaults{When: standin.BeforeNext}},
-		{"afterNext", standin.AnswerFaults{When: standin.AfterNext}},
-		{"refusals", standin.AnswerFaults{BusyOneIn: 8, MinDelay: time.Millisecond, MaxDelay: 10 * time.Millisecond}},
-		{"refusalsBeforeNext", standin.AnswerFaults{BusyOneIn: 8, When: standin.BeforeNext}},
+		{"signed", false, standin.AnswerFaults{SignedOnly: true, MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond}},
+		{"any", false, standin.AnswerFaults{MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond}},
+		{"beforeNext", false, standin.AnswerFaults{When: standin.BeforeNext}},
+		{"afterNext", false, standin.AnswerFaults{When: standin.AfterNext}},
+		{"refusals", false, standin.AnswerFaults{BusyOneIn: 8, MinDelay: time.Millisecond, MaxDelay: 10 * time.Millisecond}},
+		{"homes", true, standin.AnswerFaults{BusyOneIn: 8, MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond}},
+		{"refusalsBeforeNext", false, standin.AnswerFaults{BusyOneIn: 8, When: standin.BeforeNext}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			c.faults.Seed, c.faults.RepeatOneIn = 41, 40
-			textRun{length: 2 * time.Second, faults: c.faults}.run(t, program, 41)
+			textRun{homes: c.homes, length: 2 * time.Second, faults: c.faults}.run(t, program, 41)
 		})
 	}
 }
