--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -258,15 +258,18 @@
 	return violations
 }
 
-// ownLocked checks a statement that a proxy sent on its own account: for the state of a
-// session, or to ask whether a log has a position.
+// ownStatements are what proxies send to ask whether a log has a position, and to tell
+// whether an answer is a repetition of an earlier one.
+var ownStatements = []string{"BEGIN READ", "ROLLBACK", "PREPARE fence READ fence", "DEALLOCATE fence"}
+
+// ownLocked checks a statement that a proxy sent on its own account, which may also be one for
+// the state of a session.
 func (l *ledger) ownLocked(a standin.Arrival) (reason string) {
 	word, rest, _ := strings.Cut(a.Statement, " ")
 	_, shape, _ := strings.Cut(rest, " ")
 	_, set := l.sets[a.Statement]
 	_, prepared := l.shapes[shape]
-	switch {
-	case a.Statement == "BEGIN READ", a.Statement == "ROLLBACK", set, word == "PREPARE" && prepared:
+	if set || word == "PREPARE" && prepared || slices.Contains(ownStatements, a.Statement) {
 		return ""
 	}
 	return "UNASKED: no caller sent it"
@@ -395,6 +398,10 @@
 		{standin.Arrival{ID: proxyID, Statement: "SET n "}, "no caller sent it"},
 		{standin.Arrival{ID: proxyID, Statement: "PREPARE p1 WRITE q"}, ""},
 		{standin.Arrival{ID: proxyID, Statement: "PREPARE p1 WRITE q "}, "no caller sent it"},
+		{standin.Arrival{ID: proxyID, Statement: "PREPARE fence READ fence"}, ""},
+		{standin.Arrival{ID: proxyID, Statement: "PREPARE fence WRITE fence"}, "no caller sent it"},
+		{standin.Arrival{ID: proxyID, Statement: "DEALLOCATE fence"}, ""},
+		{standin.Arrival{ID: proxyID, Statement: "DEALLOCATE p1"}, "no caller sent it"},
 		{standin.Arrival{ID: "q2", Text: "AFTER 1.1 READ a", Statement: "READ a", Values: values, Ran: true}, ""},
 		{standin.Arrival{ID: "q2", Text: "AFTER x READ a", Statement: "READ a", Values: values, Ran: true}, "not a position"},
 		{standin.Arrival{ID: "q2", Statement: "READ a", Ran: true}, "PINNED: with the values"},
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -50,8 +50,7 @@
 func (k *keyring) checkKeyLocked(a standin.Arrival) (violation string) {
 	if a.ID == proxyID {
 		switch word, _, _ := strings.Cut(a.Statement, " "); {
-		case a.Statement == "BEGIN READ", a.Statement == "ROLLBACK":
-			// A proxy asks like this whether a log has a position.
+		case slices.Contains(ownStatements, a.Statement):
 			return ""
 		case word == "SET", word == "PREPARE":
 			// The ledger checks their texts.
