Keep the connections of a database that sends answers twice in use

A database that had sent one answer twice lost, for a minute, each connection on which a transaction had begun to the next transaction that may write: the repetition of an answer to BEGIN could not be told. It can since BEGIN has a fence behind it.

--- a/internal/connection/backend/answer_sequence.go
+++ b/internal/connection/backend/answer_sequence.go
@@ -88,8 +88,6 @@
 	alignment alignment
 	// unsigned is set once an answer without a signature was delivered.
 	unsigned bool
-	// begun is set once a transaction has begun.
-	begun bool
 }
 
 // observe checks the next answer. It returns what shows that it belongs to another
@@ -113,7 +111,6 @@
 			s.alignment = aligned
 		}
 		s.unsigned = s.unsigned || !signed
-		s.begun = s.begun || a.State == statement.InTransaction
 	}
 	s.state = a.State
 	s.position = s.position.Max(a.Position)
--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -87,19 +87,10 @@
 	// fencesStatus is set if the row of the last status was like an earlier one, which the
 	// next will probably be too.
 	fencesStatus bool
-	// hasBegun is set if a transaction had begun on the connection when it was released.
-	hasBegun bool
 	// probedAt is when nothing was left to read on the connection.
 	probedAt clock.Time
 }
 
-// MayRepeatBegin reports whether the answer to an earlier BEGIN may arrive a second time,
-// and be taken for that to one that has failed: the database was seen to send answers
-// twice.
-func (c *PooledConn) MayRepeatBegin() bool {
-	return c.hasBegun && c.pool.faults.repeats(c.pool.clock.Now())
-}
-
 // NotSentError reports that a connection cannot be used. No request was sent on it.
 type NotSentError struct {
 	Database string
--- a/internal/connection/backend/fault_counts.go
+++ b/internal/connection/backend/fault_counts.go
@@ -27,31 +27,6 @@
 	written int
 	// skipped counts the faults without a line since the last line.
 	skipped int
-	// repeatsUntil is until when the database counts as one that sends answers twice.
-	repeatsUntil clock.Time
-}
-
-// repetitionMemory is how long after it was seen to send an answer twice a database counts
-// as one that does.
-const repetitionMemory = clock.Minute
-
-// repeats reports whether the database counts as one that sends answers twice.
-func (f *faultCounts) repeats(now clock.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now < f.repeatsUntil
-}
-
-// isRepetition reports whether a fault shows that an answer was sent twice. A position
-// that goes back may be that of a replica that was rolled back, bytes that are no answer may
-// be the database's error, and a database that is busy may refuse a fence.
-func (f AnswerFault) isRepetition() bool {
-	switch f {
-	case FaultNone, FaultPosition, FaultForm, FaultFence:
-		return false
-	default:
-		return true
-	}
 }
 
 // add counts a fault. It reports whether it may be logged, and how many were not since
@@ -60,9 +35,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.counts[fault]++
-	if fault.isRepetition() {
-		f.repeatsUntil = now.Add(repetitionMemory)
-	}
 	if now.Sub(f.began) >= faultLogPeriod {
 		f.began, f.written = now, 0
 	}
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -561,7 +561,6 @@
 		return
 	}
 	c.UsedAt = p.clock.Now()
-	c.hasBegun = c.answers.begun
 	p.mu.Lock()
 	if p.closed || p.starvingLocked(c) {
 		p.mu.Unlock()
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -215,12 +215,6 @@
 		if c == nil {
 			return false
 		}
-		if !t.readOnly && c.MayRepeatBegin() {
-			// If BEGIN failed unnoticed, the statements of the transaction would run for themselves.
-			s.releaseSlot(p)
-			c.Discard()
-			continue
-		}
 		t.pool, t.member = p, m
 		if t.leadershipPending = t.route.Consistency == routes.Primary; t.leadershipPending {
 			s.requestLeadershipProof(g, g.FastestReplicas())
