--- a/internal/connection/backend/answer_sequence.go
+++ b/internal/connection/backend/answer_sequence.go
@@ -54,8 +54,8 @@
 
 // How many answers of a connection are told from a repetition.
 const (
-	rememberedAnswers  = 512
-	rememberedUnsigned = 64
+	rememberedSignatures = 512
+	rememberedUnsigned   = 64
 )
 
 var answerSeed = maphash.MakeSeed()
@@ -80,12 +80,12 @@
 	// position is the highest position of an answer.
 	position position.Position
 	// signatures holds the hashes of the last signatures; the oldest is replaced at next.
-	signatures [rememberedAnswers]uint64
+	signatures [rememberedSignatures]uint64
 	next       int
-	// others holds the hashes of the last different answers without a signature, the last
-	// one first.
-	others    [rememberedUnsigned]uint64
-	alignment alignment
+	// unsignedAnswers holds the hashes of the last different answers without a signature,
+	// the last one first.
+	unsignedAnswers [rememberedUnsigned]uint64
+	alignment       alignment
 	// unsigned is set once an answer without a signature was delivered.
 	unsigned bool
 }
@@ -224,15 +224,15 @@
 			return true
 		}
 		s.signatures[s.next] = h
-		s.next = (s.next + 1) % rememberedAnswers
+		s.next = (s.next + 1) % rememberedSignatures
 		return false
 	}
-	i := slices.Index(s.others[:], h)
+	i := slices.Index(s.unsignedAnswers[:], h)
 	seen := i >= 0
 	if !seen {
 		i = rememberedUnsigned - 1
 	}
-	copy(s.others[1:i+1], s.others[:i])
-	s.others[0] = h
+	copy(s.unsignedAnswers[1:i+1], s.unsignedAnswers[:i])
+	s.unsignedAnswers[0] = h
 	return seen
 }
--- a/internal/connection/backend/answer_sequence_test.go
+++ b/internal/connection/backend/answer_sequence_test.go
@@ -74,13 +74,13 @@
 func TestRepeatedAnswersAreTold(t *testing.T) {
 	read := statement.Request{Operation: statement.Read{Text: "READ a"}}
 	var s answerSequence
-	for i := range 10 * rememberedAnswers {
+	for i := range 10 * rememberedSignatures {
 		a := signedAnswer(fmt.Sprint(i), statement.Idle)
 		fault, ambiguous := s.observe(&read, &a)
 		require.Equal(t, FaultNone, fault)
 		require.False(t, ambiguous)
-		if i >= rememberedAnswers-1 {
-			a = signedAnswer(fmt.Sprint(i-rememberedAnswers+1), statement.Idle)
+		if i >= rememberedSignatures-1 {
+			a = signedAnswer(fmt.Sprint(i-rememberedSignatures+1), statement.Idle)
 			fault, _ = s.observe(&read, &a)
 			require.Equal(t, FaultRepeated, fault)
 		}
--- a/internal/connection/backend/fence.go
+++ b/internal/connection/backend/fence.go
@@ -7,9 +7,9 @@
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
-// fence is requests of the proxy itself that occupy no slot of the database. They follow
-// others in the same write, and all succeed. If an answer before them was a repetition, the
-// answers to them are others.
+// fence is a sequence of requests of the proxy itself that succeed in order and occupy no
+// slot of the database. If an answer before them was a repetition of an earlier one, each of
+// them is answered with what belongs to a request before it, and not all of that fits.
 type fence []statement.Request
 
 // idleFenceSize is the number of requests of idleFence.
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -117,8 +117,9 @@
 
 // settleFailure reports whether a failure that may be a repetition of an earlier answer can
 // be acted upon. That of a write or a COMMIT can be a promise that nothing is kept, and is
-// verified first, within limit or minConfirmWait. In an open transaction it cannot be verified, and the
-// transaction is to end. What follows on the connection shows any other repetition.
+// verified first, within limit or minConfirmWait. In an open transaction it cannot be
+// verified, and the transaction is to end. What follows on the connection shows any other
+// repetition.
 func (s *Session) settleFailure(c *backend.PooledConn, r *statement.Request, limit clock.Duration) bool {
 	_, commits := r.Operation.(statement.Commit)
 	switch {
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -128,8 +128,8 @@
 	key string
 
 	// values holds the session variables and prepared the prepared statements, with
-	// their shared names, by the caller's name; both together are the session's state. valueTexts maps the names in
-	// values to their statement texts. The maps are nil while they are empty: most
+	// their shared names, by the caller's name; both together are the session's state.
+	// valueTexts maps the names in values to their statement texts. The maps are nil while they are empty: most
 	// sessions hosted for other proxies serve one statement without state.
 	values     []statement.Set
 	valueTexts map[string]string
