Pass the live proxies on in the order of their changes

Callers saw: a proxy that is not a home of a group opened connections to its databases itself, for as long as no other member changed.

Cause: publishLive read the live members under the lock of the membership and passed them on without it, on any of several workers. Two changes within a moment could be passed on in the reverse order, and the older list stayed. At a start these are a member that is known from the instance list only, without an address for callers, and the same member with that address. The version driver did the same after each configuration, so its peers could stay those of before.

A lock is now held from the reading of the members until they are passed on, a list of instances is read only after the one before has been used, and the version driver reads the live proxies under its own lock.

--- a/internal/core/membership_driver.go
+++ b/internal/core/membership_driver.go
@@ -30,6 +30,10 @@
 	list      platform.InstanceList
 	datagrams *proxy.UDPTransport
 
+	// publishMu is held from reading the live members until the proxy uses them, so
+	// that they are passed on in the order of their changes. Lock order: before mu.
+	publishMu sync.Mutex
+
 	mu             sync.Mutex
 	membership     *proxy.Membership
 	lastListed     clock.Time
@@ -76,10 +80,12 @@
 func (m *membershipDriver) readInstances() {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
+	defer func() {
+		m.mu.Lock()
+		m.listInProgress = false
+		m.mu.Unlock()
+	}()
 	instances, err := m.list.Instances(ctx)
-	m.mu.Lock()
-	m.listInProgress = false
-	m.mu.Unlock()
 	if err != nil {
 		m.proxy.log.Info("cannot read the instance list", zap.Error(err))
 		return
@@ -178,6 +184,8 @@
 
 // publishLive passes the live members to the proxy.
 func (m *membershipDriver) publishLive() {
+	m.publishMu.Lock()
+	defer m.publishMu.Unlock()
 	m.mu.Lock()
 	live := m.membership.Members()
 	m.mu.Unlock()
--- a/internal/core/proxy.go
+++ b/internal/core/proxy.go
@@ -214,7 +214,7 @@
 	}
 	p.peers.SetPeers(others)
 	if p.versions != nil {
-		p.versions.setLivePeers(live)
+		p.versions.updateLivePeers()
 	}
 	p.groups.setLivePeers(live)
 }
--- a/internal/core/version_driver.go
+++ b/internal/core/version_driver.go
@@ -92,9 +92,12 @@
 	}
 }
 
-// setLivePeers sets the peers to exchange versions with, and whether this proxy
-// polls the platform's table.
-func (d *versionDriver) setLivePeers(live []proxy.Peer) {
+// updateLivePeers sets the live proxies as the peers to exchange versions with, and
+// whether this proxy polls the platform's table.
+func (d *versionDriver) updateLivePeers() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	live := d.proxy.livePeers()
 	var names []string
 	for _, p := range live {
 		if p.Name != d.proxy.instance.Name {
@@ -102,10 +105,7 @@
 		}
 	}
 	pollers := proxy.ChoosePeers("declarations", live, d.proxy.Configuration().Spread.Pollers)
-	isPoller := proxy.ContainsPeer(pollers, d.proxy.instance.Name)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.spread.SetPeers(names, isPoller)
+	d.spread.SetPeers(names, proxy.ContainsPeer(pollers, d.proxy.instance.Name))
 }
 
 // Tick implements dbprocess.Tickable.
@@ -279,7 +279,7 @@
 	d.mu.Lock()
 	d.spread.SetSettings(versionSettings(config))
 	d.mu.Unlock()
-	d.setLivePeers(d.proxy.livePeers())
+	d.updateLivePeers()
 	d.proxy.log.Info("configuration version applied", zap.Uint64("version", a.Head.Version), zap.String("hash", a.Head.Hash))
 }
 
