Keep a version in force when its content arrives twice

Callers saw: a proxy could stay on an earlier configuration, and a new one without any, although it reported the version as active.

Cause: parsed configurations were kept by the hash of their content until one fetch of it had ended. If a second copy of the content arrived between the activation of the version and its application, as after a fetch that took longer than its timeout, the end of one fetch removed the configuration of the other. The version then counted as active, and nothing applied it again.

Evidence: TestSecondCopyOfContentDoesNotDiscardAVersion, which failed before (50 connections, 40 declared).

The configuration is now passed along with the activation, so there is nothing to remove. TestLateVersionDoesNotReplaceALaterOne passes its configurations the same way; what it requires is as before.

--- a/internal/core/version_driver.go
+++ b/internal/core/version_driver.go
@@ -44,9 +44,6 @@
 	// cached holds the contents of the last active versions, the newest at the
 	// end.
 	cached []cachedContent
-	// parsed holds configurations that may be applied, by the hash of their
-	// content.
-	parsed map[string]*operator.Configuration
 	// polling is set while poll reads the head version.
 	polling bool
 }
@@ -77,7 +74,7 @@
 func newVersionDriver(p *Proxy, h *versionplatform.History) *versionDriver {
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(pidPrefix(p.instance.Name))))
 	d := &versionDriver{
-		proxy: p, history: h, apply: p.ApplyConfiguration, parser: operator.NewParser(), parsed: make(map[string]*operator.Configuration),
+		proxy: p, history: h, apply: p.ApplyConfiguration, parser: operator.NewParser(),
 		spread: versionproxy.NewSpread(versionSettings(p.Configuration()), rng),
 	}
 	p.scheduler.Add(d)
@@ -116,13 +113,18 @@
 // advance runs one step of the version exchange under the lock and carries out
 // the returned actions without it.
 func (d *versionDriver) advance(step func([]versionproxy.Action) []versionproxy.Action) {
+	d.advanceWith(nil, step)
+}
+
+// advanceWith is advance for a step that may activate the version of config.
+func (d *versionDriver) advanceWith(config *operator.Configuration, step func([]versionproxy.Action) []versionproxy.Action) {
 	d.mu.Lock()
 	actions := step(nil)
 	d.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case versionproxy.Activate:
-			d.applyVersion(a)
+			d.applyVersion(a, config)
 		case versionproxy.Poll:
 			d.submit(d.poll)
 		case versionproxy.SendHead:
@@ -237,11 +239,7 @@
 	if err != nil {
 		d.proxy.log.Error("cannot apply an accepted configuration", zap.String("hash", hash), zap.Error(err))
 	}
-	d.mu.Lock()
-	d.parsed[hash] = config
-	d.mu.Unlock()
-	defer d.removeParsed(hash)
-	d.advance(func(dst []versionproxy.Action) []versionproxy.Action {
+	d.advanceWith(config, func(dst []versionproxy.Action) []versionproxy.Action {
 		return d.spread.HandleContent(hash, content, err == nil, dst)
 	})
 }
@@ -253,20 +251,13 @@
 	return bundle.ForSite(d.parser, d.proxy.instance.Site)
 }
 
-func (d *versionDriver) removeParsed(hash string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.parsed, hash)
-}
-
-// applyVersion applies a version whose content handleContent has parsed. It does
-// nothing if a later version is already active.
-func (d *versionDriver) applyVersion(a versionproxy.Activate) {
+// applyVersion applies a version, whose content config was parsed from. It does nothing
+// if a later version is already active.
+func (d *versionDriver) applyVersion(a versionproxy.Activate, config *operator.Configuration) {
 	d.applyMu.Lock()
 	defer d.applyMu.Unlock()
 	d.mu.Lock()
-	config := d.parsed[a.Head.Hash]
-	stale := config == nil || d.spread.Active().Version > a.Head.Version
+	stale := d.spread.Active().Version > a.Head.Version
 	if !stale {
 		d.cached = append(d.cached, cachedContent{hash: a.Head.Hash, content: a.Content})
 		d.cached = d.cached[max(0, len(d.cached)-maxCachedContents):]
