Do not undo a change of the members by the expiry of another

Callers saw nothing so far. A proxy that a restore of the store had taken back, and that did not return, could stay a home or an accountant of workspaces at one proxy after it had expired there, until the next change of the members table.

Cause: the list of live proxies was read under a lock and passed on without it, by the goroutine that follows the table and by the tick that expires proxies. The older list could be passed on last.

The list is read and passed on under one lock.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -110,6 +110,9 @@
 	// so that neither overtakes the other. It is taken before mu.
 	entriesMu sync.Mutex
 
+	// membersMu is held while the live proxies are passed on. It is taken before mu.
+	membersMu sync.Mutex
+
 	mu     sync.Mutex
 	groups map[string]*groupState
 	// groupOf maps the ID of a database to the name of its group.
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -39,7 +39,6 @@
 	now := f.clock.Now()
 	found := f.roster.apply(now, changes)
 	f.settled.apply(now, changes)
-	list := f.roster.live()
 	// A row that this instance wrote before a restart is still valid.
 	registered := f.roster.listed[f.settings.Name] == f.self
 	if !f.membersApplied {
@@ -49,7 +48,7 @@
 	for _, key := range found.invalid {
 		f.log.Warn("invalid member row", zap.String("key", key))
 	}
-	f.setMembers(list)
+	list := f.passMembers()
 	f.membersReadOnce.Do(func() { close(f.membersRead) })
 	if registered || f.relays.exist() {
 		f.membersKnownOnce.Do(func() { close(f.membersKnown) })
@@ -63,12 +62,19 @@
 	}
 }
 
-// setMembers passes the list of live proxies on.
-func (f *Front) setMembers(list []proxy.Peer) {
+// passMembers passes the list of live proxies on, and returns it. Lists are passed on in
+// the order of their changes.
+func (f *Front) passMembers() []proxy.Peer {
+	f.membersMu.Lock()
+	defer f.membersMu.Unlock()
+	f.mu.Lock()
+	list := f.roster.live()
+	f.mu.Unlock()
 	f.homes.SetMembers(list)
 	f.relays.setMembers(list)
 	f.allowances.setMembers(list, f.accountsAlone())
 	f.log.Info("proxies known", zap.Int("count", len(list)))
+	return list
 }
 
 // accountsAlone reports whether no other proxy can have accounted for the workspaces that
@@ -89,13 +95,9 @@
 func (f *Front) expireMembers(now clock.Time) {
 	f.mu.Lock()
 	expired := f.roster.expire(now)
-	var list []proxy.Peer
-	if expired {
-		list = f.roster.live()
-	}
 	f.mu.Unlock()
 	if expired {
-		f.setMembers(list)
+		f.passMembers()
 	}
 }
 
