--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -286,6 +286,8 @@
 
 // Buffered implements backend.Conn.
 func (c *memoryConn) Buffered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.memoryDatabase.slow {
 		return 0
 	}
