Send fences whose answers are not among those of before

What callers saw: a write that ran was answered with an earlier BUSY and sent again, or its caller was told that nothing is kept. The database sent a BUSY and both answers of the fence behind it a second time, in this order.

Cause: all fences outside a transaction had the states T and I, so that the answers to an earlier one pass a later one.

Change: a fence is a word of T and I, made of BEGIN READ, PREPARE, DEALLOCATE and ROLLBACK. A connection sends the shortest one that is not among the states of its recent answers. Answers that are shifted by fewer than a fence has do not fit either, since no proper prefix of a word is a suffix. The words are made once; a fence still goes in one write and occupies no slot.

--- a/internal/connection/backend/answer_sequence.go
+++ b/internal/connection/backend/answer_sequence.go
@@ -85,7 +85,9 @@
 	// unsignedAnswers holds the hashes of the last different answers without a signature,
 	// the last one first.
 	unsignedAnswers [rememberedUnsigned]uint64
-	alignment       alignment
+	// states has those of recent answers.
+	states    stateHistory
+	alignment alignment
 	// unsigned is set once an answer without a signature was delivered.
 	unsigned bool
 }
@@ -111,6 +113,9 @@
 			s.alignment = aligned
 		}
 		s.unsigned = s.unsigned || !signed
+		if !signed && a.Failure == nil && len(a.Rows) == 0 {
+			s.states = s.states.add(a.State)
+		}
 	}
 	s.state = a.State
 	s.position = s.position.Max(a.Position)
--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -159,9 +159,9 @@
 func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
 	var before fence
 	if c.answers.alignment == unknown && c.answers.state == statement.Idle {
-		before = idleFence
+		before = frequentFences.choose(c.answers.states)
 	}
-	after := c.answers.fenceAfter(requests[len(requests)-1].Operation)
+	after := c.answers.fenceAfter(requests)
 	if before == nil && after == nil {
 		return c.exchange(limit, requests, answers, 0, len(requests))
 	}
--- a/internal/connection/backend/fence.go
+++ b/internal/connection/backend/fence.go
@@ -12,24 +12,18 @@
 // them is answered with what belongs to a request before it, and not all of that fits.
 type fence []statement.Request
 
-// idleFenceSize is the number of requests of idleFence.
-const idleFenceSize = 2
-
 var (
-	// idleFence is the fence outside a transaction: its answers differ in their states.
-	idleFence = fence{{Operation: statement.Begin{ReadOnly: true}}, {Operation: statement.Rollback{}}}
+	prepareFence    = statement.Request{Operation: statement.Prepare{Name: "fence", Shape: "fence"}}
+	deallocateFence = statement.Request{Operation: statement.Deallocate{Name: "fence", Text: "DEALLOCATE fence"}}
 	// openFence is the fence where a transaction may be open. It leaves the transaction and
 	// the prepared statements as they are.
-	openFence = fence{
-		{Operation: statement.Prepare{Name: "fence", Shape: "fence"}},
-		{Operation: statement.Deallocate{Name: "fence", Text: "DEALLOCATE fence"}},
-	}
+	openFence = fence{prepareFence, deallocateFence}
 )
 
-// fenceAfter returns the fence to send with a request, nil if there is none: its answer may
-// be a repetition, and neither the next request may be sent then, nor the connection kept.
-func (s *answerSequence) fenceAfter(o statement.Operation) fence {
-	switch o.(type) {
+// fenceAfter returns the fence to send behind requests, nil if there is none: the last answer
+// may be a repetition, and neither the next request may be sent then, nor the connection kept.
+func (s *answerSequence) fenceAfter(requests []statement.Request) fence {
+	switch requests[len(requests)-1].Operation.(type) {
 	case statement.Begin:
 		if s.unsigned {
 			return openFence
@@ -39,7 +33,7 @@
 			return openFence
 		}
 	case statement.Rollback:
-		return idleFence
+		return frequentFences.choose(s.statesAfter(requests))
 	}
 	return nil
 }
@@ -57,7 +51,7 @@
 	if !c.ambiguous && c.answers.alignment == aligned {
 		return nil
 	}
-	_, err := c.exchangeFenced(limit, nil, nil, idleFence, nil)
+	_, err := c.exchangeFenced(limit, nil, nil, rareFences.choose(c.answers.states), nil)
 	return err
 }
 
@@ -68,7 +62,7 @@
 	if len(requests) == 1 && !c.answers.unsigned && c.answers.alignment == aligned {
 		return c.exchange(limit, requests, answers, 0, len(requests))
 	}
-	return c.exchangeFenced(limit, requests, answers, nil, idleFence)
+	return c.exchangeFenced(limit, requests, answers, nil, frequentFences.choose(c.answers.statesAfter(requests)))
 }
 
 // exchangeStatus sends the first of x's requests, which is answered with a status, and
@@ -85,8 +79,8 @@
 		}
 		return c.Verify(limit)
 	}
-	copy(x.requests[1:], idleFence)
-	_, err := c.exchange(limit, x.requests[:], x.answers[:], 0, 1)
+	n := 1 + copy(x.requests[1:], frequentFences.choose(c.answers.states))
+	_, err := c.exchange(limit, x.requests[:n], x.answers[:n], 0, 1)
 	return err
 }
 
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -268,8 +268,8 @@
 
 // exchange holds the request and the answer of one Command, and those of a fence.
 type exchange struct {
-	requests [1 + idleFenceSize]statement.Request
-	answers  [1 + idleFenceSize]statement.Answer
+	requests [1 + maxFrequentFenceSize]statement.Request
+	answers  [1 + maxFrequentFenceSize]statement.Answer
 }
 
 var exchanges = sync.Pool{New: func() any { return new(exchange) }}
--- a/internal/connection/session/repetition_random_test.go
+++ b/internal/connection/session/repetition_random_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 // playRepeated plays drawn requests of three sessions at a database that repeats drawn
@@ -157,3 +158,78 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRepeated(t, seed) })
 	}
 }
+
+// playReplayed plays writes, reads and fences at a database that, from a drawn answer of each
+// connection on, sends every answer a second time, in order.
+func playReplayed(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 43))
+	rr := rand.New(rand.NewPCG(seed, 44))
+	d := &memoryDatabase{keepOpen: true}
+	g := newMemoryGroup(t, d)
+	g.SetMaxOpen(1)
+	s := newMemorySession(g, 1, routes.Primary)
+	arrives, repeating, dials := false, false, 0
+	d.mu.Lock()
+	d.repeat = func(statement.Operation, *statement.Answer) repetition {
+		if dials != d.dials {
+			dials, repeating = d.dials, false
+		}
+		repeating = repeating || rr.IntN(6) == 0
+		arrives = rr.IntN(4) == 0
+		if !repeating {
+			return repetition{}
+		}
+		return repetition{before: func(statement.Operation) bool { return arrives }, slow: true}
+	}
+	d.mu.Unlock()
+	d.setFail(func(o statement.Operation) *statement.Failure {
+		if (isRead(o) || isWrite(o)) && rr.IntN(2) == 0 {
+			return &statement.Failure{Code: statement.CodeBusy, Text: "a"}
+		}
+		return nil
+	})
+	for n := range 40 {
+		id := fmt.Sprint("q", n)
+		switch r.IntN(6) {
+		case 0, 1, 2:
+			text := "WRITE a " + id
+			f := s.request(id, statement.Write{Text: text})
+			kept := 0
+			for _, c := range d.commits() {
+				if c == text {
+					kept++
+				}
+			}
+			require.LessOrEqual(t, kept, 1, "seed %d: %s (TWICE), answered %v", seed, text, f)
+			switch {
+			case f == nil:
+				require.Equal(t, 1, kept, "seed %d: %s (success)", seed, text)
+			case f.Code != statement.CodeInDoubt && f.Code != statement.CodeTimeout && f.Code != statement.CodeFailed:
+				require.Zero(t, kept, "seed %d: %s (REFUSED), answered %v", seed, text, f)
+			}
+		case 3:
+			if f := s.request(id, statement.Read{Text: "READ a"}); f == nil {
+				require.Equal(t, "ROW "+id+"\r\n", string(s.answer.Rows), "seed %d (MIXED)", seed)
+			}
+		case 4:
+			if _, err := g.Command("a", statement.Status{}, clock.Second); err != nil {
+				t.Log("status:", err)
+			}
+		case 5:
+			if s.request(id, statement.Begin{ReadOnly: true}) == nil {
+				s.request(id+"-read", statement.Read{Text: "READ a"})
+				s.request(id+"-end", statement.Rollback{})
+			}
+		}
+	}
+}
+
+// A write that ran got an earlier BUSY, and its fence the answers behind that: it ran again (TWICE).
+func TestReplayedAnswersDoNotVerify(t *testing.T) {
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playReplayed(t, seed)
+		})
+	}
+}
