--- a/internal/connection/backend/fence.go
+++ b/internal/connection/backend/fence.go
@@ -14,7 +14,7 @@
 
 var (
 	prepareFence    = statement.Request{Operation: statement.Prepare{Name: "fence", Shape: "fence"}}
-	deallocateFence = statement.Request{Operation: statement.Deallocate{Name: "fence", Text: "DEALLOCATE fence"}}
+	deallocateFence = statement.Request{Operation: statement.Deallocate{Name: "fence"}}
 	// openFence is the fence where a transaction may be open. It leaves the transaction and
 	// the prepared statements as they are.
 	openFence = fence{prepareFence, deallocateFence}
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -61,7 +61,7 @@
 }
 
 // Deallocate removes the prepared statement Name. Text is the whole statement
-// as the caller sent it.
+// as the caller sent it, empty for one of the proxy's own.
 type Deallocate struct {
 	Name string
 	Text string
