Log a failure whose fence was not answered

What operators saw: a write in doubt whose database had answered, and no line that says why. The fence behind its failure could not be sent or timed out.

Cause: settleFailure dropped the error of the fence.

Change: the error is logged with the request, at most 5 lines a second and database together with those about unexpected answers. An answer of a fence that shows a fault has such a line already.

Evidence: TestFenceWithoutAnAnswerIsLogged failed (no line) and passes, also 20 times with -race.

--- a/internal/connection/backend/fault_counts.go
+++ b/internal/connection/backend/fault_counts.go
@@ -5,15 +5,17 @@
 	"strings"
 	"sync"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
 const (
-	// maxFaultLines is how many faults of a database's answers are logged in
-	// faultLogPeriod.
+	// maxFaultLines is how many faults of a database's answers, and failures that were not
+	// verified, are logged in faultLogPeriod.
 	maxFaultLines  = 5
 	faultLogPeriod = clock.Second
 )
@@ -29,8 +31,8 @@
 	skipped int
 }
 
-// add counts a fault. It reports whether it may be logged, and how many were not since
-// the last one that was.
+// add counts a fault, if it is one. It reports whether a line may be logged now, and how many
+// were not since the last one that was.
 func (f *faultCounts) add(now clock.Time, fault AnswerFault) (bool, int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -64,6 +66,25 @@
 	p.log.Warn("unexpected answer of a database", fields...)
 }
 
+// RecordUnverified logs that a failure, which may be a repetition of an earlier answer, was not
+// verified because of err. An answer that shows a fault has its line already.
+func (p *Pool) RecordUnverified(requestID string, err error) {
+	var unexpected *UnexpectedAnswerError
+	var notSent *NotSentError
+	if errors.As(err, &unexpected) || errors.As(err, &notSent) && notSent.Unread > 0 {
+		return
+	}
+	admitted, skipped := p.faults.add(p.clock.Now(), FaultNone)
+	if !admitted {
+		return
+	}
+	fields := []zap.Field{zap.String("database", p.ID), zap.String("request", requestID), logs.Error(err)}
+	if skipped > 0 {
+		fields = append(fields, zap.Int("skipped", skipped))
+	}
+	p.log.Info("failure not verified", fields...)
+}
+
 // AnswerFaults calls f with the number of answers with each fault.
 func (p *Pool) AnswerFaults(f func(AnswerFault, int64)) {
 	p.faults.mu.Lock()
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -92,7 +92,7 @@
 		c.NeedsReset = true
 		s.answer.Failure = f
 	}
-	if s.answer.Failure != nil && c.Ambiguous() && !s.settleFailure(c, r, limit-now.Sub(sent)) {
+	if s.answer.Failure != nil && c.Ambiguous() && !s.settleFailure(c, p, r, limit-now.Sub(sent)) {
 		g.MarkAnswered(p.ID, now)
 		return unanswered
 	}
@@ -120,13 +120,17 @@
 // verified first, within limit or minConfirmWait. In an open transaction it cannot be
 // verified, and the transaction is to end. What follows on the connection shows any other
 // repetition.
-func (s *Session) settleFailure(c *backend.PooledConn, r *statement.Request, limit clock.Duration) bool {
+func (s *Session) settleFailure(c *backend.PooledConn, p *backend.Pool, r *statement.Request, limit clock.Duration) bool {
 	_, commits := r.Operation.(statement.Commit)
 	switch {
 	case s.answer.State == statement.InTransaction, commits && s.answer.State != statement.Idle:
 		return false
 	case commits, s.tx == nil && s.writes(r):
-		return c.Verify(max(limit, minConfirmWait)) == nil
+		err := c.Verify(max(limit, minConfirmWait))
+		if err != nil {
+			p.RecordUnverified(r.ID, err)
+		}
+		return err == nil
 	default:
 		return true
 	}
--- a/internal/connection/session/repetition_test.go
+++ b/internal/connection/session/repetition_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
@@ -255,8 +257,12 @@
 }
 
 func newGroupOf(t *testing.T, dialer backend.Dialer) *backend.GroupClient {
+	return newLoggedGroup(t, dialer, zap.NewNop())
+}
+
+func newLoggedGroup(t *testing.T, dialer backend.Dialer, log *zap.Logger) *backend.GroupClient {
 	c := clock.NewBoot()
-	g := backend.NewGroupClient("shop", "z", backend.DefaultSettings(), dialer, c, zap.NewNop(), func() {})
+	g := backend.NewGroupClient("shop", "z", backend.DefaultSettings(), dialer, c, log, func() {})
 	g.Update(group.Entry{ID: "a", Group: "shop", Address: "a", Slots: 4, Role: database.RolePrimary})
 	now := c.Now()
 	g.ObserveStatus("a", now, now, database.Status{Role: database.RolePrimary, Term: 1})
@@ -482,3 +488,47 @@
 	d.kept = append(d.kept, c.(*memoryConn))
 	return c, a, err
 }
+
+// unfencedDialer opens connections on which fences that go alone fail.
+type unfencedDialer struct{ backend.Dialer }
+
+type unfencedConn struct{ backend.Conn }
+
+func (d unfencedDialer) Dial(ctx context.Context, to backend.Target) (backend.Conn, statement.Answer, error) {
+	c, a, err := d.Dialer.Dial(ctx, to)
+	return &unfencedConn{c}, a, err
+}
+
+func (c *unfencedConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+	if isBegin(requests[0].Operation) && requests[0].ID == "" {
+		return 0, context.DeadlineExceeded
+	}
+	return c.Conn.Exchange(limit, requests, answers)
+}
+
+// A write was in doubt since the fence behind its failure was not answered, and no line said so.
+func TestFenceWithoutAnAnswerIsLogged(t *testing.T) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	d := &memoryDatabase{fail: func(o statement.Operation) *statement.Failure {
+		if isWrite(o) {
+			return &statement.Failure{Code: statement.CodeFailed, Text: "a"}
+		}
+		return nil
+	}}
+	g := newLoggedGroup(t, unfencedDialer{d}, zap.New(core))
+	s := newMemorySession(g, 1, routes.BoundedAge)
+	var inDoubt []string
+	for i := range 40 {
+		id := fmt.Sprint("write-", i)
+		f := s.request(id, statement.Write{Text: "WRITE a 1"})
+		require.NotNil(t, f)
+		if f.Code == statement.CodeInDoubt {
+			inDoubt = append(inDoubt, id)
+		}
+	}
+	require.GreaterOrEqual(t, len(inDoubt), 10)
+	lines := logs.FilterMessage("failure not verified").All()
+	require.NotEmpty(t, lines)
+	require.Equal(t, map[string]any{"group": "shop", "database": "a", "request": inDoubt[0], "error": context.DeadlineExceeded.Error()}, lines[0].ContextMap())
+	require.Less(t, len(lines), len(inDoubt))
+}
