Count a database whose bytes are no answers as lost

What callers saw: no statement was served by a primary that answers each request with bytes that are no answer, and it was never replaced.

Cause: such bytes did not count as a loss, like answers that arrive twice. Where they did, each closed connection was followed by a new one, whose greeting ended the run of failures.

Change: the fault "form" counts as a failed attempt, unless the database has answered since the request was sent. While its last bytes were no answer, a greeting is no sign of life. The other connections stay, and other faults are no loss as before.

Evidence: TestPrimaryWhoseBytesAreNoAnswerIsSuspected failed, also with the loss alone, and passes (3 times, and once with -race). TestPrimaryThatRepeatsItselfIsNotSuspected passed before and does now. TestSoakRepeatedAnswersStayApart and TestSoakCutAnswersAreNoSuccess pass.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -180,11 +180,17 @@
 		err = c.check(requests, answers, begin, end)
 	}
 	if err == nil {
+		if c.pool.malformed.Load() {
+			c.pool.malformed.Store(false)
+		}
 		return n, nil
 	}
 	var unexpected *UnexpectedAnswerError
 	if errors.As(err, &unexpected) {
 		unexpected.Database = c.pool.ID
+		if unexpected.Fault == FaultForm {
+			c.pool.malformed.Store(true)
+		}
 		c.pool.recordFault(c, unexpected.Fault, unexpected.Operation, "answers not used", zap.Error(unexpected.Cause))
 	}
 	for i := range answers {
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -166,7 +166,9 @@
 		var refused *statement.Failure
 		switch {
 		case err == nil:
-			g.ObservePosition(id, now, began, now, greeting.Position)
+			if p := g.Pool(id); p == nil || !p.malformed.Load() {
+				g.ObservePosition(id, now, began, now, greeting.Position)
+			}
 			if m, leads := g.Primary(); leads && m.ID == id {
 				// The process behind the connection has not said yet that it leads.
 				g.RequestStatus(id)
@@ -306,14 +308,18 @@
 
 // RecordExchangeError records that an exchange that began at the given time failed with
 // err. A database that has sent bytes that nobody waits for, or an answer of another request,
-// is not lost, but these may have been sent long ago.
+// is not lost, but these may have been sent long ago. One whose bytes are no answer is lost
+// unless it has answered since then; its other connections are not dead.
 func (g *GroupClient) RecordExchangeError(id string, began clock.Time, err error) {
 	var notSent *NotSentError
 	var unexpected *UnexpectedAnswerError
-	if errors.As(err, &notSent) && notSent.Unread > 0 || errors.As(err, &unexpected) {
-		return
+	switch {
+	case errors.As(err, &notSent) && notSent.Unread > 0:
+	case !errors.As(err, &unexpected):
+		g.RecordConnectionLoss(id, began)
+	case unexpected.Fault == FaultForm && !g.AnsweredSince(id, began) && g.RecordFailure(id, began):
+		g.log.Info("database unreachable", zap.String("database", id), zap.String("error", "its bytes are no answers"))
 	}
-	g.RecordConnectionLoss(id, began)
 }
 
 // Await waits until condition holds or the deadline has passed, and reports
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -123,6 +124,9 @@
 	// exchangePart names an exchange with the database in logs of a contained panic.
 	exchangePart string
 	faults       faultCounts
+	// malformed is set while the last bytes of the database were no answer. That it greets new
+	// connections is no sign of life then.
+	malformed atomic.Bool
 
 	mu      sync.Mutex
 	idle    []*PooledConn
