--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -159,9 +159,9 @@
 func (c *PooledConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
 	var before fence
 	if c.answers.alignment == unknown && c.answers.state == statement.Idle {
-		before = idleFence
+		before = frequentFences.choose(c.answers.states)
 	}
-	after := c.answers.fenceAfter(requests[len(requests)-1].Operation)
+	after := c.answers.fenceAfter(requests)
 	if before == nil && after == nil {
 		return c.exchange(limit, requests, answers, 0, len(requests))
 	}
@@ -180,11 +180,17 @@
 		err = c.check(requests, answers, begin, end)
 	}
 	if err == nil {
+		if c.pool.malformed.Load() {
+			c.pool.malformed.Store(false)
+		}
 		return n, nil
 	}
 	var unexpected *UnexpectedAnswerError
 	if errors.As(err, &unexpected) {
 		unexpected.Database = c.pool.ID
+		if unexpected.Fault == FaultForm {
+			c.pool.malformed.Store(true)
+		}
 		c.pool.recordFault(c, unexpected.Fault, unexpected.Operation, "answers not used", zap.Error(unexpected.Cause))
 	}
 	for i := range answers {
