Serve statements that only the proxy has made too long

Callers saw: on routes whose reads have a floor, a read of up to 1 MiB was MALFORMED. So were a transaction whose BEGIN has a long id, and an EXECUTE whose name at databases is longer than the caller's.

Cause: the proxy puts AFTER and a position, or a name of 33 bytes, into the message, which then is longer than 1 MiB. No database takes that.

Now a read without room for its floor goes without it to the primary, as on primary routes: the database is asked with it whether it leads, and another one must confirm that. A primary that led after the read had arrived has every commit that the floor stands for. A BEGIN without room carries the id of the proxy's own statements, since the caller's has been answered already, and keeps its floor. An EXECUTE without room has a name of one byte that is prepared ahead of it. The connection is reset before such a name is used again, so that an EXECUTE whose PREPARE has failed runs no earlier statement.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -41,7 +41,8 @@
 	// connection must not be used any more.
 	Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error)
 	// Check returns an error if Exchange would not send the requests, because one of
-	// them has no valid encoding. The connection stays as it is.
+	// them has no valid encoding. It is a *TooLongError if that is longer than a message
+	// may be. The connection stays as it is.
 	Check(requests []statement.Request) error
 	// Buffered returns the number of bytes that were received with the last answer and
 	// are not part of it.
@@ -111,6 +112,14 @@
 // Unwrap returns why the connection has ended.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// TooLongError reports a request whose encoding is longer than a message may be.
+type TooLongError struct{ Cause error }
+
+func (e *TooLongError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the error of the encoder.
+func (e *TooLongError) Unwrap() error { return e.Cause }
+
 // Probe returns a *NotSentError if the connection cannot be used: an answer to the next
 // request would be read after bytes that belong to none, or the connection has ended.
 func (c *PooledConn) Probe() error {
--- a/internal/connection/session/exchange.go
+++ b/internal/connection/session/exchange.go
@@ -29,6 +29,9 @@
 	misanswered
 	// notSent means that the request was not sent, since the connection cannot be used.
 	notSent
+	// noRoom means that the request was not sent, since it is too long together with its
+	// floor.
+	noRoom
 )
 
 // exchange sends r on a connection and stores its answer in s.answer. The request that
@@ -49,13 +52,16 @@
 		requests = append(requests, statement.Request{Operation: statement.Status{}})
 	}
 	requests = append(requests, s.withSharedName(r))
+	s.requests = requests
+	if err := c.Check(requests); err != nil {
+		if requests, loaded, err = s.shorten(c, r, requests, loaded, err); err != nil {
+			return s.failInvalid(c, p, r, loaded > 0, err)
+		}
+	}
 	answers := slices.Grow(s.answers[:0], len(requests))[:len(requests)]
 	s.requests, s.answers = requests, answers
 	// No buffer may be used by two answers of a later exchange.
 	defer clear(answers)
-	if err := c.Check(requests); err != nil {
-		return s.failInvalid(c, p, loaded > 0, err)
-	}
 	last := len(requests) - 1
 	s.answer.Reset()
 	answers[last] = s.answer
@@ -104,12 +110,45 @@
 	return answered
 }
 
+// shorten returns requests with a shorter form of r, which is the last of them, if cause is
+// that r is too long with what the proxy has added to it. The first loaded ones load the
+// session's state; shorten returns their new number.
+func (s *Session) shorten(c *backend.PooledConn, r *statement.Request, requests []statement.Request, loaded int, cause error) ([]statement.Request, int, error) {
+	var tooLong *backend.TooLongError
+	if !errors.As(cause, &tooLong) {
+		return requests, loaded, cause
+	}
+	last := &requests[len(requests)-1]
+	switch o := r.Operation.(type) {
+	case statement.Begin:
+		// The caller's BEGIN has been answered already, so that this one is the proxy's own.
+		last.ID = ""
+	case statement.Execute:
+		name, load, ok := s.prepareShort(c, o.Name)
+		if !ok {
+			return requests, loaded, cause
+		}
+		o.Name = name
+		last.Operation = o
+		requests = slices.Insert(requests, loaded, load...)
+		loaded += len(load)
+	default:
+		return requests, loaded, cause
+	}
+	return requests, loaded, c.Check(requests)
+}
+
 // failInvalid fails a request that cannot be encoded, and which no other database would
-// be sent either. loading is set if requests that load the session's state, which is recorded
-// on the connection, have gone ahead of it.
-func (s *Session) failInvalid(c *backend.PooledConn, p *backend.Pool, loading bool, cause error) exchangeOutcome {
+// be sent either. One that could be sent without its floor does not fail. loading is set if
+// requests that load the session's state, which is recorded on the connection, have gone
+// ahead of it.
+func (s *Session) failInvalid(c *backend.PooledConn, p *backend.Pool, r *statement.Request, loading bool, cause error) exchangeOutcome {
 	s.releaseSlot(p)
 	c.NeedsReset = c.NeedsReset || loading
+	var tooLong *backend.TooLongError
+	if !r.Floor.IsZero() && errors.As(cause, &tooLong) {
+		return noRoom
+	}
 	s.Log.Info("request not sent", append(s.callerFields(s.workspace), logs.Error(cause))...)
 	s.fail(statement.CodeMalformed, "the request cannot be sent to a database: "+cause.Error())
 	return answered
@@ -137,7 +176,7 @@
 // too: one that has stepped down, or a process that has started in place of the primary
 // without its log.
 func (s *Session) needsStatus(g *backend.GroupClient, c *backend.PooledConn, p *backend.Pool, r *statement.Request) bool {
-	if s.route == nil || s.route.Consistency != routes.Primary {
+	if s.route == nil || s.route.Consistency != routes.Primary && !s.withoutFloor {
 		return false
 	}
 	switch o := r.Operation.(type) {
--- a/internal/connection/session/invalid_request_test.go
+++ b/internal/connection/session/invalid_request_test.go
@@ -12,8 +12,8 @@
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
-// A request that has become too long with the prefix or the name that the proxy adds was in
-// doubt, and its connection was lost. It is MALFORMED, and everything else goes on.
+// A request that no message can hold was in doubt, and its connection was lost. It is
+// MALFORMED, and everything else goes on.
 func TestRequestThatCannotBeSentIsMalformed(t *testing.T) {
 	for kind, route := range map[string]routes.Consistency{"bounded": routes.BoundedAge, "own": routes.ReadYourWrites, "primary": routes.Primary} {
 		t.Run(kind, func(t *testing.T) {
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -29,6 +29,8 @@
 	fail func(statement.Operation) *statement.Failure
 	// invalid reports whether a request has no encoding, nil if all have one.
 	invalid func(*statement.Request) bool
+	// tooLong reports whether a request is longer than a message may be, nil if none is.
+	tooLong func(*statement.Request) bool
 	// ran has the statements of callers that have run.
 	ran []ranStatement
 	// committed has the texts of the writes that were committed.
@@ -268,6 +270,9 @@
 		if c.invalid != nil && c.invalid(&requests[i]) {
 			return errors.New("longer than 1 MiB")
 		}
+		if c.tooLong != nil && c.tooLong(&requests[i]) {
+			return &backend.TooLongError{Cause: errors.New("longer than 1 MiB")}
+		}
 	}
 	return nil
 }
--- a/internal/connection/session/read.go
+++ b/internal/connection/session/read.go
@@ -99,7 +99,8 @@
 // database after another until one answers, starting with the one that is
 // expected to answer first. It returns the connection that answered and its
 // pool; if none answered, the connection is nil and the answer fails with
-// CodeBusy. A read may run more than once.
+// CodeBusy. A read that has no room for its floor runs at the primary, as on Primary
+// routes, and the connection is nil too. A read may run more than once.
 func (s *Session) readAnywhere(g *backend.GroupClient, r *statement.Request, floor position.Position, deadline clock.Time) (*backend.PooledConn, *backend.Pool) {
 	var exclude []string
 	cause := "no database of the group is known"
@@ -182,6 +183,11 @@
 			cause = m.ID + " has not answered"
 			exclude = append(exclude, m.ID)
 			continue
+		case noRoom:
+			c.Release()
+			s.withoutFloor = true
+			s.readPrimary(g, r, deadline)
+			return nil, nil
 		}
 		f := s.answer.Failure
 		if f == nil || !f.Code.NotRun() && f.Code != statement.CodeFailed {
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -166,6 +166,9 @@
 	answerWithin clock.Duration
 	// floorSource is what the floor of the request was taken from.
 	floorSource group.FloorSource
+	// withoutFloor is set if the request has no room for its floor, so that it needs the
+	// primary.
+	withoutFloor bool
 	// workspace is the name of the workspace on whose behalf the request runs, or the
 	// last one did if this one is refused. It is empty on public routes and where no
 	// workspaces are declared.
@@ -402,6 +405,7 @@
 func (s *Session) serve(r *statement.Request) {
 	s.requestID, s.limited, s.floorSource = r.ID, nil, group.FloorUnknown
 	s.refused, s.shortOfCapacity, s.shortage, s.answeredBy = false, false, shortage{}, ""
+	s.withoutFloor = false
 	s.answer.Reset()
 	defer s.putBackToken()
 	defer s.countShortage()
--- a/internal/connection/session/state.go
+++ b/internal/connection/session/state.go
@@ -76,6 +76,35 @@
 	unpreparedPrefix = "u"
 )
 
+// shortNames are names of one byte each that stand for statements whose EXECUTE has no room
+// for the shared name. None of them begins with unpreparedPrefix.
+const shortNames = "abcdefghijklmnopqrstvwxyz"
+
+// prepareShort returns a name for the session's prepared statement that is not longer than
+// name, and the request that prepares it, nil if there is none. The connection is reset
+// before a name of it is used again: an EXECUTE whose PREPARE has failed must not run an
+// earlier statement. It returns false if no name is left.
+func (s *Session) prepareShort(c *backend.PooledConn, name string) (string, []statement.Request, bool) {
+	p, known := s.prepared[name]
+	if !known {
+		return unpreparedPrefix, nil, true
+	}
+	for i := range shortNames {
+		p.Name = shortNames[i : i+1]
+		if _, taken := c.Prepared[p.Name]; taken {
+			continue
+		}
+		c.Prepared[p.Name] = struct{}{}
+		if s.tx == nil {
+			c.NeedsReset = true
+		} else {
+			s.tx.valuesChanged = true
+		}
+		return p.Name, []statement.Request{{Operation: p}}, true
+	}
+	return "", nil, false
+}
+
 // sharedName derives the name of a prepared statement from its content. Sessions
 // that use the same name for different statements do not collide on a pooled
 // connection, and sessions that prepare the same statement share it. Callers choose
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -40,8 +40,8 @@
 	// earlier one, which the next answer tells. It is zero once that is known.
 	leadsAt clock.Time
 	wrote   bool
-	// valuesChanged is set once session variables were changed on the connection
-	// within the transaction.
+	// valuesChanged is set once session variables were changed on the connection, or
+	// statements prepared under short names, within the transaction.
 	valuesChanged bool
 	// failure is the reason why the transaction can only be rolled back, or nil.
 	failure *statement.Failure
