Limit the rest of a message in a transaction

Callers saw: a transaction whose caller had sent a part of a message, or one that ends with LF only, stayed open without a limit, with its connection to the database.

Cause: the idle timeout was taken off with the first byte of a message.

Now the rest of the message has the idle timeout as well. After it the transaction is rolled back, and the session goes on: what had arrived is kept, and the rest of the message completes it, so that the statement is answered as one of the failed transaction.

--- a/cmd/oleanderflow-front/message_limit_test.go
+++ b/cmd/oleanderflow-front/message_limit_test.go
@@ -69,6 +69,28 @@
 	}
 }
 
+// A transaction with half a message was open without a limit. It is rolled back, and the rest of
+// the message still belongs to it.
+func TestTransactionWithHalfAMessageIsRolledBack(t *testing.T) {
+	system := startSystem(t, 1, 64, 0)
+	f := system.fronts[0]
+	queryUntilSuccess(t, openSession(t, f, "fills"), "WRITE a before")
+	s := openWire(t, f.Address(), "fills")
+	require.Equal(t, "COMPLETE -", s.exchange("QUERY b1 BEGIN")[0])
+	require.Contains(t, s.exchange("QUERY w1 WRITE a lost")[0], "COMPLETE sig")
+	_, err := s.conn.Write([]byte("QUERY w2 WRITE b "))
+	require.NoError(t, err)
+	time.Sleep(3 * transactionIdleMillis * time.Millisecond)
+	answer := s.exchange("data")
+	require.Contains(t, answer[0], "ERROR MALFORMED ")
+	require.Equal(t, "READY E -", answer[1])
+	require.Contains(t, s.exchange("QUERY c1 COMMIT")[0], "ERROR ABORTED ")
+	require.Equal(t, "ROW before", s.exchange("QUERY r1 READ a")[0])
+	for _, a := range system.group.Arrivals() {
+		require.NotContains(t, []string{"w2", "c1"}, a.ID)
+	}
+}
+
 // A message of 1 MiB is served as others are, also by way of another process, and where the
 // proxy adds a position or a name to it. No database is sent a longer one.
 func TestLargestMessages(t *testing.T) {
