--- a/cmd/oleanderflow-front/message_limit_test.go
+++ b/cmd/oleanderflow-front/message_limit_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// A request that was half read at SIGTERM got no answer.
+func TestStopAnswersAHalfReadRequest(t *testing.T) {
+	f := startSystem(t, 1, 64, 0).fronts[0]
+	queryUntilSuccess(t, openSession(t, f, "fills"), "WRITE a v")
+	idle, s := openSession(t, f, "fills"), openWire(t, f.Address(), "fills")
+	_, err := s.conn.Write([]byte("QUERY r1 RE"))
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	go f.Stop()
+	require.True(t, idle.AwaitClose(10*time.Second))
+	require.Equal(t, "ROW v", s.exchange("AD a")[0])
+	_, err = s.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // A message of 1 MiB is served as others are, also by way of another process, and where the
 // proxy adds a position or a name to it. No database is sent a longer one.
 func TestLargestMessages(t *testing.T) {
