Answer requests that were sent ahead of a shutdown

Callers saw: a caller that sends its next requests before it has the answer to the last one got the answer to the request in progress, and then a close, though the proxy had read the others.

Cause: a draining session ended as soon as no transaction was open, without a look at what had arrived on its connection. With a short grace it is drained and told to end at once.

Now a draining session outside a transaction goes on while a request has arrived, and waits for the rest of one as at any interruption. Once it has to end, after half of the grace, it answers the requests in its read buffer and reads no more, so that a caller that sends without a pause does not hold it. A session that has to end in a transaction still ends after the current request.

--- a/cmd/oleanderflow-front/message_limit_test.go
+++ b/cmd/oleanderflow-front/message_limit_test.go
@@ -106,6 +106,44 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Requests that a caller had sent ahead got no answer when the proxy stopped.
+func TestStopAnswersRequestsSentAhead(t *testing.T) {
+	f := startSystem(t, 1, 64, 0).fronts[0]
+	queryUntilSuccess(t, openSession(t, f, "fills"), "WRITE a v")
+	const ahead = 8
+	results := make(chan int, 8)
+	for range cap(results) {
+		s := openWire(t, f.Address(), "fills")
+		go func() {
+			for {
+				if _, err := s.conn.Write([]byte(strings.Repeat("QUERY "+fill("q", 60)+" READ a\r\n", ahead))); err != nil {
+					results <- 0
+					return
+				}
+				for ready := 0; ready < ahead; {
+					line, err := s.reader.ReadString('\n')
+					if err != nil {
+						results <- ready
+						return
+					}
+					if strings.HasPrefix(line, "READY ") {
+						ready++
+					}
+				}
+			}
+		}()
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		f.Stop()
+	}()
+	for range cap(results) {
+		require.Zero(t, <-results, "a session was closed between the answers to requests that had arrived at once")
+	}
+	<-stopped
+}
+
 // A message of 1 MiB is served as others are, also by way of another process, and where the
 // proxy adds a position or a name to it. No database is sent a longer one.
 func TestLargestMessages(t *testing.T) {
--- a/internal/connection/session/refusal_test.go
+++ b/internal/connection/session/refusal_test.go
@@ -33,9 +33,11 @@
 	Caller
 	key      string
 	requests []statement.Request
-	before   map[string]func()
-	refusal  *statement.Failure
-	answers  []string
+	// unread is how many of the requests arrive after the others.
+	unread  int
+	before  map[string]func()
+	refusal *statement.Failure
+	answers []string
 }
 
 func (c *scriptedCaller) ReadStartup(clock.Duration) (Startup, error) {
@@ -46,8 +48,10 @@
 	c.refusal = f
 	return nil
 }
-func (c *scriptedCaller) Interrupt() {}
-func (c *scriptedCaller) Close()     {}
+func (c *scriptedCaller) Interrupt()    {}
+func (c *scriptedCaller) Arrived() bool { return len(c.requests) > 0 }
+func (c *scriptedCaller) HasRead() bool { return len(c.requests) > c.unread }
+func (c *scriptedCaller) Close()        {}
 
 func (c *scriptedCaller) Next(clock.Duration) (statement.Request, error) {
 	if len(c.requests) == 0 {
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -60,6 +60,10 @@
 	// Interrupt makes the pending or next call of Next return an error, unless a
 	// request has arrived already.
 	Interrupt()
+	// Arrived reports whether a part of a further request has arrived.
+	Arrived() bool
+	// HasRead reports whether a whole further request was read from the connection.
+	HasRead() bool
 	Close()
 }
 
@@ -187,8 +191,8 @@
 	mu       sync.Mutex
 	waiting  bool
 	draining bool
-	// ending is set if the session must end after the current request, open
-	// transaction or not.
+	// ending is set if the session must end after the requests that were read, and after
+	// the current one if a transaction is open.
 	ending bool
 }
 
@@ -352,13 +356,23 @@
 }
 
 // markWaiting marks the session as waiting for a request outside a transaction.
-// It returns false if the session has to end: it is draining and no transaction
-// is open, or StopAfterRequest was called.
+// It returns false if the session has to end. Outside transactions, a draining session still
+// takes the requests that have arrived, and after StopAfterRequest those that were read.
 func (s *Session) markWaiting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting = s.tx == nil
-	return !s.ending && (!s.draining || s.tx != nil)
+	switch {
+	case s.tx != nil:
+		return !s.ending
+	case !s.draining:
+		return true
+	case s.ending && !s.caller.HasRead(), !s.caller.Arrived():
+		return false
+	}
+	// The rest of the request is not awaited without a limit.
+	s.caller.Interrupt()
+	return true
 }
 
 func (s *Session) markActive() {
@@ -368,7 +382,7 @@
 }
 
 // Drain ends the session as soon as no request and no transaction is in
-// progress.
+// progress, and no request has arrived.
 func (s *Session) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -378,8 +392,8 @@
 	}
 }
 
-// StopAfterRequest ends the session after the current request. An open
-// transaction is rolled back.
+// StopAfterRequest ends the session after the current request and those that were read
+// with it. An open transaction is rolled back after the current request.
 func (s *Session) StopAfterRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/connection/session/session_test.go
+++ b/internal/connection/session/session_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -67,3 +68,34 @@
 	}
 	<-done
 }
+
+// A draining session was closed with requests of its caller that had been read. Once it must
+// end, it takes those only, and none in a transaction.
+func TestDrainingSessionAnswersWhatHasArrived(t *testing.T) {
+	read, begin := statement.Read{Text: "READ a"}, statement.Begin{}
+	for name, c := range map[string]struct {
+		first  statement.Operation
+		unread int
+		stop   func(*Session)
+		want   int
+	}{
+		"drain":                         {read, 0, (*Session).Drain, 5},
+		"drain, unread":                 {read, 2, (*Session).Drain, 5},
+		"stop":                          {read, 0, (*Session).StopAfterRequest, 5},
+		"stop, unread":                  {read, 2, (*Session).StopAfterRequest, 3},
+		"drain in a transaction":        {begin, 0, (*Session).Drain, 5},
+		"stop in a transaction":         {begin, 0, (*Session).StopAfterRequest, 2},
+		"stop in a transaction, unread": {begin, 3, (*Session).StopAfterRequest, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newMemorySession(newMemoryGroup(t, &memoryDatabase{}), 1, routes.Primary)
+			caller := &scriptedCaller{unread: c.unread, before: map[string]func(){"q2": func() { c.stop(s) }}}
+			for i, o := range []statement.Operation{c.first, read, read, read, read} {
+				caller.requests = append(caller.requests, statement.Request{ID: "q" + strconv.Itoa(i+1), Operation: o})
+			}
+			s.caller = caller
+			s.Run()
+			require.Len(t, caller.answers, c.want)
+		})
+	}
+}
