Do not continue the transaction of a first statement without an answer

Callers saw: a write that was answered with BUSY, which has not run, was committed with the transaction: the caller sent it again, and it was committed twice.

Cause: a home that does not answer the first statement of a transaction may have begun it and run the statement. The caller's proxy sends it a rollback, which is lost if the network is bad. The transaction had the same number at all homes. When the caller's next attempt went to that home again, the home took it for a statement of the transaction that was still open.

A transaction gets another number when a home has not answered its first statement. What that home has begun is known by the earlier number and is never committed. A rollback that arrives late concerns the earlier number only.

--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -83,6 +83,8 @@
 		var notRun *peer.NotRunError
 		if s.tx != nil && s.tx.home == "" && !errors.As(err, &notRun) {
 			s.rollbackAt(home)
+			s.numberTransaction()
+			run.Transaction = s.tx.number
 		}
 		switch {
 		case s.tx != nil && s.tx.home != "":
@@ -131,8 +133,9 @@
 }
 
 // safeToRepeat reports whether a request can be sent to another home after one
-// has not answered. The first statement of a transaction can: a transaction that
-// was begun at a home that did not answer is never committed.
+// has not answered. The first statement of a transaction can: the transaction has
+// another number then, and the one that was begun at the home that did not answer is
+// never committed.
 func (s *Session) safeToRepeat(r *statement.Request) bool {
 	if s.tx != nil {
 		_, commit := r.Operation.(statement.Commit)
--- /dev/null
+++ b/internal/connection/session/forward_test.go
@@ -0,0 +1,96 @@
+package session
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/zap"
+
+	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
+	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
+	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
+	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+// losses decides which requests of others, and which answers to them, are lost.
+type losses struct {
+	mu sync.Mutex
+	// request and answer report whether a request or the answer to it is lost. They are
+	// nil if none is.
+	request, answer func(*peer.RunRequest) bool
+}
+
+func (l *losses) isLost(lost func(*peer.RunRequest) bool, run *peer.RunRequest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return lost != nil && lost(run)
+}
+
+// losingHost is a Host to which some requests, and from which some answers, do not arrive.
+type losingHost struct {
+	*Host
+	*losses
+}
+
+// Run implements proxy.Receiver.
+func (h losingHost) Run(ctx context.Context, request []byte) (msgp.Marshaler, error) {
+	var run peer.RunRequest
+	if _, err := run.UnmarshalMsg(request); err != nil {
+		return nil, &proxy.DecodeError{Cause: err}
+	}
+	if h.isLost(h.request, &run) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	answer, err := h.Host.Run(ctx, request)
+	if h.isLost(h.answer, &run) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return answer, err
+}
+
+// firstOf reports whether a request is one of the first n of a kind.
+func firstOf(n int, kinds ...peer.Kind) func(*peer.RunRequest) bool {
+	left := make(map[peer.Kind]int)
+	for _, kind := range kinds {
+		left[kind] = n
+	}
+	return func(run *peer.RunRequest) bool {
+		left[run.Operation.Kind]--
+		return left[run.Operation.Kind] >= 0
+	}
+}
+
+// A first statement that was answered with BUSY must not be part of the transaction that the
+// caller goes on with: its write was committed together with the repeated one.
+func TestUnansweredFirstStatementIsNotContinued(t *testing.T) {
+	t.Parallel()
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	l := &losses{}
+	process := startForwardingProcessesTo(t, func() proxy.Receiver {
+		return losingHost{NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }}), l}
+	}, 1)[0]
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	// The group has three homes.
+	const homes = 3
+	write, _ := peer.Encode(statement.Write{})
+	rollback, _ := peer.Encode(statement.Rollback{})
+	l.answer, l.request = firstOf(homes, write.Kind), firstOf(100, rollback.Kind)
+	requireServed(t, s, "begin", statement.Begin{})
+	for range homes {
+		f := s.request("write", statement.Write{Text: "WRITE a b"})
+		require.NotNil(t, f)
+		require.Equal(t, statement.CodeBusy, f.Code)
+		backend.Sleep(1100 * clock.Millisecond) // homes that have not answered are avoided for a time
+	}
+	requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	requireServed(t, s, "commit", statement.Commit{})
+	require.Equal(t, []string{"WRITE a b"}, d.commits())
+}
--- a/internal/connection/session/host_test.go
+++ b/internal/connection/session/host_test.go
@@ -93,18 +93,24 @@
 
 // startForwardingProcesses starts processes whose homes are all served by h. They stand
 // for processes of one proxy that run one after another.
-func startForwardingProcesses(t *testing.T, h *Host, count int) []forwardingProcess {
-	server, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
-	require.NoError(t, err)
-	t.Cleanup(server.Close)
+func startForwardingProcesses(t *testing.T, h proxy.Receiver, count int) []forwardingProcess {
+	return startForwardingProcessesTo(t, func() proxy.Receiver { return h }, count)
+}
+
+// startForwardingProcessesTo starts processes whose homes are served by what newHome
+// returns, which is called for each home.
+func startForwardingProcessesTo(t *testing.T, newHome func() proxy.Receiver, count int) []forwardingProcess {
 	// The names are such that "front" is no home of the group.
 	members := []proxy.Peer{{Name: "front"}}
 	for i := range 20 {
+		server, err := proxy.NewPeers("127.0.0.1:0", newHome(), zap.NewNop())
+		require.NoError(t, err)
+		t.Cleanup(server.Close)
 		members = append(members, proxy.Peer{Name: fmt.Sprintf("home-%d", i), Address: server.Address()})
 	}
 	list := make([]forwardingProcess, 0, count)
 	for range count {
-		peers, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
+		peers, err := proxy.NewPeers("127.0.0.1:0", newHome(), zap.NewNop())
 		require.NoError(t, err)
 		homes := peer.NewHomes("front", "a", peers, clock.NewBoot())
 		homes.SetMembers(members)
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -144,7 +144,7 @@
 	// floor is the position of the session's last acknowledged commit.
 	floor position.Position
 	tx    *transaction
-	// transactionCount is the number of transactions begun in the session.
+	// transactionCount is the last number of a transaction of the session.
 	transactionCount uint64
 	// hostedRoute is the route of a session that is hosted for another proxy,
 	// and nil otherwise. origin names that proxy and its session.
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -18,7 +18,7 @@
 	// arrived is when the caller's BEGIN arrived.
 	arrived clock.Time
 	// id is the request ID of the caller's BEGIN. number is its number within the
-	// session.
+	// session, by which homes know it. It changes until a home has answered.
 	id     string
 	number uint64
 	// begun is set once the transaction has begun at a home or at this proxy.
@@ -84,8 +84,15 @@
 	if !s.admit(route) {
 		return
 	}
+	s.tx = &transaction{route: route, workspace: s.workspace, id: id, readOnly: o.ReadOnly, arrived: s.arrived}
+	s.numberTransaction()
+}
+
+// numberTransaction gives the open transaction a number that no other one of the session
+// has, or has had.
+func (s *Session) numberTransaction() {
 	s.transactionCount++
-	s.tx = &transaction{number: s.transactionCount, route: route, workspace: s.workspace, id: id, readOnly: o.ReadOnly, arrived: s.arrived}
+	s.tx.number = s.transactionCount
 }
 
 // runInTransaction runs a statement on the transaction's connection.
