Roll back at its home the transaction of a statement that was lost

What callers would see: waits for locks, and for connections of the home, of up to 5 s after a statement of a transaction has got lost between two proxies.

Cause: a home that does not answer is lost to the transaction, which fails with ABORTED, or INDOUBT for a COMMIT after a write. The home was told nothing and kept the transaction until its idle timeout. A ROLLBACK of the caller was sent once; if it was lost, the same happened.

The caller's proxy sends the rollback when a statement has no answer, and sends it again, after a pause of 0.2 s, until the home has answered or would have ended the idle transaction itself. The caller's answer does not wait for it.

--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -6,7 +6,9 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
+	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
@@ -27,6 +29,9 @@
 	// maxHomes is the maximum number of homes to which a request is sent before
 	// this proxy serves it itself.
 	maxHomes = 2
+	// rollbackPause is the pause before a home that has not answered a rollback is told
+	// again.
+	rollbackPause = 200 * clock.Millisecond
 )
 
 // shouldForward reports whether a request is forwarded to a home of its group. A
@@ -148,6 +153,7 @@
 // answer. A COMMIT after a write is in doubt then.
 func (s *Session) handleLostHome(r *statement.Request, home string) {
 	t := s.tx
+	s.rollbackAt(home)
 	_, commit := r.Operation.(statement.Commit)
 	if commit && t.wrote {
 		s.fail(statement.CodeInDoubt, "home "+home+" has not answered COMMIT")
@@ -234,16 +240,26 @@
 }
 
 // rollbackAt tells a home to roll back the transaction and does not wait for
-// the response. Otherwise a home that was only slow would keep the transaction
-// open for seconds.
+// the response. Otherwise a home that was only slow, or has not got the last
+// statement, would keep the transaction open for seconds. As long as the home does not
+// answer, it is told again, until it has rolled the transaction back by itself.
 func (s *Session) rollbackAt(home string) {
 	run, _ := s.newRunRequest(&statement.Request{Operation: statement.Rollback{}}, s.tx.route, false)
-	homes := s.Homes
-	go func() {
-		if _, err := homes.Forward(home, run, forwardOverhead+minConfirmWait); err != nil {
-			s.Log.Debug("cannot roll back at home", zap.String("home", home), logs.Error(err))
+	d := s.Dependencies
+	until := d.Clock.Now().Add(hostedIdleTimeout)
+	go contain.Run(d.Log, "rollback at a home", func() {
+		for {
+			_, err := d.Homes.Forward(home, run, forwardOverhead+minConfirmWait)
+			if err == nil {
+				return
+			}
+			d.Log.Debug("cannot roll back at home", zap.String("home", home), logs.Error(err))
+			if d.Clock.Now() >= until {
+				return
+			}
+			backend.Sleep(rollbackPause)
 		}
-	}()
+	})
 }
 
 // endAtHome serves COMMIT and ROLLBACK of a transaction that is forwarded. It
--- a/internal/connection/session/forward_test.go
+++ b/internal/connection/session/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/tinylib/msgp/msgp"
@@ -66,6 +67,71 @@
 	}
 }
 
+// A transaction whose statement is lost on its way must not keep a connection and locks at
+// its home until it has been idle for seconds.
+func TestTransactionOfALostStatementIsRolledBackAtItsHome(t *testing.T) {
+	write, second := statement.Write{Text: "WRITE a b"}, statement.Write{Text: "WRITE a c"}
+	tests := map[string]struct {
+		lost      statement.Operation
+		code      statement.Code
+		rollbacks int
+	}{
+		"write":                          {lost: second, code: statement.CodeAborted},
+		"read":                           {lost: statement.Read{Text: "READ a"}, code: statement.CodeAborted},
+		"set":                            {lost: statement.Set{Name: "a", Text: "SET a b"}, code: statement.CodeAborted},
+		"commit":                         {lost: statement.Commit{}, code: statement.CodeInDoubt},
+		"rollback":                       {lost: statement.Rollback{}},
+		"write and the first rollback":   {lost: second, code: statement.CodeAborted, rollbacks: 1},
+		"commit and the first rollback":  {lost: statement.Commit{}, code: statement.CodeInDoubt, rollbacks: 1},
+		"rollback and the one behind it": {lost: statement.Rollback{}, rollbacks: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := &memoryDatabase{}
+			g := newMemoryGroup(t, d)
+			h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+			l := &losses{}
+			process := startForwardingProcesses(t, losingHost{h, l}, 1)[0]
+			defer process.peers.Close()
+			s := process.session(g, "p1")
+			requireServed(t, s, "begin", statement.Begin{})
+			requireServed(t, s, "write", write)
+			lost, _ := peer.Encode(test.lost)
+			isLost := firstOf(1, lost.Kind)
+			if test.rollbacks > 0 {
+				rollback, _ := peer.Encode(statement.Rollback{})
+				isLost = firstOf(test.rollbacks, lost.Kind, rollback.Kind)
+				if lost.Kind == rollback.Kind {
+					isLost = firstOf(1+test.rollbacks, rollback.Kind)
+				}
+			}
+			l.mu.Lock()
+			l.request = isLost
+			l.mu.Unlock()
+			began := time.Now()
+			f := s.request("lost", test.lost)
+			require.Less(t, time.Since(began), 2*time.Second)
+			if test.code == 0 {
+				require.Nil(t, f)
+			} else {
+				require.NotNil(t, f)
+				require.Equal(t, test.code, f.Code)
+			}
+			require.Eventually(t, func() bool { return h.Len() == 0 }, hostedIdleTimeout.Std(), time.Millisecond, "no sweep runs: the home has to be told")
+			require.Empty(t, d.commits())
+			require.Empty(t, d.runs("lost"))
+			if s.tx != nil {
+				requireServed(t, s, "rollback", statement.Rollback{})
+			}
+			requireServed(t, s, "begin-2", statement.Begin{})
+			requireServed(t, s, "write-2", second)
+			requireServed(t, s, "commit-2", statement.Commit{})
+			require.Equal(t, []string{second.Text}, d.commits())
+		})
+	}
+}
+
 // A first statement that was answered with BUSY must not be part of the transaction that the
 // caller goes on with: its write was committed together with the repeated one.
 func TestUnansweredFirstStatementIsNotContinued(t *testing.T) {
