Leave no transaction open whose rollback overtakes its first statement

What callers would see: connections of a home, and locks, that are not given back. A home serves each request in a goroutine of its own. After a stall of the network the first statement of a transaction and the rollback behind it arrive together.

Cause: the rollback could be served between the moment when the home knew the transaction and the moment when its first statement ran. The home forgot the transaction then, and the statement began it at the database afterwards.

Whoever has served a request in a transaction rolls it back if the home does not know it any more.

--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -161,12 +161,8 @@
 		h.deps.Log.Info("forwarded request failed", append(fields, zap.String("group", run.Group), zap.Stringer("code", f.Code), zap.String("cause", f.Text))...)
 	}
 	t.usedAt = h.deps.Clock.Now()
-	if run.Transaction != 0 && s.tx == nil {
-		h.mu.Lock()
-		if h.transactions[key] == t {
-			delete(h.transactions, key)
-		}
-		h.mu.Unlock()
+	if run.Transaction != 0 {
+		h.endRemoved(key, t)
 	}
 	response := newRunResponse(s, run.Transaction == 0)
 	if h.deps.Homes != nil {
@@ -175,6 +171,28 @@
 	return response
 }
 
+// endRemoved removes a transaction that has ended, and rolls back one that was removed
+// while a request of it waited or ran: nothing else would end it. The caller holds t.mu.
+func (h *Host) endRemoved(key string, t *hostedTx) {
+	s := t.session
+	h.mu.Lock()
+	held := h.transactions[key] == t
+	if held && s.tx == nil {
+		delete(h.transactions, key)
+	}
+	h.mu.Unlock()
+	if held || s.tx == nil {
+		return
+	}
+	s.rollbackOpen()
+	s.fail(statement.CodeAborted, textRolledBack)
+	s.answer.State = statement.Failed
+}
+
+// textRolledBack is the text of the failure of a request whose transaction the home has
+// rolled back.
+const textRolledBack = "the transaction was rolled back at its home"
+
 func (h *Host) endRequest() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -189,7 +207,7 @@
 	if run.Transaction == 0 || run.Begin != nil {
 		return &peer.RunResponse{Refused: true}
 	}
-	return &peer.RunResponse{Failed: true, Code: statement.CodeAborted, Text: "the transaction was rolled back at its home", State: statement.Failed}
+	return &peer.RunResponse{Failed: true, Code: statement.CodeAborted, Text: textRolledBack, State: statement.Failed}
 }
 
 // newRunResponse returns the response with the answer of a session. last is set if the
--- a/internal/connection/session/host_test.go
+++ b/internal/connection/session/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -201,3 +202,29 @@
 	require.Equal(t, []string{"WRITE a b", "WRITE a c"}, d.commits())
 	processes[1].peers.Close()
 }
+
+// A rollback that arrives together with the first statement of its transaction could be
+// served first, and the transaction stayed open for good.
+func TestRollbackBesideTheFirstStatementLeavesNoTransaction(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	for number := uint64(1); number <= 20; number++ {
+		begin := &peer.RunRequest{Session: "front/p1/1", Transaction: number, Begin: &peer.Begin{ID: "begin"}, Group: "shop", Timeout: clock.Second}
+		rollback := &peer.RunRequest{Session: "front/p1/1", Transaction: number, Group: "shop", Timeout: clock.Second}
+		var wg sync.WaitGroup
+		// Both wait for the lock in this order. A mutex whose waiter has failed to get it for
+		// more than 1 ms is passed from one to the next, and the first then runs after the second.
+		h.mu.Lock()
+		wg.Go(func() { h.run(begin, &statement.Request{ID: "write", Operation: statement.Write{Text: "WRITE a b"}}) })
+		time.Sleep(2 * time.Millisecond)
+		wg.Go(func() { h.run(rollback, &statement.Request{Operation: statement.Rollback{}}) })
+		time.Sleep(2 * time.Millisecond)
+		h.mu.Unlock()
+		h.mu.Lock()
+		time.Sleep(2 * time.Millisecond)
+		h.mu.Unlock()
+		wg.Wait()
+		require.Eventually(t, func() bool { return d.openTransactions() == 0 && h.Len() == 0 }, 5*time.Second, time.Millisecond, "transaction %d", number)
+	}
+}
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -41,6 +41,8 @@
 	replica bool
 	// repeat returns how the answer to an operation is sent a second time, if it is.
 	repeat func(statement.Operation, *statement.Answer) repetition
+	// connections has the connections that were dialed.
+	connections []*memoryConn
 	// answered counts the answers, for their signatures.
 	answered int
 	// statuses counts the status requests and fences the BEGIN READs of the proxy itself.
@@ -105,7 +107,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.dials++
-	return &memoryConn{memoryDatabase: d, values: make(map[string]string), prepared: make(map[string]statement.Prepare)}, statement.Answer{}, nil
+	c := &memoryConn{memoryDatabase: d, values: make(map[string]string), prepared: make(map[string]statement.Prepare)}
+	d.connections = append(d.connections, c)
+	return c, statement.Answer{}, nil
+}
+
+// openTransactions returns the number of connections on which a transaction is open.
+func (d *memoryDatabase) openTransactions() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, c := range d.connections {
+		if c.state != statement.Idle {
+			n++
+		}
+	}
+	return n
 }
 
 func (d *memoryDatabase) setFail(f func(statement.Operation) *statement.Failure) {
