Answer a rollback while a statement of its transaction runs

What callers would see, by reading: requests to other homes than the near one. A proxy gives up the first statement of a transaction early and sends a rollback. That waited for the statement at the home, and if it had no answer within 0.5 s the proxy took the home for unreachable and reported it so to others.

Cause: requests of one transaction are served one after another.

A home that gets a rollback while a request of the transaction waits or runs removes the transaction, answers, and rolls back when the request has ended. A COMMIT that runs is finished. What arrives afterwards is answered with ABORTED.

--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -49,6 +49,16 @@
 	usedAt clock.Time
 }
 
+// isBusy reports whether a request waits or runs in the transaction. The caller holds
+// Host.mu.
+func (t *hostedTx) isBusy() bool {
+	if !t.mu.TryLock() {
+		return true
+	}
+	defer t.mu.Unlock()
+	return t.usedAt == 0
+}
+
 // NewHost returns a Host without open transactions.
 func NewHost(d *Dependencies) *Host {
 	return &Host{deps: d, transactions: make(map[string]*hostedTx), senders: make(map[string]*sender)}
@@ -107,19 +117,25 @@
 		key = run.Session + "/" + strconv.FormatUint(run.Transaction, 10)
 	}
 	h.mu.Lock()
-	var t, replaced *hostedTx
+	var t, removed *hostedTx
 	if run.Transaction != 0 {
 		t = h.transactions[key]
 	}
 	if t != nil && run.Begin != nil && run.Begin.ID != t.beginID {
 		// An earlier build names its sessions anew after a restart. The open
 		// transaction is of a process that is gone.
-		t, replaced = nil, t
+		t, removed = nil, t
 		delete(h.transactions, key)
 	}
+	if _, rollback := r.Operation.(statement.Rollback); rollback && t != nil && t.isBusy() {
+		delete(h.transactions, key)
+		h.mu.Unlock()
+		h.rollbackRemoved(t)
+		return &peer.RunResponse{}
+	}
 	if t == nil && (h.stopped || h.overloaded || run.Transaction != 0 && run.Begin == nil) {
 		h.mu.Unlock()
-		h.rollbackReplaced(replaced)
+		h.rollbackRemoved(removed)
 		return notRunResponse(run)
 	}
 	if t == nil {
@@ -131,7 +147,7 @@
 	h.running++
 	h.mu.Unlock()
 	defer h.endRequest()
-	h.rollbackReplaced(replaced)
+	h.rollbackRemoved(removed)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.session
@@ -277,9 +293,9 @@
 	h.rollbackAll(expired)
 }
 
-// rollbackReplaced rolls back a transaction that another one has replaced, if any. It
-// does not wait for a request that still runs in it.
-func (h *Host) rollbackReplaced(t *hostedTx) {
+// rollbackRemoved rolls back a transaction that was removed, if any. It does not wait for
+// a request that still runs in it.
+func (h *Host) rollbackRemoved(t *hostedTx) {
 	if t != nil {
 		go contain.Run(h.deps.Log, "rollback", func() { h.rollbackAll([]*hostedTx{t}) })
 	}
--- a/internal/connection/session/host_test.go
+++ b/internal/connection/session/host_test.go
@@ -228,3 +228,39 @@
 		require.Eventually(t, func() bool { return d.openTransactions() == 0 && h.Len() == 0 }, 5*time.Second, time.Millisecond, "transaction %d", number)
 	}
 }
+
+// A rollback has nothing to wait for while a statement of its transaction runs: the proxy
+// that has sent it would take the home for unreachable.
+func TestRollbackDoesNotWaitForARunningStatement(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	asked, release := make(chan struct{}), make(chan struct{})
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient {
+		asked <- struct{}{}
+		<-release
+		return g
+	}})
+	run := &peer.RunRequest{Session: "front/p1/1", Transaction: 1, Begin: &peer.Begin{ID: "begin"}, Group: "shop", Timeout: 10 * clock.Second}
+	served := make(chan *peer.RunResponse, 1)
+	go func() {
+		served <- h.run(run, &statement.Request{ID: "write", Operation: statement.Write{Text: "WRITE a b"}})
+	}()
+	<-asked
+	rollback := &peer.RunRequest{Session: "front/p1/1", Transaction: 1, Group: "shop", Timeout: clock.Second}
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		h.run(rollback, &statement.Request{Operation: statement.Rollback{}})
+	}()
+	select {
+	case <-answered:
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the rollback waits for the statement")
+	}
+	commit := h.run(&peer.RunRequest{Session: "front/p1/1", Transaction: 1, Group: "shop", Timeout: clock.Second}, &statement.Request{Operation: statement.Commit{}})
+	require.Equal(t, statement.CodeAborted, commit.Code)
+	close(release)
+	<-served
+	require.Eventually(t, func() bool { return d.openTransactions() == 0 && h.Len() == 0 }, 5*time.Second, time.Millisecond)
+	require.Empty(t, d.commits())
+}
