--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -49,14 +49,14 @@
 	usedAt clock.Time
 }
 
-// isBusy reports whether a request waits or runs in the transaction. The caller holds
-// Host.mu.
-func (t *hostedTx) isBusy() bool {
+// idleSince returns when the last request of the transaction ended. It returns false if a
+// request waits or runs.
+func (t *hostedTx) idleSince() (clock.Time, bool) {
 	if !t.mu.TryLock() {
-		return true
+		return 0, false
 	}
 	defer t.mu.Unlock()
-	return t.usedAt == 0
+	return t.usedAt, t.usedAt != 0
 }
 
 // NewHost returns a Host without open transactions.
@@ -127,11 +127,13 @@
 		t, removed = nil, t
 		delete(h.transactions, key)
 	}
-	if _, rollback := r.Operation.(statement.Rollback); rollback && t != nil && t.isBusy() {
-		delete(h.transactions, key)
-		h.mu.Unlock()
-		h.rollbackRemoved(t)
-		return &peer.RunResponse{}
+	if _, rollback := r.Operation.(statement.Rollback); rollback && t != nil {
+		if _, idle := t.idleSince(); !idle {
+			delete(h.transactions, key)
+			h.mu.Unlock()
+			h.rollbackRemoved(t)
+			return &peer.RunResponse{}
+		}
 	}
 	if t == nil && (h.stopped || h.overloaded || run.Transaction != 0 && run.Begin == nil) {
 		h.mu.Unlock()
@@ -278,15 +280,23 @@
 // this one for reconnectTimeout.
 func (h *Host) Sweep(now clock.Time) {
 	h.mu.Lock()
-	gone := h.removeGoneLocked(now)
+	gone := h.goneLocked(now)
 	var expired []*hostedTx
+	var busy []string
 	for key, t := range h.transactions {
-		if t.mu.TryLock() {
-			if t.usedAt != 0 && (now.Sub(t.usedAt) >= hostedIdleTimeout || gone[t.sender]) {
-				expired = append(expired, t)
-				delete(h.transactions, key)
-			}
-			t.mu.Unlock()
+		at, idle := t.idleSince()
+		switch {
+		case !idle:
+			busy = append(busy, t.sender)
+		case now.Sub(at) >= hostedIdleTimeout || gone[t.sender]:
+			expired = append(expired, t)
+			delete(h.transactions, key)
+		}
+	}
+	for name := range gone {
+		// A later sweep finds the busy transactions.
+		if !slices.Contains(busy, name) {
+			delete(h.senders, name)
 		}
 	}
 	h.mu.Unlock()
--- a/internal/connection/session/host_test.go
+++ b/internal/connection/session/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -264,3 +265,47 @@
 	require.Eventually(t, func() bool { return d.openTransactions() == 0 && h.Len() == 0 }, 5*time.Second, time.Millisecond)
 	require.Empty(t, d.commits())
 }
+
+// A transaction in which a request still ran when its proxy had been gone for a second was
+// passed over, and waited for its idle timeout.
+func TestTransactionThatRunsWhenItsProxyIsLostIsRolledBack(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	c := &stoppedClock{now: clock.NewBoot().Now()}
+	asked, release := make(chan struct{}), make(chan struct{})
+	var blocked atomic.Bool
+	h := NewHost(&Dependencies{Clock: c, Log: zap.NewNop(), Group: func(string) *backend.GroupClient {
+		if blocked.Load() {
+			asked <- struct{}{}
+			<-release
+		}
+		return g
+	}})
+	process := startForwardingProcesses(t, h, 1)[0]
+	idle, busy := process.session(g, "p1"), process.session(g, "p1")
+	busy.id = 2
+	for _, s := range []*Session{idle, busy} {
+		requireServed(t, s, "begin", statement.Begin{})
+		requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	}
+	blocked.Store(true)
+	done := make(chan *statement.Failure)
+	go func() { done <- busy.request("write-2", statement.Write{Text: "WRITE a c"}) }()
+	<-asked
+	go process.peers.Close()
+	require.NotNil(t, <-done)
+	require.Eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.senders["front/p1"].connections) == 0
+	}, 5*time.Second, time.Millisecond)
+	h.Sweep(c.now.Add(reconnectTimeout))
+	require.Equal(t, 2, h.Len(), "the transaction that runs, and its request")
+	blocked.Store(false)
+	close(release)
+	require.Eventually(t, func() bool { return h.Len() == 1 }, 5*time.Second, time.Millisecond)
+	h.Sweep(c.now.Add(reconnectTimeout + 1))
+	require.Zero(t, h.Len())
+	require.Zero(t, d.openTransactions())
+	require.Empty(t, h.senders)
+}
--- a/internal/connection/session/sender.go
+++ b/internal/connection/session/sender.go
@@ -58,9 +58,9 @@
 	delete(h.senders, name)
 }
 
-// removeGoneLocked removes the processes that have been without a connection for
-// reconnectTimeout, and returns their names.
-func (h *Host) removeGoneLocked(now clock.Time) map[string]bool {
+// goneLocked returns the names of the processes that have been without a connection for
+// reconnectTimeout.
+func (h *Host) goneLocked(now clock.Time) map[string]bool {
 	var gone map[string]bool
 	for name, s := range h.senders {
 		if len(s.connections) > 0 || now.Sub(s.lostAt) < reconnectTimeout {
@@ -70,7 +70,6 @@
 			gone = make(map[string]bool)
 		}
 		gone[name] = true
-		delete(h.senders, name)
 	}
 	return gone
 }
