Leave databases out of their groups whose ids have blanks

Callers saw: after the loss of a primary no write was served any more. An entry of the registry with an id such as "x 1" counted in its group.

Cause: a message CONNECT cannot name an id with a blank, so that no connection is opened. The check of entries took such an id for a usual one, and its test stated that. A group of three and such an entry needs three databases for a replacement, of which two answer.

Ids have the rule of groups: no blanks and control characters. The entry is reported as "invalid registry entry" and names nothing to use. The list of usual ids in TestNamesThatEndTheirFieldNameNoDatabase had "i 1". That was wrong, since no such database can be connected to; the id is among the invalid ones now.

--- a/cmd/oleanderflow-front/odd_entry_test.go
+++ b/cmd/oleanderflow-front/odd_entry_test.go
@@ -71,6 +71,8 @@
 		number++
 		s.platform.WriteText("servers", fmt.Sprintf("x%d", number), text)
 	}
+	// CONNECT cannot name it.
+	s.platform.WriteText("servers", "x 1", oddEntry(nil))
 	serves := func(key string) {
 		t.Helper()
 		for i, f := range s.fronts {
--- a/internal/process/group/entry.go
+++ b/internal/process/group/entry.go
@@ -77,11 +77,10 @@
 			return fail(n.field, n.value, fmt.Sprintf("1 to %d bytes", maxNameLength))
 		}
 	}
-	switch {
-	case strings.ContainsFunc(e.ID, isControl):
-		return fail("id", e.ID, "no control characters")
-	case strings.ContainsFunc(e.Group, func(r rune) bool { return r == ' ' || isControl(r) }):
-		return fail("group", e.Group, "no blanks and control characters")
+	for _, n := range names[:2] {
+		if strings.ContainsFunc(n.value, endsField) {
+			return fail(n.field, n.value, "no blanks and control characters")
+		}
 	}
 	switch a, err := netip.ParseAddrPort(e.Address); {
 	case err != nil || !a.Addr().Is4():
@@ -100,6 +99,6 @@
 	return nil
 }
 
-// isControl reports whether a character may end the line in which names are sent to a
-// database.
-func isControl(r rune) bool { return r < ' ' || r == 0x7f }
+// endsField reports whether a character may end the field, or the line, in which names are
+// sent to a database.
+func endsField(r rune) bool { return r <= ' ' || r == 0x7f }
--- a/internal/process/group/entry_test.go
+++ b/internal/process/group/entry_test.go
@@ -22,10 +22,13 @@
 	}
 	for _, name := range []string{" ", "a b", "shop ", " shop"} {
 		odd := sound
+		odd.ID = name
+		requireEntryError(t, odd, "id")
+		odd = sound
 		odd.Group = name
 		requireEntryError(t, odd, "group")
 	}
-	for _, name := range []string{"i/1", "i 1", "ä", "i%2f1", "i:1", strings.Repeat("x", maxNameLength)} {
+	for _, name := range []string{"i/1", "i-1", "ä", "i%2f1", "i:1", strings.Repeat("x", maxNameLength)} {
 		usual := sound
 		usual.ID = name
 		require.NoError(t, usual.Check(0), "%q", name)
