Leave workspaces out whose names databases cannot be told

Callers saw: each statement of a workspace "north star" was refused with BUSY after 1.8 s, in which no connection became free. Nothing said why at the place where the name came in.

Cause: a database gets the name of the workspace as a field of CONNECT. A name with a blank or a line end is none, and each attempt to connect failed. An empty name stands for requests of no workspace, so that a workspace without a name was served as if it had none.

The configuration is where the names come in. A workspace whose name is empty or has blanks or control characters is left out with its keys, whose sessions are refused with NOAUTH at once. The rest of the version is in force: refusing all of it would keep removed keys working. One line for each version, "parts of the configuration left out", has the names. Entries of the registry and workspaces have one rule, in pkg/field.

--- a/internal/front/in_force.go
+++ b/internal/front/in_force.go
@@ -120,8 +120,15 @@
 	f.setConnectionLimits(v)
 	fields := []zap.Field{zap.Uint64("version", v.Number), zap.Int("routes", len(v.Routes)), zap.String("from", from)}
 	f.log.Info("configuration in force", append(fields, f.keyFields(v)...)...)
+	if len(v.Problems) > 0 {
+		first := errors.Join(v.Problems[:min(len(v.Problems), maxLoggedProblems)]...)
+		f.log.Error("parts of the configuration left out", zap.Uint64("version", v.Number), zap.Int("count", len(v.Problems)), logs.Error(first))
+	}
 }
 
+// maxLoggedProblems is the number of problems of a configuration that are logged.
+const maxLoggedProblems = 5
+
 // keyFields returns the log fields about the keys that a version has added or removed.
 func (f *Front) keyFields(v *routes.Version) []zap.Field {
 	added, removed := f.keys.update(v)
--- a/internal/front/status_test.go
+++ b/internal/front/status_test.go
@@ -150,3 +150,22 @@
 	require.Contains(t, text, `oleanderflow_workspace_refused{reason="limit",workspace="_others"} 2980`)
 	require.Contains(t, text, `oleanderflow_workspace_refused{reason="key",workspace="_unknown"} 1`)
 }
+
+// What was left out of a configuration is reported once for each version.
+func TestProblemsOfAConfigurationAreLoggedOnce(t *testing.T) {
+	f, lines := newStatusFront(t, func(n uint64) *routes.Version {
+		v := &routes.Version{Number: n, Workspaces: routes.NewWorkspaces()}
+		for range 100 {
+			v.Problems = append(v.Problems, v.Workspaces.Add(routes.Workspace{Name: "north star"}, nil))
+		}
+		return v
+	})
+	for range 3 {
+		f.applyVersion(store.Row{Key: "config", Version: store.Version{Era: 1, Number: 1}}, "")
+	}
+	logged := lines.FilterMessage("parts of the configuration left out").All()
+	require.Len(t, logged, 1)
+	require.EqualValues(t, 100, logged[0].ContextMap()["count"])
+	require.Contains(t, logged[0].ContextMap()["error"], `workspace "north star"`)
+	require.Equal(t, maxLoggedProblems, strings.Count(fmt.Sprint(logged[0].ContextMap()["error"]), "north star"))
+}
--- a/internal/process/group/entry.go
+++ b/internal/process/group/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/field"
 )
 
 // Entry is a database's entry in the platform's registry, which the database
@@ -78,7 +79,7 @@
 		}
 	}
 	for _, n := range names[:2] {
-		if strings.ContainsFunc(n.value, endsField) {
+		if !field.IsValid(n.value) {
 			return fail(n.field, n.value, "no blanks and control characters")
 		}
 	}
@@ -98,7 +99,3 @@
 	}
 	return nil
 }
-
-// endsField reports whether a character may end the field, or the line, in which names are
-// sent to a database.
-func endsField(r rune) bool { return r <= ' ' || r == 0x7f }
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -76,6 +76,8 @@
 	// Workspaces is nil if the configuration declares none, in which case callers
 	// need no keys.
 	Workspaces *Workspaces
+	// Problems tells what was left out of the version, because nothing could use it.
+	Problems []error
 	// TransactionIdleTimeout is how long a transaction may be idle between two
 	// statements.
 	TransactionIdleTimeout clock.Duration
--- a/internal/version/routes/workspaces.go
+++ b/internal/version/routes/workspaces.go
@@ -8,6 +8,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/oleanderflow/oleanderflow/pkg/field"
 )
 
 // Workspace is a customer whose requests are kept apart from those of others.
@@ -54,14 +56,25 @@
 	return fmt.Sprintf("workspace %q: rate, burst and priority must not be below zero", e.Name)
 }
 
+// WorkspaceNameError reports a workspace whose name cannot be sent to databases.
+type WorkspaceNameError struct{ Name string }
+
+func (e *WorkspaceNameError) Error() string {
+	return fmt.Sprintf("workspace %q: expected a name without blanks and control characters", e.Name)
+}
+
 // NewWorkspaces returns an empty set of workspaces.
 func NewWorkspaces() *Workspaces {
 	return &Workspaces{byName: make(map[string]*Workspace), byKey: make(map[string]*Workspace)}
 }
 
-// Add adds a workspace with its keys. It returns a *DuplicateWorkspaceError, a
-// *DuplicateKeyError or a *NegativeLimitError, and adds nothing then.
+// Add adds a workspace with its keys. It returns a *WorkspaceNameError, a
+// *DuplicateWorkspaceError, a *DuplicateKeyError or a *NegativeLimitError, and adds nothing
+// then.
 func (w *Workspaces) Add(workspace Workspace, keys []string) error {
+	if !field.IsValid(workspace.Name) {
+		return &WorkspaceNameError{Name: workspace.Name}
+	}
 	if _, ok := w.byName[workspace.Name]; ok {
 		return &DuplicateWorkspaceError{Name: workspace.Name}
 	}
--- a/internal/version/routes/workspaces_test.go
+++ b/internal/version/routes/workspaces_test.go
@@ -25,6 +25,22 @@
 	require.Equal(t, []string{"a", "b"}, []string{w.All()[0].Name, w.All()[1].Name})
 }
 
+// Every CONNECT of a workspace with a blank in its name failed. An empty name stands for
+// requests of no workspace.
+func TestWorkspacesHaveNamesThatDatabasesCanBeTold(t *testing.T) {
+	w := NewWorkspaces()
+	for _, name := range []string{"", " ", "north star", "north ", "a\tb", "a\r\nGOODBYE", "\x00", "a\x7f"} {
+		var invalid *WorkspaceNameError
+		require.ErrorAs(t, w.Add(Workspace{Name: name}, []string{"k"}), &invalid)
+		require.Equal(t, name, invalid.Name)
+		require.Nil(t, w.Find(name))
+	}
+	require.Nil(t, w.OfKey("k"))
+	for _, name := range []string{"north", "north-star", "a/b", "a,b=c", "ä", "_others"} {
+		require.NoError(t, w.Add(Workspace{Name: name}, nil))
+	}
+}
+
 // Versions without workspaces have none to look up.
 func TestNoWorkspaces(t *testing.T) {
 	var w *Workspaces
