Check the names of the instance and its zone in the settings

What operators would see: a proxy with the name "front 1" starts and opens no connection for its statuses, since the name is a field of CONNECT (TestConnectFieldsAreNotShifted runs one such connection; a whole proxy was not run). Only read: a name with a line end makes the header X-Duty-Holder invalid, one of more than 200 bytes is no key of the store, and one that is not UTF-8 is another in the store.

The settings are where the names come in. A process does not start with such a name or zone, and a running one keeps its settings: the error states section, key and what is expected. There is no default for a name. A zone may have blanks: it is not sent to databases.

TestNamesThatCannotBeSentAreInvalid failed before (no error) and passes.

--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -5,6 +5,9 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
@@ -12,6 +15,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/internal/version/freshness"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/field"
 )
 
 // Settings holds the settings of an instance. The addresses have the form
@@ -110,8 +114,8 @@
 		return s, nil, errors.Wrapf(err, "parse settings file %s", path)
 	}
 	r := settingsReader{path: path, file: file}
-	s.Name = r.text("instance", "name")
-	s.Zone = r.text("instance", "availabilityZone")
+	s.Name = r.name("instance", "name")
+	s.Zone = r.zone("instance", "availabilityZone")
 	s.FirstStart = r.boolean("instance", "firstStart", false)
 	s.MemoryMB = int(r.number("instance", "memoryMB", 0, maxNumber))
 	s.FileDescriptors = int(r.number("instance", "fileDescriptors", 1024, maxNumber))
@@ -176,6 +180,29 @@
 	return v
 }
 
+// maxNameLength is the maximum length of the name of an instance or a zone, in bytes. It is
+// that of the store's keys.
+const maxNameLength = 200
+
+// name returns a name that is sent to databases and is a key of the store.
+func (r *settingsReader) name(section, key string) string {
+	v := r.text(section, key)
+	if v != "" && (!field.IsValid(v) || !isShortText(v)) {
+		r.fail(section, key, v, fmt.Sprintf("at most %d bytes of UTF-8 without blanks and control characters", maxNameLength), "")
+	}
+	return v
+}
+
+func (r *settingsReader) zone(section, key string) string {
+	v := r.text(section, key)
+	if strings.ContainsFunc(v, unicode.IsControl) || !isShortText(v) {
+		r.fail(section, key, v, fmt.Sprintf("at most %d bytes of UTF-8 without control characters", maxNameLength), "")
+	}
+	return v
+}
+
+func isShortText(v string) bool { return utf8.ValidString(v) && len(v) <= maxNameLength }
+
 func (r *settingsReader) address(section, key string) string {
 	v := r.text(section, key)
 	if _, err := netip.ParseAddrPort(v); err != nil {
--- a/internal/front/settings_test.go
+++ b/internal/front/settings_test.go
@@ -181,3 +181,31 @@
 		require.Error(t, err, name)
 	}
 }
+
+// A proxy whose name cannot be sent to databases, or be a key of the store, opened no
+// connection, or was not known to others. It must not start.
+func TestNamesThatCannotBeSentAreInvalid(t *testing.T) {
+	load := func(key, name string) error {
+		values := deployedValues()
+		values[key] = "`" + name + "`"
+		_, _, err := LoadStartSettings(writeLog(t, "s.ini", renderSettings(t, values)))
+		return err
+	}
+	long := strings.Repeat("x", maxNameLength)
+	for _, name := range []string{"a\tb", "a\nb", "a\r\nb", "a\x00", "a\x7f", "a\xffb", long + "x"} {
+		for key, setting := range map[string]string{"node": "name", "zone": "availabilityZone"} {
+			var invalid *SettingsError
+			require.ErrorAs(t, load(key, name), &invalid, "%s = %q", key, name)
+			require.Equal(t, setting, invalid.Key)
+		}
+	}
+	for _, name := range []string{"front 1", "front ", " "} {
+		var invalid *SettingsError
+		require.ErrorAs(t, load("node", name), &invalid, "%q", name)
+	}
+	for _, name := range []string{"front-1", "front/1", "frönt", "a,b=c", long} {
+		require.NoError(t, load("node", name), "%q", name)
+		require.NoError(t, load("zone", name), "%q", name)
+	}
+	require.NoError(t, load("zone", "zone 1"))
+}
