Have one series for each workspace in a scrape

Operators saw: the series of a workspace named "_others" or "_unknown" twice in a scrape, once for the workspace and once for the sum of that name.

A workspace with one of these names counts among the others. It is served as any other, and /status shows it when it is asked for.

TestWorkspacesWithTheNamesOfSumsAreOneSeries failed before (two series of oleanderflow_workspace_admitted{workspace="_others"}) and passes.

--- a/internal/front/status_test.go
+++ b/internal/front/status_test.go
@@ -151,6 +151,33 @@
 	require.Contains(t, text, `oleanderflow_workspace_refused{reason="key",workspace="_unknown"} 1`)
 }
 
+// A workspace with the name of a sum was a second series of that name in a scrape.
+func TestWorkspacesWithTheNamesOfSumsAreOneSeries(t *testing.T) {
+	f, _ := newStatusFront(t, func(n uint64) *routes.Version {
+		return &routes.Version{Number: n, Workspaces: workspacesOf(t, map[string]string{"_others": "k1", "_unknown": "k2", "north": "k3"})}
+	})
+	f.applyVersion(store.Row{Key: "config", Version: store.Version{Era: 1, Number: 1}}, "")
+	for _, name := range []string{"_others", "_unknown", "north"} {
+		f.counts.Admitted(name, f.clock.Now())
+		f.counts.Refused(name, session.ReasonLimit)
+	}
+	f.counts.Refused("", session.ReasonKey)
+	r := httptest.NewRecorder()
+	f.metrics.ServeHTTP(r, httptest.NewRequest("GET", "/metrics", nil))
+	seen := make(map[string]bool)
+	for line := range strings.Lines(r.Body.String()) {
+		series := line[:strings.LastIndexByte(line, ' ')]
+		require.False(t, seen[series], series)
+		seen[series] = true
+	}
+	require.Contains(t, r.Body.String(), `oleanderflow_workspace_admitted{workspace="_others"} 2`)
+	require.Contains(t, r.Body.String(), `oleanderflow_workspace_rate{workspace="_others"} 120`)
+	require.Contains(t, r.Body.String(), `oleanderflow_workspace_admitted{workspace="north"} 1`)
+	require.Contains(t, r.Body.String(), `oleanderflow_workspace_refused{reason="key",workspace="_unknown"} 1`)
+	s, _ := getStatus(t, f, "?workspace=_unknown")
+	require.EqualValues(t, 1, s.Workspaces.Shown[0].Admitted)
+}
+
 // What was left out of a configuration is reported once for each version.
 func TestProblemsOfAConfigurationAreLoggedOnce(t *testing.T) {
 	f, lines := newStatusFront(t, func(n uint64) *routes.Version {
--- a/internal/front/workspace_counts.go
+++ b/internal/front/workspace_counts.go
@@ -189,6 +189,11 @@
 			s.shown = append(s.shown, entry)
 			continue
 		}
+		if n == otherWorkspaces || n == unknownWorkspace {
+			// Metrics have sums of these names.
+			demote(c)
+			continue
+		}
 		if len(top) == shownWorkspaces && top[shownWorkspaces-1].before(&entry) {
 			demote(c)
 			continue
