Decide in one place which texts are printable

explain and the tables of explain-route each told by a function of their own which characters are printed. The function for fields builds on that for texts now. explain also quotes texts that are not UTF-8, which it printed as they were; a log has none.

TestPrintableField and TestExplainedTextsForgeNoLinesAndFields pass.

--- a/internal/front/explain.go
+++ b/internal/front/explain.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -40,21 +39,12 @@
 	case nil:
 		return ""
 	case string:
-		return printedText(value)
+		return printableField(value)
 	default:
-		return printedText(fmt.Sprint(value))
+		return printableField(fmt.Sprint(value))
 	}
 }
 
-// printedText quotes a text that could be taken for more than one field or line.
-func printedText(text string) string {
-	odd := func(r rune) bool { return !strconv.IsPrint(r) || r == '=' || r == '"' }
-	if strings.ContainsFunc(text, odd) {
-		return strconv.Quote(text)
-	}
-	return text
-}
-
 // maxLineLength is the maximum length of a log line, in bytes.
 const maxLineLength = 1 << 20
 
@@ -185,7 +175,7 @@
 	slices.Sort(names)
 	text := prefix + l.timestamp.Format("15:04:05.000") + " " + l.printed("instance") + ": " + l.printed("msg")
 	for _, name := range names {
-		text += " " + printedText(name) + "=" + l.printed(name)
+		text += " " + printableField(name) + "=" + l.printed(name)
 	}
 	return text
 }
--- a/internal/front/printable.go
+++ b/internal/front/printable.go
@@ -29,3 +29,12 @@
 }
 
 func isNotPrintable(r rune) bool { return !unicode.IsPrint(r) }
+
+// printableField returns a text as a name or value of "name=value" pairs. It is quoted if it
+// is not printable or could be taken for more than one of them.
+func printableField(text string) string {
+	if printable(text) != text || strings.ContainsAny(text, `="`) {
+		return strconv.Quote(text)
+	}
+	return text
+}
--- a/internal/front/printable_test.go
+++ b/internal/front/printable_test.go
@@ -22,6 +22,14 @@
 	}
 }
 
+func TestPrintableField(t *testing.T) {
+	for text, want := range map[string]string{
+		"": "", "plain text, é": "plain text, é", "a=b": `"a=b"`, `"a"`: `"\"a\""`, "a\nb": `"a\nb"`, "a\tb": `"a\tb"`, "a\xffb": `"a\xffb"`, `a\b`: `a\b`,
+	} {
+		require.Equal(t, want, printableField(text))
+	}
+}
+
 // A name with a line end or a tab was other rows and columns of the tables of explain-route.
 func TestExplainRouteTablesAreNotTorn(t *testing.T) {
 	table := func(name string) string {
