Ask whether a log has a commit with one fence

The question ends with ROLLBACK, behind which Exchange sends a fence anyway. The plain exchange is back.

--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -271,7 +271,8 @@
 		{Operation: statement.Rollback{}},
 	}
 	answers := make([]statement.Answer, len(requests))
-	if _, err := c.ExchangeVerified(deadline.Sub(s.Clock.Now()), requests, answers); err != nil {
+	// The fence behind ROLLBACK shows whether an answer is a repetition.
+	if _, err := c.Exchange(deadline.Sub(s.Clock.Now()), requests, answers); err != nil {
 		c.Discard()
 		return false, err
 	}
