Keep the series of databases apart whose names have commas

Operators saw: one series for two databases, "a" of the group "b,group=c" and "a,group=b" of "c", with the figures of either.

Cause: tally finds the scope of a set of tags by their "name=value" pairs with commas between them.

The names of groups and databases are escaped where they become tags, and unescaped where the series is written, so that the labels are as before. Labels of workspaces do not go through tally and are written as they are.

TestSeriesOfDatabasesStayApart failed before (the second of the two was missing) and passes, as do the tests of labels.

--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -181,7 +181,7 @@
 		root.Gauge("log_lines_dropped").Update(float64(f.droppedLines()))
 	}
 	for _, g := range f.allGroups() {
-		scope := root.Tagged(map[string]string{"group": g.Name})
+		scope := root.Tagged(map[string]string{"group": tagEscapes.Replace(g.Name)})
 		scope.Gauge("term").Update(float64(g.Term()))
 		if provenAt := g.PrimaryProvenAt(now); provenAt > 0 {
 			scope.Gauge("evidence_age_ms").Update(float64(now.Sub(provenAt)))
@@ -190,7 +190,7 @@
 			scope.Gauge("sample_age_ms").Update(float64(now.Sub(at)))
 		}
 		for id, c := range g.Stats() {
-			database := scope.Tagged(map[string]string{"database": id})
+			database := scope.Tagged(map[string]string{"database": tagEscapes.Replace(id)})
 			database.Gauge("connections").Update(float64(c.Open))
 			database.Gauge("connections_idle").Update(float64(c.Idle))
 			database.Gauge("connections_awaited").Update(float64(c.Waiting))
@@ -263,12 +263,19 @@
 	fmt.Fprintf(b, "%s %g\n", seriesName(h.metric+"_count", h.tags), total)
 }
 
-// seriesName returns the name of a time series with its labels. extra has the
-// alternating names and values of further labels.
+// tagEscapes escapes the value of a tag: tally keeps scopes by their "name=value" pairs with
+// commas between them.
+var (
+	tagEscapes   = strings.NewReplacer("%", "%25", ",", "%2C", "=", "%3D")
+	tagUnescapes = strings.NewReplacer("%25", "%", "%2C", ",", "%3D", "=")
+)
+
+// seriesName returns the name of a time series with its labels. tags have escaped values.
+// extra has the alternating names and values of further labels.
 func seriesName(metric string, tags map[string]string, extra ...string) string {
 	pairs := make([]string, 0, len(tags)+len(extra)/2)
 	for k, v := range tags {
-		pairs = append(pairs, labelPair(k, v))
+		pairs = append(pairs, labelPair(k, tagUnescapes.Replace(v)))
 	}
 	for i := 0; i+1 < len(extra); i += 2 {
 		pairs = append(pairs, labelPair(extra[i], extra[i+1]))
--- a/internal/front/metrics_test.go
+++ b/internal/front/metrics_test.go
@@ -13,6 +13,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
+	"github.com/oleanderflow/oleanderflow/internal/connection/session"
+	"github.com/oleanderflow/oleanderflow/internal/process/group"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 )
 
 // In the exposition format, each bucket of a histogram counts the samples of the
@@ -62,3 +65,20 @@
 		require.Regexp(t, line, seriesName("m", map[string]string{"b": "c"}, "a", value))
 	}
 }
+
+// Two databases whose ids and groups have commas and equal signs shared a series.
+func TestSeriesOfDatabasesStayApart(t *testing.T) {
+	f, _ := newStatusFront(t, func(uint64) *routes.Version { return nil })
+	f.host = session.NewHost(&session.Dependencies{})
+	names := [][2]string{{"a", "b,group=c"}, {"a,group=b", "c"}, {"%2C", "="}, {",", "%3D"}}
+	for _, n := range names {
+		f.groupLocked(n[1]).Update(group.Entry{ID: n[0], Group: n[1], Address: "127.0.0.1:1", Slots: 1})
+	}
+	f.updateGauges(1)
+	f.metrics.Close()
+	w := httptest.NewRecorder()
+	f.metrics.ServeHTTP(w, nil)
+	for _, n := range names {
+		require.Contains(t, w.Body.String(), seriesName("oleanderflow_connections", nil, "database", n[0], "group", n[1])+" 0\n")
+	}
+}
--- a/internal/front/workspace_status.go
+++ b/internal/front/workspace_status.go
@@ -130,7 +130,7 @@
 	list := append(s.Shown[:len(s.Shown):len(s.Shown)], s.Others)
 	list[len(list)-1].Name = otherWorkspaces
 	write := func(metric, workspace string, value float64, extra ...string) {
-		fmt.Fprintf(&b, "%s %g\n", seriesName("oleanderflow_"+metric, map[string]string{"workspace": workspace}, extra...), value)
+		fmt.Fprintf(&b, "%s %g\n", seriesName("oleanderflow_"+metric, nil, append(extra, "workspace", workspace)...), value)
 	}
 	for _, figure := range []struct {
 		metric string
