--- a/internal/connection/session/forward_test.go
+++ b/internal/connection/session/forward_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,3 +163,93 @@
 	requireServed(t, s, "commit", statement.Commit{})
 	require.Equal(t, []string{"WRITE a b"}, d.commits())
 }
+
+// cutRelay passes connections on to an address, until they are cut: they stay open then, and
+// what is sent on them is lost.
+type cutRelay struct {
+	net.Listener
+	target string
+
+	mu    sync.Mutex
+	conns []*relayedConn
+}
+
+type relayedConn struct {
+	net.Conn
+	isCut atomic.Bool
+}
+
+func (r *cutRelay) serve() {
+	for {
+		in, err := r.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		c := &relayedConn{Conn: out}
+		r.mu.Lock()
+		r.conns = append(r.conns, c)
+		r.mu.Unlock()
+		go c.copy(out, in)
+		go c.copy(in, out)
+	}
+}
+
+func (c *relayedConn) copy(to, from net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if c.isCut.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// cut cuts the connections that are open.
+func (r *cutRelay) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		c.isCut.Store(true)
+	}
+}
+
+// A home whose connection loses everything without an end, and which can be connected to
+// again, is told to roll back on another connection.
+func TestTransactionOfACutConnectionIsRolledBackAtItsHome(t *testing.T) {
+	t.Parallel()
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	server, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
+	require.NoError(t, err)
+	defer server.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	relay := &cutRelay{Listener: listener, target: server.Address()}
+	go relay.serve()
+	process := startForwardingProcess(t, slices.Repeat([]string{listener.Addr().String()}, homeCandidates), h)
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	requireServed(t, s, "begin", statement.Begin{})
+	requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	relay.cut()
+	f := s.request("lost", statement.Write{Text: "WRITE a c"})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeAborted, f.Code)
+	require.Eventually(t, func() bool { return h.Len() == 0 }, hostedIdleTimeout.Std(), time.Millisecond)
+	require.Empty(t, d.commits())
+	require.Zero(t, d.openTransactions())
+}
--- a/internal/connection/session/host_test.go
+++ b/internal/connection/session/host_test.go
@@ -102,28 +102,40 @@
 // startForwardingProcessesTo starts processes whose homes are served by what newHome
 // returns, which is called for each home.
 func startForwardingProcessesTo(t *testing.T, newHome func() proxy.Receiver, count int) []forwardingProcess {
-	// The names are such that "front" is no home of the group.
-	members := []proxy.Peer{{Name: "front"}}
-	for i := range 20 {
+	addresses := make([]string, homeCandidates)
+	for i := range addresses {
 		server, err := proxy.NewPeers("127.0.0.1:0", newHome(), zap.NewNop())
 		require.NoError(t, err)
 		t.Cleanup(server.Close)
-		members = append(members, proxy.Peer{Name: fmt.Sprintf("home-%d", i), Address: server.Address()})
+		addresses[i] = server.Address()
 	}
 	list := make([]forwardingProcess, 0, count)
 	for range count {
-		peers, err := proxy.NewPeers("127.0.0.1:0", newHome(), zap.NewNop())
-		require.NoError(t, err)
-		homes := peer.NewHomes("front", "a", peers, clock.NewBoot())
-		homes.SetMembers(members)
-		homes.SetConnectionLimits(map[string]int{"shop": 20})
-		local, _ := homes.ServesLocally("shop")
-		require.False(t, local)
-		list = append(list, forwardingProcess{peers: peers, homes: homes})
+		list = append(list, startForwardingProcess(t, addresses, newHome()))
 	}
 	return list
 }
 
+// homeCandidates is the number of proxies of which some are homes of the group.
+const homeCandidates = 20
+
+// startForwardingProcess starts a process whose homes are among those at addresses.
+func startForwardingProcess(t *testing.T, addresses []string, own proxy.Receiver) forwardingProcess {
+	// The names are such that "front" is no home of the group.
+	members := []proxy.Peer{{Name: "front"}}
+	for i, address := range addresses {
+		members = append(members, proxy.Peer{Name: fmt.Sprintf("home-%d", i), Address: address})
+	}
+	peers, err := proxy.NewPeers("127.0.0.1:0", own, zap.NewNop())
+	require.NoError(t, err)
+	homes := peer.NewHomes("front", "a", peers, clock.NewBoot())
+	homes.SetMembers(members)
+	homes.SetConnectionLimits(map[string]int{"shop": 20})
+	local, _ := homes.ServesLocally("shop")
+	require.False(t, local)
+	return forwardingProcess{peers: peers, homes: homes}
+}
+
 // session returns the first session of the process.
 func (p forwardingProcess) session(g *backend.GroupClient, process string) *Session {
 	s := newMemorySession(g, 1, routes.Primary)
