--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -49,6 +49,16 @@
 	usedAt clock.Time
 }
 
+// idleSince returns when the last request of the transaction ended. It returns false if a
+// request waits or runs.
+func (t *hostedTx) idleSince() (clock.Time, bool) {
+	if !t.mu.TryLock() {
+		return 0, false
+	}
+	defer t.mu.Unlock()
+	return t.usedAt, t.usedAt != 0
+}
+
 // NewHost returns a Host without open transactions.
 func NewHost(d *Dependencies) *Host {
 	return &Host{deps: d, transactions: make(map[string]*hostedTx), senders: make(map[string]*sender)}
@@ -107,19 +117,27 @@
 		key = run.Session + "/" + strconv.FormatUint(run.Transaction, 10)
 	}
 	h.mu.Lock()
-	var t, replaced *hostedTx
+	var t, removed *hostedTx
 	if run.Transaction != 0 {
 		t = h.transactions[key]
 	}
 	if t != nil && run.Begin != nil && run.Begin.ID != t.beginID {
 		// An earlier build names its sessions anew after a restart. The open
 		// transaction is of a process that is gone.
-		t, replaced = nil, t
+		t, removed = nil, t
 		delete(h.transactions, key)
 	}
+	if _, rollback := r.Operation.(statement.Rollback); rollback && t != nil {
+		if _, idle := t.idleSince(); !idle {
+			delete(h.transactions, key)
+			h.mu.Unlock()
+			h.rollbackRemoved(t)
+			return &peer.RunResponse{}
+		}
+	}
 	if t == nil && (h.stopped || h.overloaded || run.Transaction != 0 && run.Begin == nil) {
 		h.mu.Unlock()
-		h.rollbackReplaced(replaced)
+		h.rollbackRemoved(removed)
 		return notRunResponse(run)
 	}
 	if t == nil {
@@ -131,7 +149,7 @@
 	h.running++
 	h.mu.Unlock()
 	defer h.endRequest()
-	h.rollbackReplaced(replaced)
+	h.rollbackRemoved(removed)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.session
@@ -161,12 +179,8 @@
 		h.deps.Log.Info("forwarded request failed", append(fields, zap.String("group", run.Group), zap.Stringer("code", f.Code), zap.String("cause", f.Text))...)
 	}
 	t.usedAt = h.deps.Clock.Now()
-	if run.Transaction != 0 && s.tx == nil {
-		h.mu.Lock()
-		if h.transactions[key] == t {
-			delete(h.transactions, key)
-		}
-		h.mu.Unlock()
+	if run.Transaction != 0 {
+		h.endRemoved(key, t)
 	}
 	response := newRunResponse(s, run.Transaction == 0)
 	if h.deps.Homes != nil {
@@ -175,6 +189,28 @@
 	return response
 }
 
+// endRemoved removes a transaction that has ended, and rolls back one that was removed
+// while a request of it waited or ran: nothing else would end it. The caller holds t.mu.
+func (h *Host) endRemoved(key string, t *hostedTx) {
+	s := t.session
+	h.mu.Lock()
+	held := h.transactions[key] == t
+	if held && s.tx == nil {
+		delete(h.transactions, key)
+	}
+	h.mu.Unlock()
+	if held || s.tx == nil {
+		return
+	}
+	s.rollbackOpen()
+	s.fail(statement.CodeAborted, textRolledBack)
+	s.answer.State = statement.Failed
+}
+
+// textRolledBack is the text of the failure of a request whose transaction the home has
+// rolled back.
+const textRolledBack = "the transaction was rolled back at its home"
+
 func (h *Host) endRequest() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -189,7 +225,7 @@
 	if run.Transaction == 0 || run.Begin != nil {
 		return &peer.RunResponse{Refused: true}
 	}
-	return &peer.RunResponse{Failed: true, Code: statement.CodeAborted, Text: "the transaction was rolled back at its home", State: statement.Failed}
+	return &peer.RunResponse{Failed: true, Code: statement.CodeAborted, Text: textRolledBack, State: statement.Failed}
 }
 
 // newRunResponse returns the response with the answer of a session. last is set if the
@@ -244,24 +280,32 @@
 // this one for reconnectTimeout.
 func (h *Host) Sweep(now clock.Time) {
 	h.mu.Lock()
-	gone := h.removeGoneLocked(now)
+	gone := h.goneLocked(now)
 	var expired []*hostedTx
+	var busy []string
 	for key, t := range h.transactions {
-		if t.mu.TryLock() {
-			if t.usedAt != 0 && (now.Sub(t.usedAt) >= hostedIdleTimeout || gone[t.sender]) {
-				expired = append(expired, t)
-				delete(h.transactions, key)
-			}
-			t.mu.Unlock()
+		at, idle := t.idleSince()
+		switch {
+		case !idle:
+			busy = append(busy, t.sender)
+		case now.Sub(at) >= hostedIdleTimeout || gone[t.sender]:
+			expired = append(expired, t)
+			delete(h.transactions, key)
+		}
+	}
+	for name := range gone {
+		// A later sweep finds the busy transactions.
+		if !slices.Contains(busy, name) {
+			delete(h.senders, name)
 		}
 	}
 	h.mu.Unlock()
 	h.rollbackAll(expired)
 }
 
-// rollbackReplaced rolls back a transaction that another one has replaced, if any. It
-// does not wait for a request that still runs in it.
-func (h *Host) rollbackReplaced(t *hostedTx) {
+// rollbackRemoved rolls back a transaction that was removed, if any. It does not wait for
+// a request that still runs in it.
+func (h *Host) rollbackRemoved(t *hostedTx) {
 	if t != nil {
 		go contain.Run(h.deps.Log, "rollback", func() { h.rollbackAll([]*hostedTx{t}) })
 	}
--- a/internal/connection/session/host_test.go
+++ b/internal/connection/session/host_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,29 +95,47 @@
 
 // startForwardingProcesses starts processes whose homes are all served by h. They stand
 // for processes of one proxy that run one after another.
-func startForwardingProcesses(t *testing.T, h *Host, count int) []forwardingProcess {
-	server, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
-	require.NoError(t, err)
-	t.Cleanup(server.Close)
-	// The names are such that "front" is no home of the group.
-	members := []proxy.Peer{{Name: "front"}}
-	for i := range 20 {
-		members = append(members, proxy.Peer{Name: fmt.Sprintf("home-%d", i), Address: server.Address()})
+func startForwardingProcesses(t *testing.T, h proxy.Receiver, count int) []forwardingProcess {
+	return startForwardingProcessesTo(t, func() proxy.Receiver { return h }, count)
+}
+
+// startForwardingProcessesTo starts processes whose homes are served by what newHome
+// returns, which is called for each home.
+func startForwardingProcessesTo(t *testing.T, newHome func() proxy.Receiver, count int) []forwardingProcess {
+	addresses := make([]string, homeCandidates)
+	for i := range addresses {
+		server, err := proxy.NewPeers("127.0.0.1:0", newHome(), zap.NewNop())
+		require.NoError(t, err)
+		t.Cleanup(server.Close)
+		addresses[i] = server.Address()
 	}
 	list := make([]forwardingProcess, 0, count)
 	for range count {
-		peers, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
-		require.NoError(t, err)
-		homes := peer.NewHomes("front", "a", peers, clock.NewBoot())
-		homes.SetMembers(members)
-		homes.SetConnectionLimits(map[string]int{"shop": 20})
-		local, _ := homes.ServesLocally("shop")
-		require.False(t, local)
-		list = append(list, forwardingProcess{peers: peers, homes: homes})
+		list = append(list, startForwardingProcess(t, addresses, newHome()))
 	}
 	return list
 }
 
+// homeCandidates is the number of proxies of which some are homes of the group.
+const homeCandidates = 20
+
+// startForwardingProcess starts a process whose homes are among those at addresses.
+func startForwardingProcess(t *testing.T, addresses []string, own proxy.Receiver) forwardingProcess {
+	// The names are such that "front" is no home of the group.
+	members := []proxy.Peer{{Name: "front"}}
+	for i, address := range addresses {
+		members = append(members, proxy.Peer{Name: fmt.Sprintf("home-%d", i), Address: address})
+	}
+	peers, err := proxy.NewPeers("127.0.0.1:0", own, zap.NewNop())
+	require.NoError(t, err)
+	homes := peer.NewHomes("front", "a", peers, clock.NewBoot())
+	homes.SetMembers(members)
+	homes.SetConnectionLimits(map[string]int{"shop": 20})
+	local, _ := homes.ServesLocally("shop")
+	require.False(t, local)
+	return forwardingProcess{peers: peers, homes: homes}
+}
+
 // session returns the first session of the process.
 func (p forwardingProcess) session(g *backend.GroupClient, process string) *Session {
 	s := newMemorySession(g, 1, routes.Primary)
@@ -195,3 +215,109 @@
 	require.Equal(t, []string{"WRITE a b", "WRITE a c"}, d.commits())
 	processes[1].peers.Close()
 }
+
+// A rollback that arrives together with the first statement of its transaction could be
+// served first, and the transaction stayed open for good.
+func TestRollbackBesideTheFirstStatementLeavesNoTransaction(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	for number := uint64(1); number <= 20; number++ {
+		begin := &peer.RunRequest{Session: "front/p1/1", Transaction: number, Begin: &peer.Begin{ID: "begin"}, Group: "shop", Timeout: clock.Second}
+		rollback := &peer.RunRequest{Session: "front/p1/1", Transaction: number, Group: "shop", Timeout: clock.Second}
+		var wg sync.WaitGroup
+		// Both wait for the lock in this order. A mutex whose waiter has failed to get it for
+		// more than 1 ms is passed from one to the next, and the first then runs after the second.
+		h.mu.Lock()
+		wg.Go(func() { h.run(begin, &statement.Request{ID: "write", Operation: statement.Write{Text: "WRITE a b"}}) })
+		time.Sleep(2 * time.Millisecond)
+		wg.Go(func() { h.run(rollback, &statement.Request{Operation: statement.Rollback{}}) })
+		time.Sleep(2 * time.Millisecond)
+		h.mu.Unlock()
+		h.mu.Lock()
+		time.Sleep(2 * time.Millisecond)
+		h.mu.Unlock()
+		wg.Wait()
+		require.Eventually(t, func() bool { return d.openTransactions() == 0 && h.Len() == 0 }, 5*time.Second, time.Millisecond, "transaction %d", number)
+	}
+}
+
+// A rollback has nothing to wait for while a statement of its transaction runs: the proxy
+// that has sent it would take the home for unreachable.
+func TestRollbackDoesNotWaitForARunningStatement(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	asked, release := make(chan struct{}), make(chan struct{})
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient {
+		asked <- struct{}{}
+		<-release
+		return g
+	}})
+	run := &peer.RunRequest{Session: "front/p1/1", Transaction: 1, Begin: &peer.Begin{ID: "begin"}, Group: "shop", Timeout: 10 * clock.Second}
+	served := make(chan *peer.RunResponse, 1)
+	go func() {
+		served <- h.run(run, &statement.Request{ID: "write", Operation: statement.Write{Text: "WRITE a b"}})
+	}()
+	<-asked
+	rollback := &peer.RunRequest{Session: "front/p1/1", Transaction: 1, Group: "shop", Timeout: clock.Second}
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		h.run(rollback, &statement.Request{Operation: statement.Rollback{}})
+	}()
+	select {
+	case <-answered:
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the rollback waits for the statement")
+	}
+	commit := h.run(&peer.RunRequest{Session: "front/p1/1", Transaction: 1, Group: "shop", Timeout: clock.Second}, &statement.Request{Operation: statement.Commit{}})
+	require.Equal(t, statement.CodeAborted, commit.Code)
+	close(release)
+	<-served
+	require.Eventually(t, func() bool { return d.openTransactions() == 0 && h.Len() == 0 }, 5*time.Second, time.Millisecond)
+	require.Empty(t, d.commits())
+}
+
+// A transaction in which a request still ran when its proxy had been gone for a second was
+// passed over, and waited for its idle timeout.
+func TestTransactionThatRunsWhenItsProxyIsLostIsRolledBack(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	c := &stoppedClock{now: clock.NewBoot().Now()}
+	asked, release := make(chan struct{}), make(chan struct{})
+	var blocked atomic.Bool
+	h := NewHost(&Dependencies{Clock: c, Log: zap.NewNop(), Group: func(string) *backend.GroupClient {
+		if blocked.Load() {
+			asked <- struct{}{}
+			<-release
+		}
+		return g
+	}})
+	process := startForwardingProcesses(t, h, 1)[0]
+	idle, busy := process.session(g, "p1"), process.session(g, "p1")
+	busy.id = 2
+	for _, s := range []*Session{idle, busy} {
+		requireServed(t, s, "begin", statement.Begin{})
+		requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	}
+	blocked.Store(true)
+	done := make(chan *statement.Failure)
+	go func() { done <- busy.request("write-2", statement.Write{Text: "WRITE a c"}) }()
+	<-asked
+	go process.peers.Close()
+	require.NotNil(t, <-done)
+	require.Eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.senders["front/p1"].connections) == 0
+	}, 5*time.Second, time.Millisecond)
+	h.Sweep(c.now.Add(reconnectTimeout))
+	require.Equal(t, 2, h.Len(), "the transaction that runs, and its request")
+	blocked.Store(false)
+	close(release)
+	require.Eventually(t, func() bool { return h.Len() == 1 }, 5*time.Second, time.Millisecond)
+	h.Sweep(c.now.Add(reconnectTimeout + 1))
+	require.Zero(t, h.Len())
+	require.Zero(t, d.openTransactions())
+	require.Empty(t, h.senders)
+}
--- a/internal/process/group/entry.go
+++ b/internal/process/group/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/field"
 )
 
 // Entry is a database's entry in the platform's registry, which the database
@@ -77,11 +78,10 @@
 			return fail(n.field, n.value, fmt.Sprintf("1 to %d bytes", maxNameLength))
 		}
 	}
-	switch {
-	case strings.ContainsFunc(e.ID, isControl):
-		return fail("id", e.ID, "no control characters")
-	case strings.ContainsFunc(e.Group, func(r rune) bool { return r == ' ' || isControl(r) }):
-		return fail("group", e.Group, "no blanks and control characters")
+	for _, n := range names[:2] {
+		if !field.IsValid(n.value) {
+			return fail(n.field, n.value, "no blanks and control characters")
+		}
 	}
 	switch a, err := netip.ParseAddrPort(e.Address); {
 	case err != nil || !a.Addr().Is4():
@@ -99,7 +99,3 @@
 	}
 	return nil
 }
-
-// isControl reports whether a character may end the line in which names are sent to a
-// database.
-func isControl(r rune) bool { return r < ' ' || r == 0x7f }
