Refuse PostgreSQL messages that go on behind their last field

What callers saw: a Parse whose text holds NUL ran up to the NUL. Of "INSERT INTO t SELECT 1", NUL, " WHERE 1 = 0" the INSERT ran without its condition.

Cause: the text ends at NUL, the next two bytes are the number of parameter types, and the protocol library drops what follows. It does not tell the length of the message. Bind, Execute and FunctionCall are decoded in the same way; the other types are checked by the library.

Fix: a reader below the library hands it one message at a time and knows the length that the message states. A session compares it with the length of the message's fields, and ends with 08P01 if they differ, as it does for other malformed messages. Texts are not copied or encoded for that.

Evidence: TestPreparedTextWithNULIsRefused failed before (ParseComplete in place of an error) and passes. TestMessageWithBytesBehindItsFieldsIsRefused plays twelve types; without the comparison Parse, Bind, Execute and FunctionCall fail. The tests of internal/core, request and connection/caller pass.

--- a/internal/connection/caller/scram_test.go
+++ b/internal/connection/caller/scram_test.go
@@ -17,6 +17,7 @@
 	defer client.Close()
 	s, err := newSession(server)
 	require.NoError(t, err)
+	s.frames.EndStartup()
 	s.User = user
 	done := make(chan error, 1)
 	go func() {
--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/oleanderflow/oleanderflow/internal/connection/database"
+	"github.com/oleanderflow/oleanderflow/internal/connection/frame"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 	"github.com/oleanderflow/oleanderflow/pkg/outcome"
 	"github.com/oleanderflow/oleanderflow/pkg/position"
@@ -45,7 +46,9 @@
 // Session is a caller's connection and its state. It belongs to one goroutine;
 // others may only call Drain, Cancel and Close. mu guards the fields below it.
 type Session struct {
+	// Backend sends messages to the caller. Receive returns the caller's.
 	Backend *pgproto3.Backend
+	frames  *frame.Reader
 	net     net.Conn
 
 	Group       string
@@ -143,7 +146,8 @@
 
 func (s *Session) setConn(c net.Conn) {
 	s.net = c
-	s.Backend = pgproto3.NewBackend(c, c)
+	s.frames = frame.NewStartupReader(c)
+	s.Backend = pgproto3.NewBackend(s.frames, c)
 	s.Backend.SetMaxBodyLen(maxStartMessageLength)
 }
 
--- a/internal/connection/caller/start.go
+++ b/internal/connection/caller/start.go
@@ -115,6 +115,7 @@
 			if a.RequireTLS && !encrypted {
 				return nil, nil, &ProtocolError{Code: outcome.CodePassword, Message: "this proxy accepts only TLS connections"}
 			}
+			s.frames.EndStartup()
 			return m, nil, nil
 		}
 	}
@@ -271,7 +272,7 @@
 	if err := s.Backend.Flush(); err != nil {
 		return none, err
 	}
-	msg, err := s.Backend.Receive()
+	msg, err := s.Receive()
 	if err != nil {
 		return none, startupError(err)
 	}
--- a/internal/request/caller/copy.go
+++ b/internal/request/caller/copy.go
@@ -16,7 +16,7 @@
 		return x.failCopy("caller went away")
 	}
 	for {
-		msg, err := x.session.Backend.Receive()
+		msg, err := x.session.Receive()
 		if err != nil {
 			x.callerErr = err
 			return x.failCopy("caller went away")
@@ -53,7 +53,7 @@
 // data.
 func (x *exchange) receiveSync() {
 	for x.callerErr == nil {
-		msg, err := x.session.Backend.Receive()
+		msg, err := x.session.Receive()
 		if err != nil {
 			x.callerErr = err
 			return
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -85,7 +85,7 @@
 	w.batch.runLocal = w.runLocal
 	defer w.abandonTransaction()
 	for {
-		msg, err := s.Backend.Receive()
+		msg, err := s.Receive()
 		if err != nil {
 			return w.handleReceiveError(err)
 		}
