Refuse messages of PostgreSQL databases that go on behind their last field

What callers saw: a row, a description of columns or of parameters that goes on behind its last field reached the caller without the rest, as a success.

Cause: the decoders of DataRow, RowDescription, ParameterDescription, ParameterStatus and NotificationResponse stop at the last field, and messages are encoded anew for the caller. The other types of a success are checked by the library. Errors and notices are not checked: what they lose makes no success.

Fix: connections to databases read through the frame reader as well, and compare the length of the fields with that of the message. A difference is a lost connection.

Connections of tests that were made without a socket are now made by NewConn; what they check is unchanged.

--- a/internal/connection/database/alive.go
+++ b/internal/connection/database/alive.go
@@ -63,7 +63,7 @@
 // answers.
 func (c *Conn) Settled() bool {
 	encrypted, isTLS := c.net.(*tls.Conn)
-	if c.Frontend.ReadBufferLen() == 0 && !isTLS {
+	if c.buffered() == 0 && !isTLS {
 		return true
 	}
 	_ = c.net.SetReadDeadline(longAgo)
@@ -81,8 +81,12 @@
 	return n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// buffered returns the number of bytes that have been read from the socket and not
+// been received as messages.
+func (c *Conn) buffered() int { return c.frames.Buffered() + c.Frontend.ReadBufferLen() }
+
 func (c *Conn) dropUntilEmpty() bool {
-	for c.Frontend.ReadBufferLen() > 0 {
+	for c.buffered() > 0 {
 		if !c.dropOne() {
 			return false
 		}
@@ -93,7 +97,7 @@
 // dropOne reads one asynchronous message. It returns false if the next message
 // is another one or has not arrived whole.
 func (c *Conn) dropOne() bool {
-	msg, err := c.Frontend.Receive()
+	msg, err := c.Receive()
 	if err != nil {
 		return false
 	}
--- a/internal/connection/database/alive_test.go
+++ b/internal/connection/database/alive_test.go
@@ -37,7 +37,7 @@
 		require.NoError(t, client.(*tls.Conn).Handshake())
 	}
 	t.Cleanup(func() { client.Close(); server.Close() })
-	return &Conn{net: client, Frontend: pgproto3.NewFrontend(client, client)}, server
+	return NewConn(client), server
 }
 
 func encoded(t *testing.T, m pgproto3.BackendMessage) []byte {
@@ -70,7 +70,7 @@
 					_, err := server.Write(ready)
 					require.NoError(t, err)
 					if !together {
-						_, err = c.Frontend.Receive()
+						_, err = c.Receive()
 						require.NoError(t, err)
 					}
 					if test.unread != nil {
@@ -79,7 +79,7 @@
 					}
 					time.Sleep(20 * time.Millisecond)
 					if together {
-						_, err = c.Frontend.Receive()
+						_, err = c.Receive()
 						require.NoError(t, err)
 					}
 					// An encrypted notification cannot be told from an answer.
@@ -88,7 +88,7 @@
 					if idle {
 						_, err = server.Write(ready)
 						require.NoError(t, err)
-						msg, err := c.Frontend.Receive()
+						msg, err := c.Receive()
 						require.NoError(t, err)
 						require.IsType(t, &pgproto3.ReadyForQuery{}, msg)
 					}
@@ -107,7 +107,7 @@
 		_, err := server.Write(both)
 		require.NoError(t, err)
 		time.Sleep(20 * time.Millisecond)
-		_, err = c.Frontend.Receive()
+		_, err = c.Receive()
 		require.NoError(t, err)
 		require.Equal(t, severity == "FATAL", c.Settled())
 		require.False(t, c.Idle())
--- a/internal/connection/database/conn.go
+++ b/internal/connection/database/conn.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"github.com/oleanderflow/oleanderflow/internal/connection/frame"
 	process "github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
@@ -43,8 +44,10 @@
 // Conn is an authenticated connection to a database. It is used by one
 // goroutine at a time.
 type Conn struct {
-	net      net.Conn
+	net net.Conn
+	// Frontend sends messages to the database. Receive returns the database's.
 	Frontend *pgproto3.Frontend
+	frames   *frame.Reader
 	// Prepared holds the names of the statements prepared on the connection.
 	Prepared map[string]struct{}
 	// Settings is the text of the session settings last applied by SET, empty
@@ -91,7 +94,8 @@
 	if err != nil {
 		return nil, &process.ConnectError{Address: t.Address, Cause: err}
 	}
-	conn := &Conn{net: c, target: t, Prepared: make(map[string]struct{})}
+	conn := NewConn(c)
+	conn.target = t
 	// A deadline in the past interrupts start when ctx ends.
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	err = conn.start()
@@ -105,13 +109,27 @@
 	return conn, nil
 }
 
+// NewConn returns a connection over c, on which the server is ready.
+func NewConn(c net.Conn) *Conn {
+	conn := &Conn{Prepared: make(map[string]struct{})}
+	conn.setConn(c)
+	return conn
+}
+
+func (c *Conn) setConn(n net.Conn) {
+	c.net, c.frames = n, frame.NewReader(n)
+	c.Frontend = pgproto3.NewFrontend(c.frames, n)
+	c.Frontend.SetMaxBodyLen(maxMessageLength)
+}
+
 func (c *Conn) start() error {
-	var err error
-	if c.net, err = c.target.secure(c.net); err != nil {
+	secured, err := c.target.secure(c.net)
+	if err != nil {
 		return err
 	}
-	c.Frontend = pgproto3.NewFrontend(c.net, c.net)
-	c.Frontend.SetMaxBodyLen(maxMessageLength)
+	if secured != c.net {
+		c.setConn(secured)
+	}
 	parameters := map[string]string{
 		"user": c.target.User, "database": c.target.Database, "application_name": c.target.Application,
 	}
@@ -151,7 +169,7 @@
 func (c *Conn) receiveStart() error {
 	var conversation *scram.ClientConversation
 	for {
-		msg, err := c.Frontend.Receive()
+		msg, err := c.Receive()
 		if err != nil {
 			return err
 		}
--- a/internal/connection/database/control.go
+++ b/internal/connection/database/control.go
@@ -127,7 +127,7 @@
 	var failure error
 	rows := 0
 	for {
-		msg, err := c.Frontend.Receive()
+		msg, err := c.Receive()
 		if err != nil {
 			return status, err
 		}
--- a/internal/connection/frame/reader.go
+++ b/internal/connection/frame/reader.go
@@ -11,6 +11,8 @@
 const (
 	typeSize   = 1
 	lengthSize = 4
+	// serverBuffer is the length in which PostgreSQL sends, in bytes.
+	serverBuffer = 8 << 10
 )
 
 // Reader passes the messages of a connection to a decoder. A call of Read returns
@@ -26,7 +28,9 @@
 
 // NewReader returns a reader of the messages that a server sends, all of which
 // have a type.
-func NewReader(r io.Reader) *Reader { return &Reader{source: bufio.NewReader(r), typed: true} }
+func NewReader(r io.Reader) *Reader {
+	return &Reader{source: bufio.NewReaderSize(r, serverBuffer), typed: true}
+}
 
 // NewStartupReader returns a reader of the messages that a client sends. Those
 // before EndStartup have no type.
@@ -39,6 +43,10 @@
 // fields.
 func (r *Reader) Length() int { return r.length }
 
+// Buffered returns the number of bytes that have been read from the connection and
+// not been passed on.
+func (r *Reader) Buffered() int { return r.source.Buffered() }
+
 // Read implements io.Reader.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.rest == 0 {
--- a/internal/core/answers_test.go
+++ b/internal/core/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -225,6 +226,42 @@
 	require.NoError(t, err)
 }
 
+// lengthened returns a fault that adds a byte behind the values of each row.
+func lengthened(t *testing.T) database.AnswerFault {
+	return func(_ pgproto3.FrontendMessage, answer []byte) database.Answer {
+		var out []byte
+		f := pgproto3.NewFrontend(bytes.NewReader(answer), io.Discard)
+		for {
+			msg, err := f.Receive()
+			if err != nil {
+				return database.Answer{First: out}
+			}
+			begin := len(out)
+			out, err = msg.Encode(out)
+			require.NoError(t, err)
+			if _, row := msg.(*pgproto3.DataRow); row {
+				out = append(out, 'x')
+				binary.BigEndian.PutUint32(out[begin+1:], uint32(len(out)-begin-1))
+			}
+		}
+	}
+}
+
+// A row that goes on behind its values must not reach a caller without its end.
+func TestRowWithBytesBehindItsValuesIsNoSuccess(t *testing.T) {
+	ctx := context.Background()
+	d := startDev(t, DevSettings{Proxies: 1})
+	c := connect(t, d.Proxies[0], "")
+	mustExec(t, c, "BEGIN")
+	faultAtAll(d, lengthened(t))
+	_, err := c.PgConn().Exec(ctx, "SELECT 'own'").ReadAll()
+	require.Error(t, err)
+	faultAtAll(d, nil)
+	_, err = c.PgConn().Exec(ctx, "ROLLBACK").ReadAll()
+	require.NoError(t, err)
+	require.Equal(t, 1, queryInt(t, c, "SELECT 1"))
+}
+
 // cutAt returns a fault that ends a connection after n bytes of the answer to a
 // request that matches, by a reset if n is odd, and the number of answers that it
 // has cut.
--- a/internal/core/connections_test.go
+++ b/internal/core/connections_test.go
@@ -19,7 +19,7 @@
 	require.NoError(t, c.Frontend.Flush())
 	var value string
 	for {
-		msg, err := c.Frontend.Receive()
+		msg, err := c.Receive()
 		require.NoError(t, err)
 		switch m := msg.(type) {
 		case *pgproto3.DataRow:
--- a/internal/request/caller/exchange.go
+++ b/internal/request/caller/exchange.go
@@ -230,7 +230,7 @@
 	}
 	x.own = ownAnswer{}
 	for {
-		msg, err := x.conn.Frontend.Receive()
+		msg, err := x.conn.Receive()
 		if err != nil {
 			return x.connLost(err)
 		}
@@ -480,7 +480,7 @@
 func (x *exchange) relayUntilAnswered() error {
 	x.appendLocalReplies()
 	for x.next < len(x.queue) && x.queue[x.next].kind != stepFlush {
-		msg, err := x.conn.Frontend.Receive()
+		msg, err := x.conn.Receive()
 		if err != nil {
 			return x.connLost(err)
 		}
--- a/internal/request/caller/expected_test.go
+++ b/internal/request/caller/expected_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
@@ -11,6 +13,16 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/database"
 )
 
+// arrived is a connection on which an answer has arrived, and nothing follows.
+type arrived struct {
+	net.Conn
+	encoded io.Reader
+}
+
+func (a arrived) Read(p []byte) (int, error)      { return a.encoded.Read(p) }
+func (a arrived) Write(p []byte) (int, error)     { return len(p), nil }
+func (a arrived) SetReadDeadline(time.Time) error { return nil }
+
 // answering returns a connection on which the database has sent messages.
 func answering(t *testing.T, messages ...pgproto3.BackendMessage) *database.Conn {
 	t.Helper()
@@ -20,7 +32,7 @@
 		require.NoError(t, err)
 		out = encoded
 	}
-	return &database.Conn{Frontend: pgproto3.NewFrontend(bytes.NewReader(out), io.Discard)}
+	return database.NewConn(arrived{encoded: bytes.NewReader(out)})
 }
 
 func complete(tag string) *pgproto3.CommandComplete {
--- a/internal/request/caller/ledger.go
+++ b/internal/request/caller/ledger.go
@@ -434,7 +434,7 @@
 	var failure error
 	completed := 0
 	for {
-		msg, err := conn.Frontend.Receive()
+		msg, err := conn.Receive()
 		if err != nil {
 			conn.StateUnknown = true
 			return "", err
--- a/internal/request/caller/relay_test.go
+++ b/internal/request/caller/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -33,7 +32,7 @@
 
 // relayOnce relays one answer into the exchange's buffer.
 func relayOnce(tb testing.TB, x *exchange, b *batch, encoded []byte) {
-	conn := &database.Conn{Frontend: pgproto3.NewFrontend(bytes.NewReader(encoded), io.Discard)}
+	conn := database.NewConn(arrived{encoded: bytes.NewReader(encoded)})
 	x.prepare(nil, conn, b)
 	x.holdFrom = 0
 	x.phases[phaseBatch] = true
