Take memory for PostgreSQL messages as they arrive

What callers saw: a header of five bytes that states 64 MiB had the proxy set 64 MiB aside until the connection ended; one of a database, 256 MiB.

Cause: the protocol library makes a buffer of the stated length before it reads the body. Only the limit of 64 KiB before authentication bounded that.

Fix: the frame reader gathers a message of more than 64 KiB in parts of that length, and passes its header on once all of it has arrived. A message that is longer than the limit is still refused at its header. A long message that does arrive is held twice while it is passed on: in the parts and in the library's buffer.

--- a/internal/connection/caller/receive_test.go
+++ b/internal/connection/caller/receive_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -21,7 +22,11 @@
 	s, err := newSession(server)
 	require.NoError(t, err)
 	s.frames.EndStartup()
-	go func() { _, _ = client.Write(sent) }()
+	s.limitMessages(maxMessageLength)
+	go func() {
+		_, _ = client.Write(sent)
+		_ = client.Close()
+	}()
 	return s.Receive()
 }
 
@@ -55,3 +60,12 @@
 		})
 	}
 }
+
+func TestLengthOfACallerAloneTakesNoMemory(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := received(t, binary.BigEndian.AppendUint32([]byte{'Q'}, maxMessageLength))
+	runtime.ReadMemStats(&after)
+	require.Error(t, err)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+}
--- a/internal/connection/caller/session.go
+++ b/internal/connection/caller/session.go
@@ -148,7 +148,13 @@
 	s.net = c
 	s.frames = frame.NewStartupReader(c)
 	s.Backend = pgproto3.NewBackend(s.frames, c)
-	s.Backend.SetMaxBodyLen(maxStartMessageLength)
+	s.limitMessages(maxStartMessageLength)
+}
+
+// limitMessages sets the length of the longest message that the caller may send.
+func (s *Session) limitMessages(n int) {
+	s.frames.SetMaxBodyLen(n)
+	s.Backend.SetMaxBodyLen(n)
 }
 
 // Write sends messages to the caller that are already encoded.
--- a/internal/connection/caller/start.go
+++ b/internal/connection/caller/start.go
@@ -171,7 +171,7 @@
 	if err := a.authenticateCaller(s, m.Parameters); err != nil {
 		return err
 	}
-	s.Backend.SetMaxBodyLen(maxMessageLength)
+	s.limitMessages(maxMessageLength)
 	if !a.HasGroup(s.Group) {
 		return &ProtocolError{Code: outcome.CodeNoGroup, Message: fmt.Sprintf("no database group %q is declared", s.Group)}
 	}
--- a/internal/connection/database/conn.go
+++ b/internal/connection/database/conn.go
@@ -119,6 +119,7 @@
 func (c *Conn) setConn(n net.Conn) {
 	c.net, c.frames = n, frame.NewReader(n)
 	c.Frontend = pgproto3.NewFrontend(c.frames, n)
+	c.frames.SetMaxBodyLen(maxMessageLength)
 	c.Frontend.SetMaxBodyLen(maxMessageLength)
 }
 
--- a/internal/connection/database/receive_test.go
+++ b/internal/connection/database/receive_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -38,3 +39,16 @@
 		})
 	}
 }
+
+func TestLengthOfADatabaseAloneTakesNoMemory(t *testing.T) {
+	c, server := connPair(t, false)
+	_, err := server.Write(binary.BigEndian.AppendUint32([]byte{'D'}, maxMessageLength))
+	require.NoError(t, err)
+	require.NoError(t, server.Close())
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = c.Receive()
+	runtime.ReadMemStats(&after)
+	require.Error(t, err)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+}
--- a/internal/connection/frame/reader.go
+++ b/internal/connection/frame/reader.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"net"
 )
 
 const (
@@ -13,14 +14,26 @@
 	lengthSize = 4
 	// serverBuffer is the length in which PostgreSQL sends, in bytes.
 	serverBuffer = 8 << 10
+	// chunkSize is the length of the parts in which a long message is gathered, in
+	// bytes.
+	chunkSize = 64 << 10
 )
 
 // Reader passes the messages of a connection to a decoder. A call of Read returns
 // bytes of one message only, so that Length is that of the message which the
 // decoder has read last.
+//
+// A decoder sets memory aside for the length that a message states. One that is
+// longer than a chunk is passed on once it has arrived.
 type Reader struct {
 	source *bufio.Reader
 	typed  bool
+	// limit is the length of the longest body that is gathered.
+	limit int
+	// gathered is the part of a long message that has arrived and has not been
+	// passed on, and missing the length of the part that has not arrived.
+	gathered net.Buffers
+	missing  int
 	// length is the length of the current message, and rest that of the part that
 	// has not been read.
 	length, rest int
@@ -36,6 +49,10 @@
 // before EndStartup have no type.
 func NewStartupReader(r io.Reader) *Reader { return &Reader{source: bufio.NewReader(r)} }
 
+// SetMaxBodyLen sets the length of the longest body that the decoder accepts. A
+// longer one is not waited for, so that the decoder refuses it.
+func (r *Reader) SetMaxBodyLen(n int) { r.limit = n }
+
 // EndStartup has the messages after the current one read as messages with a type.
 func (r *Reader) EndStartup() { r.typed = true }
 
@@ -45,7 +62,13 @@
 
 // Buffered returns the number of bytes that have been read from the connection and
 // not been passed on.
-func (r *Reader) Buffered() int { return r.source.Buffered() }
+func (r *Reader) Buffered() int {
+	n := r.source.Buffered()
+	for _, chunk := range r.gathered {
+		n += len(chunk)
+	}
+	return n
+}
 
 // Read implements io.Reader.
 func (r *Reader) Read(p []byte) (int, error) {
@@ -54,11 +77,40 @@
 			return 0, err
 		}
 	}
-	n, err := r.source.Read(p[:min(len(p), r.rest)])
+	if err := r.gather(); err != nil {
+		return 0, err
+	}
+	n, err := r.current().Read(p[:min(len(p), r.rest)])
 	r.rest -= n
+	if r.gathered != nil && r.rest == 0 {
+		r.gathered = nil
+		return n, nil
+	}
 	return n, err
 }
 
+// current returns the reader that holds the current message.
+func (r *Reader) current() io.Reader {
+	if r.gathered != nil {
+		return &r.gathered
+	}
+	return r.source
+}
+
+// gather waits for the missing part of a long message.
+func (r *Reader) gather() error {
+	for r.missing > 0 {
+		chunk := make([]byte, min(chunkSize, r.missing))
+		n, err := io.ReadFull(r.source, chunk)
+		r.missing -= n
+		r.gathered = append(r.gathered, chunk[:n])
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // next begins the next message. One of an invalid length ends after the length,
 // which the decoder refuses.
 func (r *Reader) next() error {
@@ -73,5 +125,8 @@
 	length := int(int32(binary.BigEndian.Uint32(header[fields-lengthSize:])))
 	r.length = max(length, lengthSize) + fields - lengthSize
 	r.rest = r.length
+	if r.typed && r.length > chunkSize && r.length <= fields+r.limit {
+		r.missing = r.length
+	}
 	return nil
 }
