Compare command tags of PostgreSQL with their statements

What callers saw: where an answer of a transaction arrived again after the next statement had been sent, that statement was answered with it: an INSERT with BEGIN or with the rows of a SELECT, an UPDATE with SAVEPOINT. The statement's own answer was found afterwards and the connection closed, too late for the caller.

Cause: of a command tag only SHOW, SET and RESET were compared with the statement. Inside a transaction no status precedes the answer that would tell.

PostgreSQL itself answers each message once, over one TCP connection, so that this is a fault of something else on the way. It is a violation of the protocol all the same, and the tag tells it without anything being sent.

Fix: for a simple query of one statement that begins with a word whose tags are known, any other tag is a lost connection. The transaction is rolled back; a COMMIT is in doubt. Other words and texts of several statements are as before.

--- a/internal/core/answers_test.go
+++ b/internal/core/answers_test.go
@@ -226,6 +226,42 @@
 	require.NoError(t, err)
 }
 
+// An answer that arrives again once the next statement of the transaction has been
+// sent must not be the answer to that statement.
+func TestLateRepeatedAnswerInATransactionIsNoSuccess(t *testing.T) {
+	ctx := context.Background()
+	for _, test := range []struct{ repeated, next string }{
+		{"BEGIN", "INSERT INTO t VALUES (1)"},
+		{"INSERT INTO t VALUES (2)", "SELECT 'own'"},
+		{"SELECT 'theirs'", "INSERT INTO t VALUES (3)"},
+		{"SAVEPOINT a", "UPDATE t SET id = 4"},
+		{"INSERT INTO t VALUES (5)", "COMMIT"},
+	} {
+		t.Run(test.repeated+" then "+test.next, func(t *testing.T) {
+			d := startDev(t, DevSettings{Proxies: 1})
+			c := connect(t, d.Proxies[0], "")
+			mustExec(t, c, "CREATE TABLE t (id INTEGER)")
+			var earlier []byte
+			faultAtAll(d, func(request pgproto3.FrontendMessage, answer []byte) database.Answer {
+				switch {
+				case isQuery(request, test.repeated):
+					earlier = append([]byte(nil), answer...)
+				case isQuery(request, test.next):
+					return database.Answer{First: earlier, Then: answer, Pause: 100 * time.Millisecond}
+				}
+				return database.Answer{First: answer}
+			})
+			if test.repeated != "BEGIN" {
+				mustExec(t, c, "BEGIN")
+			}
+			mustExec(t, c, test.repeated)
+			_, err := c.PgConn().Exec(ctx, test.next).ReadAll()
+			require.NotEmpty(t, earlier)
+			require.Error(t, err)
+		})
+	}
+}
+
 // lengthened returns a fault that adds a byte behind the values of each row.
 func lengthened(t *testing.T) database.AnswerFault {
 	return func(_ pgproto3.FrontendMessage, answer []byte) database.Answer {
--- a/internal/request/caller/expected.go
+++ b/internal/request/caller/expected.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -108,12 +109,15 @@
 }
 
 // fitsStatement reports whether a command tag may belong to the batch's next
-// statement. For a simple query of a single statement, it tells a second answer
-// and the answers to the proxy's own queries.
+// statement. For a simple query of a single statement, it tells a second answer,
+// those to statements of another kind, and the answers to the proxy's own queries.
 func (x *exchange) fitsStatement(tag []byte) bool {
 	if x.batch.steps[0].kind != stepQuery {
 		return true
 	}
+	if isSingle(x.batch.query) && !fitsWord(x.batch.query, tag) {
+		return false
+	}
 	show, set := hasPrefix(tag, "SHOW"), string(tag) == "SET" || string(tag) == "RESET"
 	if x.completed == 0 && !show && !set {
 		return true
@@ -126,6 +130,39 @@
 	return x.completed == 0 && (show && word == "show" || set && (word == "set" || word == "reset"))
 }
 
+// tagsOf holds, by the first word of a statement, the first words of the command
+// tags with which PostgreSQL may complete it. Statements that begin with other words
+// may have any tag.
+var tagsOf = map[string][]string{
+	"select":    {"SELECT"},
+	"values":    {"SELECT"},
+	"table":     {"SELECT"},
+	"with":      {"SELECT", "INSERT", "UPDATE", "DELETE", "MERGE"},
+	"insert":    {"INSERT"},
+	"update":    {"UPDATE"},
+	"delete":    {"DELETE"},
+	"merge":     {"MERGE"},
+	"begin":     {"BEGIN"},
+	"start":     {"BEGIN", "START"},
+	"commit":    {"COMMIT", "ROLLBACK"},
+	"end":       {"COMMIT", "ROLLBACK"},
+	"rollback":  {"ROLLBACK"},
+	"abort":     {"ROLLBACK"},
+	"savepoint": {"SAVEPOINT"},
+	"release":   {"RELEASE"},
+}
+
+// fitsWord reports whether a command tag may complete the statement.
+func fitsWord(statement string, tag []byte) bool {
+	word, _ := cutWord(skipComments(statement))
+	tags, ok := tagsOf[word]
+	if !ok {
+		return true
+	}
+	first, _, _ := strings.Cut(string(tag), " ")
+	return slices.Contains(tags, first)
+}
+
 // isSingle reports whether a text certainly holds no more than one statement.
 func isSingle(query string) bool {
 	return strings.IndexByte(strings.TrimRight(query, "; \t\r\n"), ';') < 0
