--- a/internal/request/caller/expected_test.go
+++ b/internal/request/caller/expected_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
@@ -11,6 +13,16 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/database"
 )
 
+// arrived is a connection on which an answer has arrived, and nothing follows.
+type arrived struct {
+	net.Conn
+	encoded io.Reader
+}
+
+func (a arrived) Read(p []byte) (int, error)      { return a.encoded.Read(p) }
+func (a arrived) Write(p []byte) (int, error)     { return len(p), nil }
+func (a arrived) SetReadDeadline(time.Time) error { return nil }
+
 // answering returns a connection on which the database has sent messages.
 func answering(t *testing.T, messages ...pgproto3.BackendMessage) *database.Conn {
 	t.Helper()
@@ -20,7 +32,7 @@
 		require.NoError(t, err)
 		out = encoded
 	}
-	return &database.Conn{Frontend: pgproto3.NewFrontend(bytes.NewReader(out), io.Discard)}
+	return database.NewConn(arrived{encoded: bytes.NewReader(out)})
 }
 
 func complete(tag string) *pgproto3.CommandComplete {
@@ -52,6 +64,16 @@
 		"answered twice":          {simple(KindRead, "SELECT 1"), []pgproto3.BackendMessage{fields, row, complete("SELECT 1"), fields, row, complete("SELECT 1"), ready('I')}, false},
 		"status for a select":     {simple(KindRead, "SELECT 1"), []pgproto3.BackendMessage{fields, row, complete("SHOW"), ready('I')}, false},
 		"settings for a write":    {simple(KindWrite, "DELETE FROM t"), []pgproto3.BackendMessage{complete("SET"), ready('I')}, false},
+		"begin again":             {simple(KindWrite, "INSERT INTO t VALUES (1)"), []pgproto3.BackendMessage{complete("BEGIN"), ready('T')}, false},
+		"insert for a select":     {simple(KindRead, "SELECT 1"), []pgproto3.BackendMessage{complete("INSERT 0 1"), ready('T')}, false},
+		"select for an insert":    {simple(KindWrite, "/* a */ insert INTO t VALUES (1)"), []pgproto3.BackendMessage{fields, row, complete("SELECT 1"), ready('T')}, false},
+		"insert for a commit":     {simple(KindWrite, "COMMIT"), []pgproto3.BackendMessage{complete("INSERT 0 1"), ready('T')}, false},
+		"commit that rolls back":  {simple(KindWrite, "END"), []pgproto3.BackendMessage{complete("ROLLBACK"), ready('I')}, true},
+		"start":                   {simple(KindBegin, "START TRANSACTION"), []pgproto3.BackendMessage{complete("START TRANSACTION"), ready('T')}, true},
+		"rollback to savepoint":   {simple(KindWrite, "ROLLBACK TO a"), []pgproto3.BackendMessage{complete("ROLLBACK"), ready('T')}, true},
+		"values":                  {simple(KindRead, "VALUES (1)"), []pgproto3.BackendMessage{fields, row, complete("SELECT 1"), ready('I')}, true},
+		"write of a with":         {simple(KindRead, "WITH a AS (SELECT 1) INSERT INTO t SELECT 1"), []pgproto3.BackendMessage{complete("INSERT 0 1"), ready('I')}, true},
+		"create as":               {simple(KindWrite, "CREATE TABLE u AS SELECT 1"), []pgproto3.BackendMessage{complete("SELECT 1"), ready('I')}, true},
 		"idle after begin":        {simple(KindBegin, "BEGIN"), []pgproto3.BackendMessage{complete("BEGIN"), ready('I')}, false},
 		"unknown status":          {simple(KindRead, "SELECT 1"), []pgproto3.BackendMessage{fields, complete("SELECT 0"), ready(0)}, false},
 		"reply to no message":     {simple(KindRead, "SELECT 1"), []pgproto3.BackendMessage{&pgproto3.ParseComplete{}, complete("SELECT 0"), ready('I')}, false},
