Explain a request from one state of its databases

Operators could read an explanation that sends a write to one database and names another as the primary, or says that no primary is known and then names one. The decision and the list of databases asked the group for its primary one after another, so a change between them showed in one and not in the other. The primary and the term are now read once, with the databases.

--- a/internal/connection/session/explain.go
+++ b/internal/connection/session/explain.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
+	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/workspace"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -222,7 +223,11 @@
 	view       peer.View
 	group      *backend.GroupClient
 	candidates []backend.Candidate
-	floor      position.Position
+	// primary is the primary if leads is set, and term the highest term seen.
+	primary group.Member
+	leads   bool
+	term    uint64
+	floor   position.Position
 	// floorKnown is set if the floor is known, and floorNeeded if the request needs it.
 	floorKnown, floorNeeded bool
 }
@@ -292,7 +297,8 @@
 	return nil
 }
 
-// collect reads what is known of the homes and the databases.
+// collect reads what is known of the homes and the databases, once for the whole
+// explanation.
 func (e *explainer) collect() {
 	s := e.session
 	if s.Homes != nil {
@@ -306,6 +312,8 @@
 		return
 	}
 	e.candidates = e.group.Candidates(s.workspace)
+	e.primary, e.leads = e.group.Primary()
+	e.term = e.group.Term()
 	if e.floorNeeded {
 		e.floor, e.floorKnown = s.knownFloor(e.group)
 	}
--- a/internal/connection/session/explain_candidates.go
+++ b/internal/connection/session/explain_candidates.go
@@ -88,8 +88,7 @@
 	if e.group == nil {
 		return
 	}
-	m, _ := e.group.Primary()
-	d.Primary, d.Term = m.ID, e.group.Term()
+	d.Primary, d.Term = e.primary.ID, e.term
 	if e.floorKnown {
 		d.Floor = e.floor.String()
 	}
@@ -148,9 +147,8 @@
 func (e *explainer) databaseReason(c *backend.Candidate, preview *backend.Preview, lowest float64) (bool, string) {
 	decision := &e.result.Decision
 	primaryOnly := e.primaryOnly()
-	primary, _ := e.group.Primary()
 	switch {
-	case primaryOnly && c.Member.ID != primary.ID:
+	case primaryOnly && c.Member.ID != e.primary.ID:
 		return false, "not the primary"
 	case c.Obstacle == backend.NoPool:
 		return false, "has just joined or left the group"
--- a/internal/connection/session/explain_decide.go
+++ b/internal/connection/session/explain_decide.go
@@ -107,8 +107,8 @@
 func (e *explainer) decidePrimary(conditions []string) Decision {
 	s := e.session
 	until, policy, slotUntil := s.primarySlot()
-	m, ok := e.group.Primary()
-	if !ok {
+	m := &e.primary
+	if !e.leads {
 		return e.wait(until.Sub(s.arrived), "no primary is known")
 	}
 	p := e.group.Pool(m.ID)
--- a/internal/connection/session/explain_test.go
+++ b/internal/connection/session/explain_test.go
@@ -100,6 +100,33 @@
 	return e
 }
 
+// previewFunc is a LimitPreviewer that is called after a primary is chosen and before the
+// databases are described.
+type previewFunc func() LimitPreview
+
+// PreviewLimit implements LimitPreviewer.
+func (f previewFunc) PreviewLimit(string, int) LimitPreview { return f() }
+
+// An explanation sent a write to one database and named another as the primary.
+func TestExplanationIsMadeFromOneState(t *testing.T) {
+	x := newExplained(t, true)
+	e, err := Explain(&x.deps, "z", previewFunc(func() LimitPreview {
+		x.group.MarkNotPrimary("a")
+		x.clock.now++
+		x.group.ObserveStatus("b", x.clock.now, x.clock.now, database.Status{Role: database.RolePrimary, Term: 2, Received: position.Position{Term: 2, Offset: 100}})
+		return x.limits.LimitPreview
+	}), Query{Database: "bookings", Workspace: "north", Kind: KindWrite})
+	require.NoError(t, err)
+	require.Equal(t, Sent, e.Decision.Outcome)
+	require.Equal(t, "a", e.Decision.Database)
+	require.Equal(t, "a", e.Databases.Primary)
+	require.EqualValues(t, 1, e.Databases.Term)
+	for _, d := range e.Databases.Candidates {
+		require.Equal(t, d.ID == "a", d.Eligible, "%+v", d)
+		require.Equal(t, d.ID == "a", d.Role == "primary", "%+v", d)
+	}
+}
+
 func reasons(e *Explanation) map[string]string {
 	m := make(map[string]string)
 	for _, d := range e.Databases.Candidates {
