Test explanations once homes know their primary

TestExplanationIsWhereRequestsGo failed once at load 46: a home explained that a write would wait since it knew no primary, and then sent it. Both were right, at two moments. The test began once each proxy had chosen three homes. A home learns which database leads only from the first status, asked for in its next tick: 41 ms after the homes were known in a calm run, longer beside load. A write that arrives meanwhile waits for that, as was explained.

The proxies could also differ in the three homes, when one did not know all five proxies yet. A proxy that is no home in its own view then serves what another forwards to it, and explains that it would forward itself.

The test now begins once the proxies agree on the homes and each home knows the primary. An explanation of a group without a primary is tested by TestExplainedObstacles.

--- a/cmd/oleanderflow-front/explain_route_test.go
+++ b/cmd/oleanderflow-front/explain_route_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -77,11 +78,19 @@
 	for _, f := range s.fronts {
 		require.Eventually(t, f.Ready, 10*time.Second, 5*time.Millisecond)
 	}
+	// Proxies that have just started know different homes, and homes no primary.
 	require.Eventually(t, func() bool {
+		var homes []string
 		for _, address := range s.addresses {
-			if r, _ := readStatus(t, address); len(r.Groups) != 1 || len(r.Groups[0].Homes) != 3 {
+			r, _ := readStatus(t, address)
+			if len(r.Groups) != 1 || len(r.Groups[0].Homes) != 3 || r.Groups[0].Local && r.Groups[0].Primary == "" {
 				return false
 			}
+			list := slices.Sorted(slices.Values(r.Groups[0].Homes))
+			if homes != nil && !slices.Equal(homes, list) {
+				return false
+			}
+			homes = list
 		}
 		return true
 	}, 20*time.Second, 50*time.Millisecond)
--- a/cmd/oleanderflow-front/status_test.go
+++ b/cmd/oleanderflow-front/status_test.go
@@ -70,9 +70,10 @@
 		}
 	}
 	Groups []struct {
-		Name  string
-		Homes []string
-		Local bool
+		Name    string
+		Homes   []string
+		Local   bool
+		Primary string
 	}
 }
 
