Run no statement of a transaction that ended while it waited

Callers saw: a transaction was answered with ABORTED, which promises that nothing is kept, and one of its writes was kept alone. A read of it ran as well.

Cause: a home serves each request in a goroutine of its own. The caller's proxy sends a rollback when a statement has no answer in time. A statement that arrived while the rollback ran waited for the transaction, which was known until then, and was served as a single statement afterwards.

A request that belongs to a transaction and does not begin it is refused with ABORTED if the transaction is gone once its turn comes.

--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -153,6 +153,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.session
+	if run.Transaction != 0 && run.Begin == nil && s.tx == nil {
+		// The transaction ended while the request waited.
+		return notRunResponse(run)
+	}
 	s.arrived = h.deps.Clock.Now()
 	// Should the request panic, Sweep still ends the transaction.
 	t.usedAt = s.arrived
