Refuse the first statement of a transaction that was rolled back before

Callers saw: other callers waited for locks, and for connections of the home, for up to 5 s after a statement had got lost between two proxies.

Cause: a home that did not know the transaction of a rollback answered it, so that the rollback was not sent again. The first statement that arrived behind it, as after a stall, then began the transaction, and only the idle timeout ended it.

A home remembers such rollbacks for as long as a transaction may be idle, at most 4,096 of them, and refuses the first statement of these transactions.

--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -28,6 +29,8 @@
 
 	mu           sync.Mutex
 	transactions map[string]*hostedTx
+	// rolledBack has the times of rollbacks that arrived ahead of their transactions.
+	rolledBack map[string]clock.Time
 	// senders has the processes that have forwarded requests, by their names.
 	senders map[string]*sender
 	stopped bool
@@ -61,7 +64,7 @@
 
 // NewHost returns a Host without open transactions.
 func NewHost(d *Dependencies) *Host {
-	return &Host{deps: d, transactions: make(map[string]*hostedTx), senders: make(map[string]*sender)}
+	return &Host{deps: d, transactions: make(map[string]*hostedTx), rolledBack: make(map[string]clock.Time), senders: make(map[string]*sender)}
 }
 
 // UnknownMethodError reports a call of a method that Host does not implement.
@@ -127,7 +130,8 @@
 		t, removed = nil, t
 		delete(h.transactions, key)
 	}
-	if _, rollback := r.Operation.(statement.Rollback); rollback && t != nil {
+	_, rollback := r.Operation.(statement.Rollback)
+	if rollback && t != nil {
 		if _, idle := t.idleSince(); !idle {
 			delete(h.transactions, key)
 			h.mu.Unlock()
@@ -135,7 +139,11 @@
 			return &peer.RunResponse{}
 		}
 	}
-	if t == nil && (h.stopped || h.overloaded || run.Transaction != 0 && run.Begin == nil) {
+	if rollback && t == nil && run.Transaction != 0 && len(h.rolledBack) < maxEarlyRollbacks {
+		h.rolledBack[key] = h.deps.Clock.Now()
+	}
+	_, ended := h.rolledBack[key]
+	if t == nil && (h.stopped || h.overloaded || ended || run.Transaction != 0 && run.Begin == nil) {
 		h.mu.Unlock()
 		h.rollbackRemoved(removed)
 		return notRunResponse(run)
@@ -279,6 +287,10 @@
 // closing their connections.
 const hostedIdleTimeout = 5 * clock.Second
 
+// maxEarlyRollbacks is the maximum number of rollbacks that are remembered for transactions
+// that have not arrived.
+const maxEarlyRollbacks = 4096
+
 // Sweep rolls back the transactions whose proxies are gone: those that have been idle
 // for hostedIdleTimeout, and those of processes that have been without a connection to
 // this one for reconnectTimeout.
@@ -297,6 +309,7 @@
 			delete(h.transactions, key)
 		}
 	}
+	maps.DeleteFunc(h.rolledBack, func(_ string, at clock.Time) bool { return now.Sub(at) >= hostedIdleTimeout })
 	for name := range gone {
 		// A later sweep finds the busy transactions.
 		if !slices.Contains(busy, name) {
--- a/internal/connection/session/late_statement_test.go
+++ b/internal/connection/session/late_statement_test.go
@@ -93,3 +93,15 @@
 	require.Eventually(t, func() bool { return !blocked.Load() && h.Len() == 0 }, 10*time.Second, time.Millisecond)
 	require.Empty(t, d.commits(), "the caller was told that nothing is kept")
 }
+
+// A rollback that was answered before the first statement of its transaction arrived was not
+// repeated, and the transaction stayed open until its idle timeout.
+func TestRollbackAheadOfTheFirstStatementLeavesNoTransaction(t *testing.T) {
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	h.run(&peer.RunRequest{Session: "front/p1/1", Transaction: 1, Group: "shop", Timeout: clock.Second}, &statement.Request{Operation: statement.Rollback{}})
+	begin := &peer.RunRequest{Session: "front/p1/1", Transaction: 1, Begin: &peer.Begin{ID: "begin"}, Group: "shop", Timeout: clock.Second}
+	h.run(begin, &statement.Request{ID: "write", Operation: statement.Write{Text: "WRITE a b"}})
+	require.Eventually(t, func() bool { return d.openTransactions() == 0 && h.Len() == 0 }, time.Second, time.Millisecond, "the rollback was answered and is not sent again")
+}
