Refuse a request once after shares are withdrawn

Callers saw: nothing more from a database. If a configuration without workspaces came into force while more than 24 requests waited for the database, the next request whose deadline was out of reach blocked the limiter, and every later request for the database waited for its lock. Cause: the queue of ByShare may be longer than ByArrival allows. Scheduler.Arrive refused the new request by its deadline, found the queue still too long, and refused it again. The result of the second refusal was sent to a channel that was gone, with the lock held. Why it works: a new request that has been refused has left the queue, and is not looked at again. Requests that wait already stay, as before.

--- a/internal/connection/backend/scheduler.go
+++ b/internal/connection/backend/scheduler.go
@@ -211,7 +211,8 @@
 	s.waiting = append(s.waiting, w)
 	s.learnClass(r.Class)
 	refused := s.refuseHopeless(now)
-	if len(s.waiting) <= s.maxWaiting() {
+	if len(s.waiting) <= s.maxWaiting() || !slices.Contains(s.waiting, w) {
+		// Even without w, the queue may be longer than a changed policy allows.
 		return w.id, refused
 	}
 	displaced := w
