Bound what a proxy spends on rollbacks at a dead home

Callers saw: nothing wrong in an answer. A proxy whose home had died used a goroutine for 5 s for each transaction lost there, and avoided the home for longer than the home's own failures told it to. Cause: each rollback had a goroutine that sent it every 200 ms for 5 s, also to a proxy that was no member any more, and each failure was recorded as one of the home. Evidence: with 10,000 lost transactions at one silent home, TestGoroutinesOfRollbacksAtADeadHomeAreBounded failed with 30,003 goroutines (of the proxy and the home, in one process) and 80,000 requests; TestRollbacksDoNotProlongThatAHomeIsUnreachable failed: the home still counted as unreachable after 3 s. Three tests guard what was right before and passed then: a home that answers again is told of all, a lost rollback does not hold up others, and nothing is sent to a proxy that is no member. Why it works: at most 16 rollbacks are in flight at a home; the others wait in a queue without a goroutine. Once one has failed, one at a time is sent until the home answers any request. Their failures are not counted against the home. The queue is dropped with the member, and each rollback after 5 s. Measured: 35 goroutines at most, of proxy and home together, and 23 requests at the home; the home no longer counts as unreachable 2 s after. A forwarded statement keeps its 10 allocations (BenchmarkForward/serial). The tests of internal/connection/peer and internal/connection/session pass.

--- a/internal/connection/peer/homes.go
+++ b/internal/connection/peer/homes.go
@@ -106,6 +106,8 @@
 	zone  string
 	peers *proxy.Peers
 	clock clock.Clock
+	// rollbacks has a lock of its own.
+	rollbacks rollbacks
 
 	mu               sync.Mutex
 	members          []proxy.Peer
@@ -127,6 +129,8 @@
 	// failedAt is when it last could not be reached or did not answer in time.
 	// It is zero after an answer.
 	failedAt clock.Time
+	// answeredAt is when it last answered.
+	answeredAt clock.Time
 	// reportedAt is when another proxy last reported it as unreachable.
 	reportedAt clock.Time
 }
@@ -284,7 +288,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	state := h.stateLocked(name)
-	state.failedAt, state.reportedAt = 0, 0
+	state.answeredAt, state.failedAt, state.reportedAt = now, 0, 0
 	for _, other := range unreachable {
 		if proxy.ContainsPeer(h.members, other) {
 			h.stateLocked(other).reportedAt = now
@@ -339,6 +343,12 @@
 // *NotRunError means that the request did not run; after any other error it may
 // have run.
 func (h *Homes) Forward(home string, run *RunRequest, limit clock.Duration) (*RunResponse, error) {
+	return h.forward(home, run, limit, false)
+}
+
+// forward is Forward. If again is set, the home is known not to answer, and another
+// failure is not counted against it.
+func (h *Homes) forward(home string, run *RunRequest, limit clock.Duration, again bool) (*RunResponse, error) {
 	latency := h.latencyTracker(home)
 	began := h.clock.Now()
 	latency.Begin(began)
@@ -346,6 +356,9 @@
 	err := h.peers.Run(context.Background(), home, run, &response, limit.Std())
 	now := h.clock.Now()
 	if err != nil {
+		if again {
+			return nil, h.repeatFailed(home, latency, now, err)
+		}
 		return nil, h.forwardFailed(home, latency, now, now.Sub(began), err)
 	}
 	if response.Refused {
@@ -380,3 +393,12 @@
 	latency.Abandon(now, took, unansweredPause)
 	return err
 }
+
+// repeatFailed is forwardFailed for a home that is known not to answer.
+func (h *Homes) repeatFailed(home string, latency *backend.LatencyTracker, now clock.Time, err error) error {
+	if latency.Unresponsive(now, silenceTimeout) {
+		h.peers.Drop(home)
+	}
+	latency.Abandon(now, 0, 0)
+	return err
+}
--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -6,9 +6,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
-	"github.com/oleanderflow/oleanderflow/internal/process/contain"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/internal/version/routes"
@@ -29,9 +27,6 @@
 	// maxHomes is the maximum number of homes to which a request is sent before
 	// this proxy serves it itself.
 	maxHomes = 2
-	// rollbackPause is the pause before a home that has not answered a rollback is told
-	// again.
-	rollbackPause = 200 * clock.Millisecond
 )
 
 // shouldForward reports whether a request is forwarded to a home of its group. A
@@ -245,20 +240,8 @@
 // answer, it is told again, until it has rolled the transaction back by itself.
 func (s *Session) rollbackAt(home string) {
 	run, _ := s.newRunRequest(&statement.Request{Operation: statement.Rollback{}}, s.tx.route, false)
-	d := s.Dependencies
-	until := d.Clock.Now().Add(hostedIdleTimeout)
-	go contain.Run(d.Log, "rollback at a home", func() {
-		for {
-			_, err := d.Homes.Forward(home, run, forwardOverhead+minConfirmWait)
-			if err == nil {
-				return
-			}
-			d.Log.Debug("cannot roll back at home", zap.String("home", home), logs.Error(err))
-			if d.Clock.Now() >= until {
-				return
-			}
-			backend.Sleep(rollbackPause)
-		}
+	s.Homes.RollBack(peer.Rollback{
+		Home: home, Request: run, Limit: forwardOverhead + minConfirmWait, Until: s.Clock.Now().Add(hostedIdleTimeout), Log: s.Log,
 	})
 }
 
