Await a transaction that begins as its session drains

Callers saw: at a shutdown a session could be closed in a transaction, 8 ms after its BEGIN was answered, though transactions have half of the grace to end.

Cause: Drain interrupts a session that waits for a request outside a transaction. If the request had just been read, the interruption stayed for the next call of Next, which came in the transaction.

How often that happens at a shutdown was not measured.

A session that has read a request while it drains undoes the interruption.

--- a/internal/connection/session/refusal_test.go
+++ b/internal/connection/session/refusal_test.go
@@ -49,6 +49,7 @@
 	return nil
 }
 func (c *scriptedCaller) Interrupt()    {}
+func (c *scriptedCaller) Resume()       {}
 func (c *scriptedCaller) Arrived() bool { return len(c.requests) > 0 }
 func (c *scriptedCaller) HasRead() bool { return len(c.requests) > c.unread }
 func (c *scriptedCaller) Close()        {}
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -60,6 +60,9 @@
 	// Interrupt makes the pending or next call of Next return an error, unless a
 	// request has arrived already.
 	Interrupt()
+	// Resume undoes an Interrupt that has not made Next return an error. It is not called
+	// during Next.
+	Resume()
 	// Arrived reports whether a part of a further request has arrived.
 	Arrived() bool
 	// HasRead reports whether a whole further request was read from the connection.
@@ -375,10 +378,15 @@
 	return true
 }
 
+// markActive marks the session as serving a request.
 func (s *Session) markActive() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting && s.draining && !s.ending {
+		// The request may begin a transaction, whose end a draining session awaits.
+		s.caller.Resume()
+	}
 	s.waiting = false
-	s.mu.Unlock()
 }
 
 // Drain ends the session as soon as no request and no transaction is in
--- a/internal/connection/session/session_test.go
+++ b/internal/connection/session/session_test.go
@@ -25,6 +25,7 @@
 }
 func (c *endlessCaller) Accept() error { return nil }
 func (c *endlessCaller) Interrupt()    {}
+func (c *endlessCaller) Resume()       {}
 func (c *endlessCaller) Close()        {}
 
 func (c *endlessCaller) Next(clock.Duration) (statement.Request, error) {
