Leave a commit without a position in doubt

Callers saw: a write was acknowledged though no replica had it, if the database answered it with the position `-`. The wire allows this position; that a database sends it behind a write was not seen.

Cause: no position reads as one of term 0. That is before the term of the group, so that the commit counted as one of an earlier primary, and the present one was asked whether its log has it. The question is a BEGIN READ with the position as its floor. Without a floor each database says yes.

A commit without a position is in doubt at once, since nothing can be asked about it.

--- a/internal/connection/session/write.go
+++ b/internal/connection/session/write.go
@@ -192,6 +192,12 @@
 // received it that any replacement of the primary keeps it. If that stays
 // unconfirmed until the deadline, the answer becomes a failure.
 func (s *Session) confirmCommit(g *backend.GroupClient, p position.Position, deadline clock.Time) {
+	if p.IsZero() {
+		// No database can be asked whether it has the commit.
+		s.Log.Info("commit without a position", zap.String("request", s.requestID), zap.String("group", g.Name))
+		s.fail(statement.CodeInDoubt, "the database has not told the position of the commit")
+		return
+	}
 	deadline = max(deadline, s.Clock.Now().Add(minConfirmWait))
 	status := group.CommitPending
 	g.Await(deadline, g.FastestReplicas(), func() bool {
