Forward no statement of a transaction that has failed

Callers saw: the first statement of a transaction was refused, for a key that was not held or not confirmed at that moment, and the session was in state E. The next statement was answered with success, where MALFORMED is due, and COMMIT with ABORTED.

Cause: whether the transaction had failed was asked only where a statement runs at this proxy. One that had not begun anywhere was forwarded, and a home began it.

The question comes before a statement is forwarded or run.

--- a/internal/connection/session/forward_test.go
+++ b/internal/connection/session/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -253,3 +254,30 @@
 	require.Empty(t, d.commits())
 	require.Zero(t, d.openTransactions())
 }
+
+// A statement behind one that was refused was served by a home and answered with success,
+// though its transaction had failed.
+func TestStatementOfAFailedTransactionIsNotForwarded(t *testing.T) {
+	t.Parallel()
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	process := startForwardingProcesses(t, h, 1)[0]
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	s.key, s.Configuration = "k-north", &routes.Current{}
+	require.True(t, s.Configuration.Accept(version(t, 1, map[string]string{"north": "k-north"})))
+	requireServed(t, s, "begin", statement.Begin{})
+	require.True(t, s.Configuration.Accept(version(t, 2, nil)))
+	f := s.request("refused", statement.Write{Text: "WRITE a b"})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeUnauthorized, f.Code)
+	require.True(t, s.Configuration.Accept(version(t, 3, map[string]string{"north": "k-north"})))
+	f = s.request("write", statement.Write{Text: "WRITE a c"})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeMalformed, f.Code)
+	require.Empty(t, d.runs("write"))
+	f = s.request("commit", statement.Commit{})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeAborted, f.Code)
+}
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -479,6 +479,10 @@
 	if !s.admit(s.route) {
 		return
 	}
+	if s.tx != nil && s.tx.failure != nil {
+		s.fail(statement.CodeMalformed, "the transaction has failed")
+		return
+	}
 	if s.shouldForward(s.route.Group) && s.forward(r) {
 		return
 	}
--- a/internal/connection/session/transaction.go
+++ b/internal/connection/session/transaction.go
@@ -98,10 +98,6 @@
 // runInTransaction runs a statement on the transaction's connection.
 func (s *Session) runInTransaction(g *backend.GroupClient, r *statement.Request) {
 	t := s.tx
-	if t.failure != nil {
-		s.fail(statement.CodeMalformed, "the transaction has failed")
-		return
-	}
 	deadline := s.arrived.Add(s.route.Timeout)
 	if t.conn == nil && !s.beginAtDatabase(g, deadline) {
 		t.failure = s.answer.Failure
