Answer a COMMIT that was not forwarded with ABORTED

Callers saw: INDOUBT for a COMMIT whose home had gone between two statements, though nothing could be kept. A caller does not repeat its operation after that.

Cause: a home that could not be reached counted as one that has not answered.

Nothing but this COMMIT commits the transaction, and an error that says that a request did not run is given only if none of it was sent, or the home has refused it. A COMMIT that may have been sent stays INDOUBT.

--- a/internal/connection/session/forward.go
+++ b/internal/connection/session/forward.go
@@ -93,7 +93,7 @@
 		}
 		switch {
 		case s.tx != nil && s.tx.home != "":
-			s.handleLostHome(r, home)
+			s.handleLostHome(r, home, !errors.As(err, &notRun))
 			return true
 		case !errors.As(err, &notRun) && !s.safeToRepeat(r):
 			s.fail(statement.CodeInDoubt, "home "+home+" has not answered")
@@ -150,12 +150,12 @@
 }
 
 // handleLostHome fails the request r in a transaction whose home does not
-// answer. A COMMIT after a write is in doubt then.
-func (s *Session) handleLostHome(r *statement.Request, home string) {
+// answer. A COMMIT after a write is in doubt then, if it may have run.
+func (s *Session) handleLostHome(r *statement.Request, home string, mayHaveRun bool) {
 	t := s.tx
 	s.rollbackAt(home)
 	_, commit := r.Operation.(statement.Commit)
-	if commit && t.wrote {
+	if commit && t.wrote && mayHaveRun {
 		s.fail(statement.CodeInDoubt, "home "+home+" has not answered COMMIT")
 		return
 	}
--- a/internal/connection/session/forward_test.go
+++ b/internal/connection/session/forward_test.go
@@ -281,3 +281,27 @@
 	require.NotNil(t, f)
 	require.Equal(t, statement.CodeAborted, f.Code)
 }
+
+// A COMMIT that could not be sent, since its home was gone, was answered with INDOUBT.
+func TestCommitThatWasNotForwardedIsNotInDoubt(t *testing.T) {
+	t.Parallel()
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	server, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
+	require.NoError(t, err)
+	process := startForwardingProcess(t, slices.Repeat([]string{server.Address()}, homeCandidates), h)
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	requireServed(t, s, "begin", statement.Begin{})
+	requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	process.peers.Drop(s.tx.home)
+	server.Close()
+	f := s.request("commit", statement.Commit{})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeAborted, f.Code)
+	require.Empty(t, d.commits())
+	h.Sweep(clock.NewBoot().Now().Add(hostedIdleTimeout))
+	require.Zero(t, d.openTransactions())
+	require.Empty(t, d.commits())
+}
