Give each statement of a hosted transaction its own time

Callers saw: a statement of a transaction, or its COMMIT, was given up before the timeout of its route and answered with ABORTED or INDOUBT. The first statement of the transaction had waited for a home that did not answer.

Cause: a home kept the timeout that came with the first statement, the time that this one had left, for all that followed.

A home takes the timeout of each request.

--- a/internal/connection/session/forward_test.go
+++ b/internal/connection/session/forward_test.go
@@ -305,3 +305,31 @@
 	require.Zero(t, d.openTransactions())
 	require.Empty(t, d.commits())
 }
+
+// The statements of a transaction that was begun at a second home had no more time than its
+// first one had left, and a COMMIT was given up before its route's timeout.
+func TestStatementsBehindALostFirstOneHaveTheirWholeTime(t *testing.T) {
+	t.Parallel()
+	d := &memoryDatabase{takes: func(o statement.Operation) clock.Duration {
+		if o == (statement.Commit{}) {
+			return 1600
+		}
+		return 0
+	}}
+	g := newMemoryGroup(t, d)
+	l := &losses{}
+	process := startForwardingProcessesTo(t, func() proxy.Receiver {
+		return losingHost{NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }}), l}
+	}, 1)[0]
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	route := s.resolve()
+	// The first home is given up after 800 ms.
+	route.Timeout, route.TargetLatency = 2*clock.Second, 700
+	write, _ := peer.Encode(statement.Write{})
+	l.request = firstOf(1, write.Kind)
+	requireServed(t, s, "begin", statement.Begin{})
+	requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	requireServed(t, s, "commit", statement.Commit{})
+	require.Equal(t, []string{"WRITE a b"}, d.commits())
+}
--- a/internal/connection/session/host.go
+++ b/internal/connection/session/host.go
@@ -166,6 +166,8 @@
 		return notRunResponse(run)
 	}
 	s.arrived = h.deps.Clock.Now()
+	// The rest of the route is that of the first statement.
+	s.hostedRoute.Timeout = run.Timeout
 	// Should the request panic, Sweep still ends the transaction.
 	t.usedAt = s.arrived
 	if run.Begin != nil && s.tx == nil {
--- a/internal/connection/session/memory_database_test.go
+++ b/internal/connection/session/memory_database_test.go
@@ -51,6 +51,9 @@
 	statuses, fences int
 	// slow is that of the last repetition.
 	slow bool
+	// takes returns how long the answer to an operation takes, nil if none takes any time.
+	// Nothing waits for it: an answer that is later than the limit is missing at once.
+	takes func(statement.Operation) clock.Duration
 }
 
 // repetition is how an answer is sent a second time.
@@ -159,11 +162,14 @@
 
 // Exchange implements backend.Conn. It runs each request, whatever the one before
 // has led to.
-func (c *memoryConn) Exchange(_ clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+func (c *memoryConn) Exchange(limit clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range requests {
 		a := c.answer(r)
+		if c.takes != nil && c.takes(r.Operation) > limit {
+			return 0, context.DeadlineExceeded
+		}
 		c.late = slices.DeleteFunc(c.late, func(l lateAnswer) bool {
 			if l.before(r.Operation) {
 				c.arrived = append(c.arrived, l.Answer)
