--- a/internal/connection/session/forward_test.go
+++ b/internal/connection/session/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/oleanderflow/oleanderflow/internal/connection/peer"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/internal/request/statement"
+	"github.com/oleanderflow/oleanderflow/internal/version/routes"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
 )
 
@@ -253,3 +254,82 @@
 	require.Empty(t, d.commits())
 	require.Zero(t, d.openTransactions())
 }
+
+// A statement behind one that was refused was served by a home and answered with success,
+// though its transaction had failed.
+func TestStatementOfAFailedTransactionIsNotForwarded(t *testing.T) {
+	t.Parallel()
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	process := startForwardingProcesses(t, h, 1)[0]
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	s.key, s.Configuration = "k-north", &routes.Current{}
+	require.True(t, s.Configuration.Accept(version(t, 1, map[string]string{"north": "k-north"})))
+	requireServed(t, s, "begin", statement.Begin{})
+	require.True(t, s.Configuration.Accept(version(t, 2, nil)))
+	f := s.request("refused", statement.Write{Text: "WRITE a b"})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeUnauthorized, f.Code)
+	require.True(t, s.Configuration.Accept(version(t, 3, map[string]string{"north": "k-north"})))
+	f = s.request("write", statement.Write{Text: "WRITE a c"})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeMalformed, f.Code)
+	require.Empty(t, d.runs("write"))
+	f = s.request("commit", statement.Commit{})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeAborted, f.Code)
+}
+
+// A COMMIT that could not be sent, since its home was gone, was answered with INDOUBT.
+func TestCommitThatWasNotForwardedIsNotInDoubt(t *testing.T) {
+	t.Parallel()
+	d := &memoryDatabase{}
+	g := newMemoryGroup(t, d)
+	h := NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }})
+	server, err := proxy.NewPeers("127.0.0.1:0", h, zap.NewNop())
+	require.NoError(t, err)
+	process := startForwardingProcess(t, slices.Repeat([]string{server.Address()}, homeCandidates), h)
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	requireServed(t, s, "begin", statement.Begin{})
+	requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	process.peers.Drop(s.tx.home)
+	server.Close()
+	f := s.request("commit", statement.Commit{})
+	require.NotNil(t, f)
+	require.Equal(t, statement.CodeAborted, f.Code)
+	require.Empty(t, d.commits())
+	h.Sweep(clock.NewBoot().Now().Add(hostedIdleTimeout))
+	require.Zero(t, d.openTransactions())
+	require.Empty(t, d.commits())
+}
+
+// The statements of a transaction that was begun at a second home had no more time than its
+// first one had left, and a COMMIT was given up before its route's timeout.
+func TestStatementsBehindALostFirstOneHaveTheirWholeTime(t *testing.T) {
+	t.Parallel()
+	d := &memoryDatabase{takes: func(o statement.Operation) clock.Duration {
+		if o == (statement.Commit{}) {
+			return 1600
+		}
+		return 0
+	}}
+	g := newMemoryGroup(t, d)
+	l := &losses{}
+	process := startForwardingProcessesTo(t, func() proxy.Receiver {
+		return losingHost{NewHost(&Dependencies{Clock: clock.NewBoot(), Log: zap.NewNop(), Group: func(string) *backend.GroupClient { return g }}), l}
+	}, 1)[0]
+	defer process.peers.Close()
+	s := process.session(g, "p1")
+	route := s.resolve()
+	// The first home is given up after 800 ms.
+	route.Timeout, route.TargetLatency = 2*clock.Second, 700
+	write, _ := peer.Encode(statement.Write{})
+	l.request = firstOf(1, write.Kind)
+	requireServed(t, s, "begin", statement.Begin{})
+	requireServed(t, s, "write", statement.Write{Text: "WRITE a b"})
+	requireServed(t, s, "commit", statement.Commit{})
+	require.Equal(t, []string{"WRITE a b"}, d.commits())
+}
