Promote no database with too few fenced after a 409

Callers could lose commits that were acknowledged. If the first promotion was answered 409, the database was taken out of the fenced ones, and the next of them was promoted without asking whether the rest were enough. With a primary that had stepped down and then crashed, and a replica that was not reached, the other replica was promoted, which might lack what these two had confirmed.

A fenced majority meets every set of databases that can confirm a commit, so that its longest log has all acknowledged commits. That holds for the rest only if it is still enough. Otherwise the databases are fenced again within the lease, the one of the 409 too if it is back. If they don't suffice the fenced replicas are resumed. While enough are left the next one is promoted at once, as before (TestNextDatabaseIsPromotedAfterNotRunning).

--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -209,13 +209,13 @@
 			r.log.Info("primary did not step down", zap.String("primary", s.Primary), logs.Error(err))
 		}
 	}
-	if err := r.fence(s.Primary, term, fences, l); err != nil {
+	promoted, err := r.fenceAndPromote(s.Primary, term, fences, l)
+	if promoted == "" {
 		if resumeErr := r.resumeReplicas(term, l); resumeErr != nil {
 			r.log.Info("resume fenced replicas failed", zap.Uint64("held", term), logs.Error(resumeErr))
 		}
 		return group.Claim{}, err
 	}
-	promoted, err := r.promote(fences, l)
 	if err != nil {
 		return group.Claim{Promoted: promoted, Term: term}, err
 	}
@@ -352,39 +352,60 @@
 	return list
 }
 
-// promote requests the promotion of the fenced database that has received most
-// of the log, within the lease. It returns the database that it tried last,
-// also with an error. A request without an answer may have taken effect, and
-// the new primary may have acknowledged commits since. It is therefore repeated
-// for the same database only; to promote another one, the databases have to be
-// fenced again.
-func (r *replacement) promote(fences map[string]group.Fence, l group.Lease) (string, error) {
-	target, unanswered := "", false
+// fenceAndPromote fences the group and promotes the fenced database that has received
+// most of the log. A database that is not running is no longer fenced, so that more may
+// have to be fenced before another one is promoted. It returns the database that may have
+// been promoted, also with an error, and none if there is none.
+func (r *replacement) fenceAndPromote(primary string, term uint64, fences map[string]group.Fence, l group.Lease) (string, error) {
+	if err := r.fence(primary, term, fences, l); err != nil {
+		return "", err
+	}
 	for {
 		successor, ok := group.Successor(fenceList(fences))
 		if !ok {
-			return target, errors.New("no fenced database can be promoted")
+			return "", errors.New("no fenced database can be promoted")
+		}
+		answered, err := r.promote(successor, l)
+		switch {
+		case err == nil:
+			return successor.ID, nil
+		case !answered:
+			return successor.ID, err
+		case !errors.Is(err, promotion.ErrNotRunning):
+			return "", err
+		}
+		delete(fences, successor.ID)
+		backend.Sleep(stepRetryDelay)
+		if group.HasFenceQuorum(fenceList(fences), r.client.Size()) {
+			continue
 		}
+		if err := r.fence(primary, term, fences, l); err != nil {
+			return "", err
+		}
+	}
+}
+
+// promote requests the promotion of a fenced database within the lease. A request without
+// an answer may have taken effect, and the new primary may have acknowledged commits since.
+// It is therefore repeated for the same database only; to promote another one, the
+// databases have to be fenced again. promote reports whether all its requests were
+// answered: if so, an error says that the database was not promoted.
+func (r *replacement) promote(successor group.Fence, l group.Lease) (answered bool, err error) {
+	answered = true
+	for {
 		limit := min(promoteTimeout, l.Until.Sub(r.clock.Now()))
 		if limit <= 0 {
-			return target, &leaseExpiredError{Token: l.Token, Left: limit, Needed: promoteTimeout}
+			return answered, &leaseExpiredError{Token: l.Token, Left: limit, Needed: promoteTimeout}
 		}
-		target = successor.ID
 		ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 		err := r.promotions.Promote(ctx, promotion.Request{Group: r.client.Name, Database: successor.ID, Holder: r.self, Token: l.Token})
 		cancel()
 		r.log.Info("promotion requested", zap.String("database", successor.ID), zap.Uint64("token", l.Token),
 			zap.Stringer("received", successor.Status.Received), logs.Error(err))
-		switch {
-		case err == nil:
-			return successor.ID, nil
-		case errors.Is(err, promotion.ErrNotRunning) && unanswered:
-			return target, err
-		case errors.Is(err, promotion.ErrNotRunning):
-			delete(fences, successor.ID)
-		default:
-			unanswered = true
+		if err == nil || errors.Is(err, promotion.ErrNotRunning) {
+			return answered, err
 		}
+		answered = false
 		backend.Sleep(stepRetryDelay)
 	}
 }
--- a/internal/front/replacement_test.go
+++ b/internal/front/replacement_test.go
@@ -2,15 +2,22 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/connection/backend"
+	"github.com/oleanderflow/oleanderflow/internal/process/database"
 	"github.com/oleanderflow/oleanderflow/internal/process/group"
+	"github.com/oleanderflow/oleanderflow/internal/process/platform/promotion"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
+	"github.com/oleanderflow/oleanderflow/internal/request/statement"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
 // restoredStore answers writes and reads in an era of its choice.
@@ -110,3 +117,164 @@
 	f.applyAgreement(store.Changes{Whole: true, Version: store.Version{Era: 2, Number: 9}})
 	require.Empty(t, f.groups["shop"].databases.stored)
 }
+
+// replaceableGroup is a group of databases in memory that obey the commands of a
+// replacement, and the promotion service.
+type replaceableGroup struct {
+	mu       sync.Mutex
+	statuses map[string]database.Status
+	down     map[string]bool
+	// answered counts the answers.
+	answered int
+	// onPromote is called before each promotion.
+	onPromote func(id string)
+	promoted  []string
+}
+
+// newReplaceableGroup returns a group with primary a and replicas b and c, which have
+// received the log up to the given offsets, and its replacement.
+func newReplaceableGroup(t *testing.T, a, b, c uint64) (*replaceableGroup, *replacement) {
+	g := &replaceableGroup{statuses: make(map[string]database.Status), down: make(map[string]bool)}
+	p := Platform{Store: &restoredStore{}, Dialer: g, Promotions: g}
+	f := New(Settings{Name: "self", Zone: "a"}, p, clock.NewBoot(), zap.NewNop(), NewMetrics())
+	f.mu.Lock()
+	r := f.groupLocked("shop").replacement
+	f.mu.Unlock()
+	t.Cleanup(r.client.Close)
+	for i, offset := range []uint64{a, b, c} {
+		id, role := string(rune('a'+i)), database.RoleReplica
+		if i == 0 {
+			role = database.RolePrimary
+		}
+		g.statuses[id] = database.Status{Role: role, Term: 1, Received: position.Position{Term: 1, Offset: offset}}
+		r.client.Update(group.Entry{ID: id, Group: "shop", Zone: "a", Address: id, Slots: 3, Role: role})
+		now := f.clock.Now()
+		r.client.ObserveStatus(id, now, now, g.statuses[id])
+	}
+	return g, r
+}
+
+// Dial implements backend.Dialer.
+func (g *replaceableGroup) Dial(_ context.Context, to backend.Target) (backend.Conn, statement.Answer, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.down[to.ID] {
+		return nil, statement.Answer{}, errAnswerLost
+	}
+	return &replaceableConn{replaceableGroup: g, id: to.ID}, statement.Answer{}, nil
+}
+
+// Promote implements promotion.Service.
+func (g *replaceableGroup) Promote(_ context.Context, r promotion.Request) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.onPromote != nil {
+		g.onPromote(r.Database)
+	}
+	if g.down[r.Database] {
+		return promotion.ErrNotRunning
+	}
+	s := g.statuses[r.Database]
+	s.Role, s.Term, s.Fenced = database.RolePrimary, 2, 0
+	g.statuses[r.Database] = s
+	g.promoted = append(g.promoted, r.Database)
+	return nil
+}
+
+// replaceableConn is a connection to a database of a replaceableGroup.
+type replaceableConn struct {
+	*replaceableGroup
+	id     string
+	status database.Status
+}
+
+// Exchange implements backend.Conn.
+func (c *replaceableConn) Exchange(_ clock.Duration, requests []statement.Request, answers []statement.Answer) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, r := range requests {
+		s := c.statuses[c.id]
+		switch o := r.Operation.(type) {
+		case statement.Status:
+		case statement.Pause:
+			if s.Role == database.RoleReplica && o.Term > s.Term {
+				s.Fenced = o.Term
+			}
+		case statement.Resume:
+			s.Fenced = 0
+		case statement.StepDown:
+			if o.Term > s.Term {
+				s.Role = database.RoleReplica
+			}
+		default:
+			continue
+		}
+		if c.down[c.id] {
+			return i, errAnswerLost
+		}
+		c.answered++
+		c.statuses[c.id], c.status = s, s
+		answers[i].Rows = fmt.Appendf(answers[i].Rows, "ROW %d", c.answered)
+	}
+	return len(requests), nil
+}
+
+// DecodeStatus implements backend.Conn.
+func (c *replaceableConn) DecodeStatus(*statement.Answer) (database.Status, error) {
+	return c.status, nil
+}
+
+// Check implements backend.Conn.
+func (c *replaceableConn) Check([]statement.Request) error { return nil }
+
+// Buffered implements backend.Conn.
+func (c *replaceableConn) Buffered() int { return 0 }
+
+// Unread implements backend.Conn.
+func (c *replaceableConn) Unread() (int, error) { return 0, nil }
+
+// Close implements backend.Conn.
+func (c *replaceableConn) Close() {}
+
+// replaceFor replaces primary a with a lease of the given length.
+func (r *replacement) replaceFor(lease clock.Duration) (group.Claim, error) {
+	return r.replace(group.Suspicion{Reason: group.Unreachable, Primary: "a", Listed: true},
+		group.Lease{Token: 1, Until: r.clock.Now().Add(lease)})
+}
+
+// After a 409 too few databases were fenced, and one without acknowledged commits was promoted.
+func TestNoPromotionWithTooFewFencesAfterNotRunning(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 10, 8)
+	g.down["b"] = true
+	g.onPromote = func(id string) { g.down[id] = id == "a" }
+	result, err := r.replaceFor(clock.Second)
+	require.Empty(t, g.promoted, "b, which has entries 9 and 10 as a has, was not fenced")
+	var expired *leaseExpiredError
+	require.ErrorAs(t, err, &expired)
+	require.Empty(t, result)
+	require.Zero(t, g.statuses["c"].Fenced, "c must receive the log again")
+}
+
+// The database that has all commits is promoted once it answers.
+func TestFencesAreCompletedAfterNotRunning(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 10, 8)
+	g.down["b"] = true
+	g.onPromote = func(id string) {
+		if id == "a" {
+			g.down["a"], g.down["b"] = true, false
+		}
+	}
+	result, err := r.replaceFor(3 * clock.Second)
+	require.NoError(t, err)
+	require.Equal(t, group.Claim{Promoted: "b", Term: 2}, result)
+	require.Equal(t, []string{"b"}, g.promoted)
+}
+
+// A replacement goes on without a database that is not running if enough others are fenced.
+func TestNextDatabaseIsPromotedAfterNotRunning(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 11, 10)
+	g.onPromote = func(id string) { g.down[id] = id == "b" }
+	result, err := r.replaceFor(clock.Second)
+	require.NoError(t, err)
+	require.Equal(t, group.Claim{Promoted: "c", Term: 2}, result)
+}
