Count only databases that answered the last round of fences

Callers could lose commits that were acknowledged. A replica that starts again meanwhile is no longer paused, and a primary that has stepped down may lead again, but both still counted as fenced with the log that they had before. They could confirm commits with a database that was not fenced, which the promoted one lacked.

Each round of fences now goes to all databases, and those count that answer to it. The commands of a round are sent in parallel, so that a round takes as long as before; a replacement that finds enough in its first round sends one command more only if the primary was made to step down before. A database that answers one round and not the next is no longer counted, so that a replacement beside busy databases may need more rounds.

A restart between the last answer and the promotion's effect, and one while a promotion without an answer is repeated, are not noticed. They are listed as open.

--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -203,13 +203,12 @@
 		return group.Claim{}, r.resumeReplicas(group.AnyTerm, l)
 	}
 	term := r.client.Term() + 1
-	fences := make(map[string]group.Fence)
 	if s.Reason == group.PrimaryLeaving {
-		if err := r.handOver(s.Primary, term, fences); err != nil {
+		if err := r.handOver(s.Primary, term); err != nil {
 			r.log.Info("primary did not step down", zap.String("primary", s.Primary), logs.Error(err))
 		}
 	}
-	promoted, err := r.fenceAndPromote(s.Primary, term, fences, l)
+	promoted, err := r.fenceAndPromote(s.Primary, term, l)
 	if promoted == "" {
 		if resumeErr := r.resumeReplicas(term, l); resumeErr != nil {
 			r.log.Info("resume fenced replicas failed", zap.Uint64("held", term), logs.Error(resumeErr))
@@ -226,7 +225,7 @@
 // caught up with it. It then waits until a database that is not leaving has
 // received the whole log, but no longer than catchUpTimeout. It returns an
 // error if no replica catches up or the primary does not step down.
-func (r *replacement) handOver(primary string, term uint64, fences map[string]group.Fence) error {
+func (r *replacement) handOver(primary string, term uint64) error {
 	if !r.awaitCatchUp(primary, r.clock.Now().Add(catchUpTimeout)) {
 		return errors.New("no replica keeps up with the primary")
 	}
@@ -237,7 +236,6 @@
 	if status.Role != database.RoleReplica {
 		return errors.Errorf("the primary did not step down and is in term %d", status.Term)
 	}
-	fences[primary] = group.Fence{ID: primary, Status: status, Leaving: true}
 	until := r.clock.Now().Add(catchUpTimeout)
 	for r.clock.Now() < until {
 		for _, m := range r.client.Members() {
@@ -286,41 +284,37 @@
 }
 
 // fence stops the databases from receiving log entries of the current term, and
-// returns once enough of them are fenced. It returns a *supersededError if a
-// database has reached the new term, and a *leaseExpiredError if too little of
-// the lease is left for a promotion.
-func (r *replacement) fence(primary string, term uint64, fences map[string]group.Fence, l group.Lease) error {
+// returns the fenced ones once they are enough. A database that starts again is no
+// longer fenced, so only answers to the latest commands count. It returns a
+// *supersededError if a database has reached the new term, and a *leaseExpiredError if
+// too little of the lease is left for a promotion.
+func (r *replacement) fence(primary string, term uint64, l group.Lease) (map[string]group.Fence, error) {
 	for {
-		members := r.client.Members()
-		answers := r.sendFences(members, primary, term, fences)
-		for _, f := range answers {
+		fences := make(map[string]group.Fence)
+		for _, f := range r.sendFences(primary, term) {
 			if f.Status.Term >= term {
-				return &supersededError{Database: f.ID, Term: f.Status.Term, Planned: term}
+				return nil, &supersededError{Database: f.ID, Term: f.Status.Term, Planned: term}
 			}
 			if f.Status.Fenced >= term || f.ID == primary && f.Status.Role == database.RoleReplica {
 				fences[f.ID] = f
 			}
 		}
 		if group.HasFenceQuorum(fenceList(fences), r.client.Size()) {
-			return nil
+			return fences, nil
 		}
 		if left := l.Until.Sub(r.clock.Now()); left <= promoteTimeout {
-			return &leaseExpiredError{Token: l.Token, Left: left, Needed: promoteTimeout}
+			return nil, &leaseExpiredError{Token: l.Token, Left: left, Needed: promoteTimeout}
 		}
 		backend.Sleep(stepRetryDelay)
 	}
 }
 
-// sendFences sends fence commands in parallel to all databases that are not
-// fenced yet, and returns the answers.
-func (r *replacement) sendFences(members []group.Member, primary string, term uint64, fences map[string]group.Fence) []group.Fence {
+// sendFences sends fence commands in parallel to all databases, and returns the answers.
+func (r *replacement) sendFences(primary string, term uint64) []group.Fence {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var answers []group.Fence
-	for _, m := range members {
-		if f, done := fences[m.ID]; done && (f.Status.Fenced >= term || m.ID == primary) {
-			continue
-		}
+	for _, m := range r.client.Members() {
 		var command statement.Operation = statement.Pause{Term: term}
 		if m.ID == primary || m.Role == database.RolePrimary {
 			command = statement.StepDown{Term: term}
@@ -356,8 +350,9 @@
 // most of the log. A database that is not running is no longer fenced, so that more may
 // have to be fenced before another one is promoted. It returns the database that may have
 // been promoted, also with an error, and none if there is none.
-func (r *replacement) fenceAndPromote(primary string, term uint64, fences map[string]group.Fence, l group.Lease) (string, error) {
-	if err := r.fence(primary, term, fences, l); err != nil {
+func (r *replacement) fenceAndPromote(primary string, term uint64, l group.Lease) (string, error) {
+	fences, err := r.fence(primary, term, l)
+	if err != nil {
 		return "", err
 	}
 	for {
@@ -379,7 +374,7 @@
 		if group.HasFenceQuorum(fenceList(fences), r.client.Size()) {
 			continue
 		}
-		if err := r.fence(primary, term, fences, l); err != nil {
+		if fences, err = r.fence(primary, term, l); err != nil {
 			return "", err
 		}
 	}
--- a/internal/front/replacement_test.go
+++ b/internal/front/replacement_test.go
@@ -124,8 +124,12 @@
 	mu       sync.Mutex
 	statuses map[string]database.Status
 	down     map[string]bool
+	// refusals is how many more connections a database refuses.
+	refusals map[string]int
 	// answered counts the answers.
 	answered int
+	// restarted has the statuses with which databases start again after their next fence.
+	restarted map[string]database.Status
 	// onPromote is called before each promotion.
 	onPromote func(id string)
 	promoted  []string
@@ -134,7 +138,10 @@
 // newReplaceableGroup returns a group with primary a and replicas b and c, which have
 // received the log up to the given offsets, and its replacement.
 func newReplaceableGroup(t *testing.T, a, b, c uint64) (*replaceableGroup, *replacement) {
-	g := &replaceableGroup{statuses: make(map[string]database.Status), down: make(map[string]bool)}
+	g := &replaceableGroup{
+		statuses: make(map[string]database.Status), down: make(map[string]bool), refusals: make(map[string]int),
+		restarted: make(map[string]database.Status),
+	}
 	p := Platform{Store: &restoredStore{}, Dialer: g, Promotions: g}
 	f := New(Settings{Name: "self", Zone: "a"}, p, clock.NewBoot(), zap.NewNop(), NewMetrics())
 	f.mu.Lock()
@@ -158,7 +165,8 @@
 func (g *replaceableGroup) Dial(_ context.Context, to backend.Target) (backend.Conn, statement.Answer, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.down[to.ID] {
+	if g.down[to.ID] || g.refusals[to.ID] > 0 {
+		g.refusals[to.ID]--
 		return nil, statement.Answer{}, errAnswerLost
 	}
 	return &replaceableConn{replaceableGroup: g, id: to.ID}, statement.Answer{}, nil
@@ -194,8 +202,10 @@
 	defer c.mu.Unlock()
 	for i, r := range requests {
 		s := c.statuses[c.id]
+		next, restarts := c.restarted[c.id]
 		switch o := r.Operation.(type) {
 		case statement.Status:
+			restarts = false
 		case statement.Pause:
 			if s.Role == database.RoleReplica && o.Term > s.Term {
 				s.Fenced = o.Term
@@ -214,6 +224,10 @@
 		}
 		c.answered++
 		c.statuses[c.id], c.status = s, s
+		if restarts {
+			c.statuses[c.id] = next
+			delete(c.restarted, c.id)
+		}
 		answers[i].Rows = fmt.Appendf(answers[i].Rows, "ROW %d", c.answered)
 	}
 	return len(requests), nil
@@ -238,7 +252,11 @@
 
 // replaceFor replaces primary a with a lease of the given length.
 func (r *replacement) replaceFor(lease clock.Duration) (group.Claim, error) {
-	return r.replace(group.Suspicion{Reason: group.Unreachable, Primary: "a", Listed: true},
+	return r.replaceBecause(group.Unreachable, lease)
+}
+
+func (r *replacement) replaceBecause(reason group.Reason, lease clock.Duration) (group.Claim, error) {
+	return r.replace(group.Suspicion{Reason: reason, Primary: "a", Listed: true},
 		group.Lease{Token: 1, Until: r.clock.Now().Add(lease)})
 }
 
@@ -278,3 +296,24 @@
 	require.NoError(t, err)
 	require.Equal(t, group.Claim{Promoted: "c", Term: 2}, result)
 }
+
+// A replica that had started again counted as paused. It confirmed a commit that the promoted
+// database lacked.
+func TestReplicaThatStartsAgainIsFencedAgain(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 8, 10)
+	g.down["a"], g.refusals["c"] = true, 1
+	g.restarted["b"] = database.Status{Role: database.RoleReplica, Term: 1, Received: position.Position{Term: 1, Offset: 11}}
+	result, err := r.replaceFor(3 * clock.Second)
+	require.NoError(t, err)
+	require.Equal(t, group.Claim{Promoted: "b", Term: 2}, result, "a and b have confirmed entry 11")
+}
+
+// A primary that had stepped down and started again as primary counted as fenced.
+func TestPrimaryThatStartsAgainStepsDownAgain(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 10, 10)
+	g.down["c"] = true
+	g.restarted["a"] = database.Status{Role: database.RolePrimary, Term: 1, Received: position.Position{Term: 1, Offset: 11}}
+	result, err := r.replaceBecause(group.PrimaryLeaving, 3*clock.Second)
+	require.NoError(t, err)
+	require.Equal(t, group.Claim{Promoted: "a", Term: 2}, result, "a and c have confirmed entry 11")
+}
