Do not count a database that joins in a majority floor before it has the log

While no primary was known, reads could get a floor without commits that were acknowledged, and run on a log that lacked them. A database that came back with nothing after its removal, or a new one, counted in the majority from which the floor was taken as soon as it answered. In a group of three, with the primary removed, it and a replica without the last commits sufficed.

Only a restart that was seen of a member marked it as behind. Now a database that joins a group whose databases have answered is marked too, until it has received what the primary had since. One that comes back with the start that it had keeps its log and counts. The databases that a process reads of when it starts count as before, since nothing is known of them yet. No call is added.

The same database still counts as one of the fenced of a replacement, which is listed as open.

--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -106,8 +106,8 @@
 	defer g.notifyLocked()
 	m, known := g.members[e.ID]
 	if !known || m.Incarnation != e.Incarnation || m.Address != e.Address {
-		restarted := known && m.Incarnation != 0
-		m = &Member{Entry: e, AnsweredAt: now, Behind: restarted, restartedAt: now}
+		behind := known && m.Incarnation != 0 || !known && g.joinsBehindLocked(e)
+		m = &Member{Entry: e, AnsweredAt: now, Behind: behind, restartedAt: now}
 		g.members[e.ID] = m
 		g.sortLocked()
 		known = false
@@ -129,6 +129,16 @@
 	return !known
 }
 
+// joinsBehindLocked reports whether a database that was no member may lack what members have
+// confirmed: it is new to a group whose databases have answered, or has started again since
+// its removal.
+func (g *Group) joinsBehindLocked(e Entry) bool {
+	if last, removed := g.removed[e.ID]; removed {
+		return last.Incarnation == 0 || e.Incarnation != last.Incarnation
+	}
+	return g.term > 0
+}
+
 // MarkLapsed records that a database's registry entry is missing.
 func (g *Group) MarkLapsed(now clock.Time, id string) {
 	g.mu.Lock()
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -393,3 +393,54 @@
 		require.False(t, g.members["b"].Behind)
 	}
 }
+
+// A database that came back after its removal, or a new one, counted for the floor of a
+// majority before it had the log: two databases without a commit of the others sufficed (STALE).
+func TestDatabaseThatJoinsDoesNotVouchForItsLog(t *testing.T) {
+	for name, test := range map[string]struct {
+		id          string
+		incarnation int64
+		vouches     bool
+	}{
+		"new database":        {id: "d", incarnation: 2},
+		"back, started again": {id: "a", incarnation: 2},
+		"back, start unknown": {id: "a"},
+		"back with its log":   {id: "a", incarnation: 1, vouches: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := clock.Time(1000)
+			g := newTestGroup(now)
+			g.ObserveEntry(now, Entry{ID: "a", Group: "shop1", Address: "a", Slots: 3, Role: database.RolePrimary, Incarnation: 1})
+			observeStatus(g, "a", now.Add(10), database.RolePrimary, 1, 0, pos(1, 20))
+			g.MarkLapsed(now.Add(20), "a")
+			removed := now.Add(20 + lapsedTTL)
+			require.Equal(t, []string{"a"}, g.Expire(removed))
+			// a and b had confirmed entry 20, which c lacks.
+			e := Entry{ID: test.id, Group: "shop1", Address: test.id, Slots: 3, Role: database.RoleReplica, Incarnation: test.incarnation}
+			require.True(t, g.ObserveEntry(removed, e))
+			later := removed.Add(100)
+			observeStatus(g, test.id, later, database.RoleReplica, 1, 0, pos(1, 5))
+			observeStatus(g, "c", later, database.RoleReplica, 1, 0, pos(1, 10))
+			_, ok := g.majorityFloorLocked(later)
+			require.Equal(t, test.vouches, ok)
+			// b leads, and the database has received what b had.
+			observeStatus(g, "b", later.Add(10), database.RolePrimary, 2, 0, pos(2, 21))
+			observeStatus(g, test.id, later.Add(20), database.RoleReplica, 2, 0, pos(2, 21))
+			require.False(t, g.members[test.id].Behind)
+		})
+	}
+}
+
+// What a process knows of a group when it starts is no news of databases that join.
+func TestDatabasesKnownFromTheStartVouchForTheirLogs(t *testing.T) {
+	now := clock.Time(1000)
+	g := New("shop1")
+	for _, id := range []string{"a", "b", "c"} {
+		g.ObserveEntry(now, Entry{ID: id, Group: "shop1", Address: id, Slots: 3, Role: database.RoleReplica, Incarnation: 1})
+	}
+	observeStatus(g, "a", now, database.RoleReplica, 1, 0, pos(1, 10))
+	observeStatus(g, "b", now, database.RoleReplica, 1, 0, pos(1, 12))
+	floor, ok := g.majorityFloorLocked(now)
+	require.True(t, ok)
+	require.Equal(t, pos(1, 12), floor)
+}
--- a/internal/process/group/member.go
+++ b/internal/process/group/member.go
@@ -49,9 +49,9 @@
 	Failures int
 	// AnsweredAt is when the database last answered.
 	AnsweredAt clock.Time
-	// Behind is set after the database has started again, until it is known to have
-	// received the log anew: it may have lost what it had received. restartedAt is when
-	// that became known.
+	// Behind is set after the database has joined the group or started again, until it is
+	// known to have received the log: it may lack what others, or its earlier process, had
+	// confirmed. restartedAt is when that became known.
 	Behind      bool
 	restartedAt clock.Time
 }
