--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -203,19 +203,18 @@
 		return group.Claim{}, r.resumeReplicas(group.AnyTerm, l)
 	}
 	term := r.client.Term() + 1
-	fences := make(map[string]group.Fence)
 	if s.Reason == group.PrimaryLeaving {
-		if err := r.handOver(s.Primary, term, fences); err != nil {
+		if err := r.handOver(s.Primary, term); err != nil {
 			r.log.Info("primary did not step down", zap.String("primary", s.Primary), logs.Error(err))
 		}
 	}
-	if err := r.fence(s.Primary, term, fences, l); err != nil {
+	promoted, err := r.fenceAndPromote(s.Primary, term, l)
+	if promoted == "" {
 		if resumeErr := r.resumeReplicas(term, l); resumeErr != nil {
 			r.log.Info("resume fenced replicas failed", zap.Uint64("held", term), logs.Error(resumeErr))
 		}
 		return group.Claim{}, err
 	}
-	promoted, err := r.promote(fences, l)
 	if err != nil {
 		return group.Claim{Promoted: promoted, Term: term}, err
 	}
@@ -226,7 +225,7 @@
 // caught up with it. It then waits until a database that is not leaving has
 // received the whole log, but no longer than catchUpTimeout. It returns an
 // error if no replica catches up or the primary does not step down.
-func (r *replacement) handOver(primary string, term uint64, fences map[string]group.Fence) error {
+func (r *replacement) handOver(primary string, term uint64) error {
 	if !r.awaitCatchUp(primary, r.clock.Now().Add(catchUpTimeout)) {
 		return errors.New("no replica keeps up with the primary")
 	}
@@ -237,7 +236,6 @@
 	if status.Role != database.RoleReplica {
 		return errors.Errorf("the primary did not step down and is in term %d", status.Term)
 	}
-	fences[primary] = group.Fence{ID: primary, Status: status, Leaving: true}
 	until := r.clock.Now().Add(catchUpTimeout)
 	for r.clock.Now() < until {
 		for _, m := range r.client.Members() {
@@ -286,41 +284,37 @@
 }
 
 // fence stops the databases from receiving log entries of the current term, and
-// returns once enough of them are fenced. It returns a *supersededError if a
-// database has reached the new term, and a *leaseExpiredError if too little of
-// the lease is left for a promotion.
-func (r *replacement) fence(primary string, term uint64, fences map[string]group.Fence, l group.Lease) error {
+// returns the fenced ones once they are enough. A database that starts again is no
+// longer fenced, so only answers to the latest commands count. It returns a
+// *supersededError if a database has reached the new term, and a *leaseExpiredError if
+// too little of the lease is left for a promotion.
+func (r *replacement) fence(primary string, term uint64, l group.Lease) (map[string]group.Fence, error) {
 	for {
-		members := r.client.Members()
-		answers := r.sendFences(members, primary, term, fences)
-		for _, f := range answers {
+		fences := make(map[string]group.Fence)
+		for _, f := range r.sendFences(primary, term) {
 			if f.Status.Term >= term {
-				return &supersededError{Database: f.ID, Term: f.Status.Term, Planned: term}
+				return nil, &supersededError{Database: f.ID, Term: f.Status.Term, Planned: term}
 			}
 			if f.Status.Fenced >= term || f.ID == primary && f.Status.Role == database.RoleReplica {
 				fences[f.ID] = f
 			}
 		}
 		if group.HasFenceQuorum(fenceList(fences), r.client.Size()) {
-			return nil
+			return fences, nil
 		}
 		if left := l.Until.Sub(r.clock.Now()); left <= promoteTimeout {
-			return &leaseExpiredError{Token: l.Token, Left: left, Needed: promoteTimeout}
+			return nil, &leaseExpiredError{Token: l.Token, Left: left, Needed: promoteTimeout}
 		}
 		backend.Sleep(stepRetryDelay)
 	}
 }
 
-// sendFences sends fence commands in parallel to all databases that are not
-// fenced yet, and returns the answers.
-func (r *replacement) sendFences(members []group.Member, primary string, term uint64, fences map[string]group.Fence) []group.Fence {
+// sendFences sends fence commands in parallel to all databases, and returns the answers.
+func (r *replacement) sendFences(primary string, term uint64) []group.Fence {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var answers []group.Fence
-	for _, m := range members {
-		if f, done := fences[m.ID]; done && (f.Status.Fenced >= term || m.ID == primary) {
-			continue
-		}
+	for _, m := range r.client.Members() {
 		var command statement.Operation = statement.Pause{Term: term}
 		if m.ID == primary || m.Role == database.RolePrimary {
 			command = statement.StepDown{Term: term}
@@ -352,39 +346,61 @@
 	return list
 }
 
-// promote requests the promotion of the fenced database that has received most
-// of the log, within the lease. It returns the database that it tried last,
-// also with an error. A request without an answer may have taken effect, and
-// the new primary may have acknowledged commits since. It is therefore repeated
-// for the same database only; to promote another one, the databases have to be
-// fenced again.
-func (r *replacement) promote(fences map[string]group.Fence, l group.Lease) (string, error) {
-	target, unanswered := "", false
+// fenceAndPromote fences the group and promotes the fenced database that has received
+// most of the log. A database that is not running is no longer fenced, so that more may
+// have to be fenced before another one is promoted. It returns the database that may have
+// been promoted, also with an error, and none if there is none.
+func (r *replacement) fenceAndPromote(primary string, term uint64, l group.Lease) (string, error) {
+	fences, err := r.fence(primary, term, l)
+	if err != nil {
+		return "", err
+	}
 	for {
 		successor, ok := group.Successor(fenceList(fences))
 		if !ok {
-			return target, errors.New("no fenced database can be promoted")
+			return "", errors.New("no fenced database can be promoted")
+		}
+		answered, err := r.promote(successor, l)
+		switch {
+		case err == nil:
+			return successor.ID, nil
+		case !answered:
+			return successor.ID, err
+		case !errors.Is(err, promotion.ErrNotRunning):
+			return "", err
+		}
+		delete(fences, successor.ID)
+		backend.Sleep(stepRetryDelay)
+		if group.HasFenceQuorum(fenceList(fences), r.client.Size()) {
+			continue
 		}
+		if fences, err = r.fence(primary, term, l); err != nil {
+			return "", err
+		}
+	}
+}
+
+// promote requests the promotion of a fenced database within the lease. A request without
+// an answer may have taken effect, and the new primary may have acknowledged commits since.
+// It is therefore repeated for the same database only; to promote another one, the
+// databases have to be fenced again. promote reports whether all its requests were
+// answered: if so, an error says that the database was not promoted.
+func (r *replacement) promote(successor group.Fence, l group.Lease) (answered bool, err error) {
+	answered = true
+	for {
 		limit := min(promoteTimeout, l.Until.Sub(r.clock.Now()))
 		if limit <= 0 {
-			return target, &leaseExpiredError{Token: l.Token, Left: limit, Needed: promoteTimeout}
+			return answered, &leaseExpiredError{Token: l.Token, Left: limit, Needed: promoteTimeout}
 		}
-		target = successor.ID
 		ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 		err := r.promotions.Promote(ctx, promotion.Request{Group: r.client.Name, Database: successor.ID, Holder: r.self, Token: l.Token})
 		cancel()
 		r.log.Info("promotion requested", zap.String("database", successor.ID), zap.Uint64("token", l.Token),
 			zap.Stringer("received", successor.Status.Received), logs.Error(err))
-		switch {
-		case err == nil:
-			return successor.ID, nil
-		case errors.Is(err, promotion.ErrNotRunning) && unanswered:
-			return target, err
-		case errors.Is(err, promotion.ErrNotRunning):
-			delete(fences, successor.ID)
-		default:
-			unanswered = true
+		if err == nil || errors.Is(err, promotion.ErrNotRunning) {
+			return answered, err
 		}
+		answered = false
 		backend.Sleep(stepRetryDelay)
 	}
 }
