Soak: open no log of a process that is not started again

The restart that waited for its end opened the log, in a directory that was gone, before it looked whether the run was over. It looks first now.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -85,14 +85,14 @@
 
 // startLocked starts the process unless the run is over. The caller holds p.mu.
 func (h *harness) startLocked(p *process) {
-	log, err := os.OpenFile(filepath.Join(h.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(h.t, err)
-	defer func() { _ = log.Close() }()
 	select {
 	case <-h.stop:
 		return
 	default:
 	}
+	log, err := os.OpenFile(filepath.Join(h.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(h.t, err)
+	defer func() { _ = log.Close() }()
 	p.command = exec.Command(h.program, "--settings", p.settingsFile, "--log-level", cmp.Or(h.logLevel, "info"))
 	p.command.Stdout, p.command.Stderr = log, log
 	require.NoError(h.t, p.command.Start())
