Review: writes are acknowledged during a promotion and lost with it

A paused replica starts again before the promotion takes effect, receives from the old primary, and confirms the writes of a proxy that still reaches that one. The promoted database lacks them.

--- a/review/kit-2/link.go
+++ b/review/kit-2/link.go
@@ -3,8 +3,12 @@
 package main
 
 import (
+	"bufio"
+	"errors"
 	"io"
 	"net"
+	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +23,32 @@
 	mu       sync.Mutex
 	listener net.Listener
 	open     map[net.Conn]struct{}
+	// silent has the names of the proxies from which the database is partitioned: what they
+	// send is not passed on, and they are sent nothing.
+	silent map[string]bool
+}
+
+// cut partitions the database from proxies, which it knows by the second field of CONNECT.
+func (l *link) cut(names ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = make(map[string]bool)
+	for _, n := range names {
+		l.silent[n] = true
+	}
+}
+
+// heal ends the partition. The connections on which bytes were dropped end.
+func (l *link) heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = nil
+}
+
+func (l *link) isSilent(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent[name]
 }
 
 // newLink returns a link that is up.
@@ -66,6 +96,18 @@
 }
 
 func (l *link) pass(c net.Conn) {
+	reader := bufio.NewReader(c)
+	connect, err := reader.ReadString('\n')
+	fields := strings.Fields(connect)
+	if err != nil || len(fields) < 3 {
+		reset(c)
+		return
+	}
+	name := fields[2]
+	if l.isSilent(name) {
+		l.swallow(c, name)
+		return
+	}
 	t, err := net.DialTimeout("tcp4", l.target, time.Second)
 	if err != nil {
 		reset(c)
@@ -80,19 +122,50 @@
 	}
 	l.open[c], l.open[t] = struct{}{}, struct{}{}
 	l.mu.Unlock()
-	go copyUntilEnd(t, c)
-	copyUntilEnd(c, t)
+	_, _ = io.WriteString(t, connect)
+	go func() {
+		l.copyUntilEnd(t, reader, name)
+		reset(t)
+		reset(c)
+	}()
+	l.copyUntilEnd(c, t, name)
+	reset(c)
+	reset(t)
 	l.mu.Lock()
 	delete(l.open, c)
 	delete(l.open, t)
 	l.mu.Unlock()
 }
 
-// copyUntilEnd copies to one connection from another, and closes both at the end.
-func copyUntilEnd(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
-	_ = to.Close()
-	_ = from.Close()
+// swallow keeps a connection open, without an answer, until the partition ends.
+func (l *link) swallow(c net.Conn, name string) {
+	for l.isSilent(name) {
+		_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 4096)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+	}
+	reset(c)
+}
+
+// copyUntilEnd copies until one side ends. Once the database was partitioned from the proxy,
+// nothing more is passed on, and the connection ends with the partition.
+func (l *link) copyUntilEnd(to io.Writer, from io.Reader, name string) {
+	buffer := make([]byte, 16<<10)
+	lost := false
+	for {
+		n, err := from.Read(buffer)
+		if err != nil || lost && !l.isSilent(name) {
+			return
+		}
+		if l.isSilent(name) {
+			lost = true
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
 }
 
 // lapse is after how long without a report the platform removes the entry of a database:
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(folder string){
 	"6": abortedWrite,
 	"7": forgottenLog,
+	"8": lostPause,
 }
 
 func main() {
