Review: idle sessions keep the buffers of their largest answer

After the loss of 12 of 15 machines the others exceed their memory with 292 idle sessions, each of which has read one row of 1 MiB once, and are killed three times each.

--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -12,6 +12,7 @@
 	"6": abortedWrite,
 	"7": forgottenLog,
 	"8": lostPause,
+	"9": largeAnswers,
 }
 
 func main() {
--- a/review/kit-2/world.go
+++ b/review/kit-2/world.go
@@ -44,9 +44,10 @@
 // proxy is a process of the deployed program.
 type proxy struct {
 	name, address, ready, settings string
-	command                        *exec.Cmd
-	exited                         chan struct{}
-	log                            *os.File
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
 }
 
 // note writes a line to record.txt.
@@ -68,7 +69,6 @@
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-p.exited
-		_ = p.log.Close()
 	}
 	w.note("exit code %d", code)
 	_ = w.record.Close()
@@ -185,7 +185,9 @@
 	if err != nil {
 		w.impossible("%v", err)
 	}
-	p.log = log
+	defer func() { _ = log.Close() }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.command = exec.Command(w.program)
 	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "OLEANDERFLOW_NODE_FILE=" + p.settings}
 	p.command.Stdout, p.command.Stderr = log, log
@@ -202,6 +204,8 @@
 }
 
 func (p *proxy) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	select {
 	case <-p.exited:
 	default:
