Review: a primary that steps down confirms its own commit

A write that no replica has received is acknowledged when its database steps down for a planned replacement, and reads of a proxy that does not reach that database lack it for seconds.

--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -9,10 +9,11 @@
 
 // cases has the cases by the names of their folders.
 var cases = map[string]func(folder string){
-	"6": abortedWrite,
-	"7": forgottenLog,
-	"8": lostPause,
-	"9": largeAnswers,
+	"6":  abortedWrite,
+	"7":  forgottenLog,
+	"8":  lostPause,
+	"9":  largeAnswers,
+	"10": ownConfirmation,
 }
 
 func main() {
--- a/review/kit-2/world.go
+++ b/review/kit-2/world.go
@@ -118,7 +118,7 @@
 	if w.group, err = standin.NewGroup("shop", []string{"a", "b", "c"}, 0); err != nil {
 		w.impossible("%v", err)
 	}
-	w.group.ConnectionLimit = 47
+	w.group.ConnectionLimit = limit
 	w.group.Timing = timing
 	w.databases = w.group.Databases()
 	w.links, w.back = make(map[*standin.Database]*link), make(map[*standin.Database]chan struct{})
@@ -132,6 +132,9 @@
 	return w
 }
 
+// limit is how many connections each database accepts.
+var limit = 47
+
 // startPlatform starts the store and the promotion call.
 func (w *world) startPlatform() {
 	w.platform = standin.NewPlatform(w.group)
@@ -144,7 +147,7 @@
 	w.platform.Write("op", "config", map[string]any{
 		"version": 1, "routes": routes,
 		"services": []map[string]any{{
-			"name": w.group.Name, "health_path": "/health", "connection_limit": 47, "protocol": "h1", "transport_security": false, "sync_replicas": 1,
+			"name": w.group.Name, "health_path": "/health", "connection_limit": limit, "protocol": "h1", "transport_security": false, "sync_replicas": 1,
 		}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "transaction_idle_ms": 3000},
 	})
