--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -9,11 +9,11 @@
 
 // cases has the cases by the names of their folders.
 var cases = map[string]func(folder string){
-	"6":  abortedWrite,
-	"7":  forgottenLog,
-	"8":  lostPause,
-	"9":  largeAnswers,
-	"10": ownConfirmation,
+	"6":  forgottenLog,
+	"7":  lostPause,
+	"8":  abortedWrite,
+	"9":  ownConfirmation,
+	"10": largeAnswers,
 }
 
 func main() {
--- a/review/kit-2/stepdown.go
+++ b/review/kit-2/stepdown.go
@@ -8,9 +8,8 @@
 	"github.com/oleanderflow/oleanderflow/platform/standin"
 )
 
-// ownConfirmation: the replicas receive nothing for a while, one proxy does not reach the
-// primary, and the primary is to be replaced as planned. A write is under way when it steps
-// down.
+// ownConfirmation: the replicas receive nothing for a while, and the primary is to be replaced
+// as planned. A write is under way when it steps down. Then a proxy does not reach it any more.
 func ownConfirmation(folder string) {
 	w := newWorld(folder, standin.Timing{
 		Network: 2 * time.Millisecond, Apply: 8 * time.Millisecond, Promote: 300 * time.Millisecond, Demote: time.Second,
@@ -25,7 +24,6 @@
 	w.startProxies(3)
 	a, b, c := w.databases[0], w.databases[1], w.databases[2]
 	writer := w.open("caller 1", w.proxies[0], "fills")
-	reader := w.open("caller 2", w.proxies[1], "bookings")
 	if r := w.query("caller 1", writer, "WRITE k1 old"); r.Error != "" {
 		w.impossible("the first write was not served")
 	}
@@ -35,8 +33,6 @@
 		w.note("replicas %s and %s receive nothing from now on", b.ID, c.ID)
 		b.SetDeaf(true)
 		c.SetDeaf(true)
-		w.note("primary %s is partitioned from %s", a.ID, w.proxies[1].name)
-		w.links[a].cut(w.proxies[1].name)
 		time.AfterFunc(20*time.Millisecond, func() {
 			w.note("%s reports that it is draining", a.ID)
 			a.SetDraining(true)
@@ -48,18 +44,32 @@
 		w.note("the write was not acknowledged")
 		w.end(0)
 	}
+	via := w.proxies[1]
+	if w.trouble {
+		if !w.await(2*time.Second, func() bool { return len(w.platform.Promotions()) > 0 }) {
+			w.note("the primary was not replaced")
+			w.end(0)
+		}
+		// Not the proxy that replaces the primary.
+		if w.platform.Promotions()[0].Holder == via.name {
+			via = w.proxies[2]
+		}
+		w.note("%s is partitioned from %s", a.ID, via.name)
+		w.links[a].cut(via.name)
+	}
+	reader := w.open("caller 2", via, "bookings")
 	type read struct {
 		at        time.Time
 		signature string
 	}
 	var reads []read
-	for time.Since(acknowledged) < 4*time.Second {
+	for time.Since(acknowledged) < 4500*time.Millisecond {
 		at := time.Now()
 		if r := w.query("caller 2", reader, "READ k1"); r.Error == "" {
 			reads = append(reads, read{at, r.Signature})
 		} else if r.Error == "none" {
 			reader.Close()
-			reader = w.open("caller 2", w.proxies[1], "bookings")
+			reader = w.open("caller 2", via, "bookings")
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
