Review: fewer disruptions in cases 7 and 8

Case 7 partitions two of five proxies, within the share of the site. Case 8 needs no replica that receives nothing: the primary crashes before its replicas, 20 ms behind, have the write.

--- a/review/kit-2/aborted.go
+++ b/review/kit-2/aborted.go
@@ -9,17 +9,17 @@
 	"github.com/oleanderflow/oleanderflow/platform/standin"
 )
 
-// abortedWrite: the primary crashes with a write that no replica has received, and the
-// caller is told ABORTED. The next primary crashes before anything else is written, and the
-// first one is back.
+// abortedWrite: the primary crashes right after it has committed a write, before its replicas,
+// which are 20 ms behind, have received that, and the caller is told ABORTED. The next primary
+// crashes before anything else is written, and the first one is back.
 func abortedWrite(folder string) {
 	w := newWorld(folder, standin.Timing{
-		Network: 2 * time.Millisecond, Apply: 8 * time.Millisecond, Promote: 300 * time.Millisecond, Demote: time.Second,
+		Network: 20 * time.Millisecond, Apply: 20 * time.Millisecond, Promote: 300 * time.Millisecond, Demote: time.Second,
 		Rejoin: 200 * time.Millisecond, Lapse: 3600 * time.Millisecond,
 	})
 	w.startPlatform()
-	w.platform.Configure(1, 47, 4000, standin.Route{Name: "r1", Database: "fills", Kind: standin.Primary, Group: "shop", Timeout: 2000, Target: 250, Priority: 1})
-	w.startProxies(3)
+	w.platform.Configure(1, 47, 4000, standin.Route{Name: "r1", Database: "fills", Kind: standin.Primary, Group: "shop", Timeout: 800, Target: 150, Priority: 1})
+	w.startProxies(9)
 	a, b, c := w.databases[0], w.databases[1], w.databases[2]
 	first := w.open("caller 1", w.proxies[0], "fills")
 	if r := w.query("caller 1", first, "WRITE k1 before"); r.Error != "" {
@@ -28,16 +28,19 @@
 	w.readAlways("fills", "k1")
 	time.Sleep(500 * time.Millisecond)
 	if w.trouble {
-		w.note("replicas %s and %s receive nothing from now on", b.ID, c.ID)
-		b.SetDeaf(true)
-		c.SetDeaf(true)
-		time.AfterFunc(100*time.Millisecond, func() {
+		go func() {
+			for len(w.group.Writes("k2")) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			w.note("%s has committed the write", a.ID)
+			// A database that has crashed sends nothing any more.
+			b.SetDeaf(true)
+			c.SetDeaf(true)
 			w.crash(a)
 			w.await(5*time.Second, func() bool { return b.IsPrimary() || c.IsPrimary() })
-			w.note("the replicas receive again")
 			b.SetDeaf(false)
 			c.SetDeaf(false)
-		})
+		}()
 	}
 	answer := w.query("caller 1", first, "WRITE k2 once")
 	first.Close()
--- a/review/kit-2/pause.go
+++ b/review/kit-2/pause.go
@@ -9,9 +9,9 @@
 	"github.com/oleanderflow/oleanderflow/platform/standin"
 )
 
-// lostPause: the primary is partitioned from two of the three proxies, which replace it. A
+// lostPause: the primary is partitioned from two of the five proxies, which replace it. A
 // replica that they have paused starts again with its log before the promotion takes effect,
-// and receives from the old primary again. The third proxy still reaches that one.
+// and receives from the old primary again. The others still reach that one.
 func lostPause(folder string) {
 	w := newWorld(folder, standin.Timing{
 		Network: 2 * time.Millisecond, Apply: 20 * time.Millisecond, Promote: time.Second, Demote: time.Second,
@@ -19,7 +19,7 @@
 	})
 	w.startPlatform()
 	w.configure(standin.Route{Name: "r1", Database: "fills", Kind: standin.Primary, Group: "shop", Timeout: 800, Target: 150, Priority: 1})
-	w.startProxies(3)
+	w.startProxies(5)
 	a := w.databases[0]
 	caller := w.open("caller 1", w.proxies[0], "fills")
 	if r := w.query("caller 1", caller, "WRITE k0 first"); r.Error != "" {
