--- a/review/kit-2/world.go
+++ b/review/kit-2/world.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -102,6 +103,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		w.impossible("ended by signal %s", <-stop)
+	}()
 	root, err := filepath.Abs(filepath.Join(folder, "..", ".."))
 	if err != nil {
 		w.impossible("%v", err)
