Count quorums of the memberships that proxies may hold

Cause: a database had joined, and this proxy, which the store turned away, did not know of it. It confirmed by 2 of 3 databases, the others fenced 2 of 4, and each counted by the number that it knew at the moment. Nothing related the quorums of two numbers to each other.

Ruled out: confirmations of a database that had started again (it had not, and has the entries), and the missing news of the claim, which a confirmed write must not depend on.

Change: quorums are counted of memberships, sets of databases. A replacement needs fences of a quorum of the present membership and of each earlier one that a proxy may still count by, and reads the registry from the store once it has them. A proxy confirms by an earlier membership until it knows that no replacement has begun without the new databases; after 40 s without news of the registry, all databases that it knows have to confirm. Earlier memberships count for 48 s, and then until a majority has what was confirmed by them.

Why it works: of any two memberships by which one proxy confirms and another replaces, the fences intersect each set that could confirm, as in joint consensus.

--- a/cmd/oleanderflow-front/replacement_test.go
+++ b/cmd/oleanderflow-front/replacement_test.go
@@ -24,12 +24,18 @@
 
 // partition cuts the links of one proxy.
 type partition struct {
-	// database is the ID of a database that is out of reach, if any.
-	database atomic.Value
-	store    atomic.Bool
+	// databases has the IDs of the databases that are out of reach, nil for none.
+	databases atomic.Pointer[[]string]
+	store     atomic.Bool
 }
 
-func (n *partition) cuts(id string) bool { return n.database.Load() == id }
+// cut cuts the links to some databases, and restores those to all others.
+func (n *partition) cut(ids ...string) { n.databases.Store(&ids) }
+
+func (n *partition) cuts(id string) bool {
+	ids := n.databases.Load()
+	return ids != nil && slices.Contains(*ids, id)
+}
 
 // wrap returns a platform whose links n cuts.
 func (n *partition) wrap(p front.Platform) front.Platform {
@@ -96,7 +102,13 @@
 // startTimedSystem starts a system whose databases replicate and promote with delays.
 func startTimedSystem(t *testing.T, fronts int, timing standin.Timing) *timedSystem {
 	t.Helper()
-	group, err := standin.NewGroup("shop", []string{"a", "b", "c"}, 0)
+	return startTimedSystemOf(t, 3, fronts, timing)
+}
+
+// startTimedSystemOf is startTimedSystem with a number of databases.
+func startTimedSystemOf(t *testing.T, databases, fronts int, timing standin.Timing) *timedSystem {
+	t.Helper()
+	group, err := standin.NewGroup("shop", []string{"a", "b", "c", "d", "e"}[:databases], 0)
 	require.NoError(t, err)
 	group.Timing = timing
 	s := &timedSystem{testSystem: testSystem{group: group, platform: standin.NewPlatform(group)}}
@@ -227,7 +239,7 @@
 			s.platform.LosePromotionAnswers(c.lostAnswers)
 			s.partitions[0].store.Store(c.cutStore)
 			for _, n := range s.partitions[1:3] {
-				n.database.Store(a.ID)
+				n.cut(a.ID)
 			}
 			require.Eventually(t, func() bool { return len(s.platform.Promotions()) > 0 }, 10*time.Second, time.Millisecond)
 			promoted := s.platform.Promotions()[0].Identifier
@@ -252,13 +264,69 @@
 				}
 			}
 			for _, n := range s.partitions[:3] {
-				n.database.Store("")
+				n.cut()
+				n.store.Store(false)
+			}
+			queryUntilSuccess(t, caller, "WRITE after v")
+			for _, key := range acknowledged {
+				require.NotEmpty(t, s.group.Writes(key), "write %s was acknowledged and is lost", key)
+			}
+		})
+	}
+}
+
+// A proxy that did not know of a database which had just joined went on confirming writes of
+// the old primary by the smaller group, after the others had replaced it by the larger one
+// (ONE).
+func TestWritesAreKeptWhileProxiesKnowDifferentMembers(t *testing.T) {
+	for name, databases := range map[string]int{"three databases become four": 3, "five databases become six": 5} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startTimedSystemOf(t, databases, 3, standin.Timing{
+				Network: 2 * time.Millisecond, Apply: 20 * time.Millisecond, Promote: 300 * time.Millisecond, Demote: time.Second, Rejoin: 200 * time.Millisecond,
+			})
+			old := s.group.Databases()
+			side := old[:databases/2+1]
+			caller := openSession(t, s.fronts[0], "fills")
+			queryUntilSuccess(t, caller, "WRITE before v")
+			s.readAlways(t, "before")
+			time.Sleep(time.Second)
+			s.partitions[0].store.Store(true)
+			joined, err := s.group.Add("d")
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return joined.Holds("before") }, 5*time.Second, 5*time.Millisecond)
+			time.Sleep(time.Second)
+			var ids []string
+			for _, d := range side {
+				ids = append(ids, d.ID)
+			}
+			s.group.Separate(side...)
+			for _, n := range s.partitions[1:] {
+				n.cut(ids...)
+			}
+			cutAt, lastAt := time.Now(), time.Time{}
+			var acknowledged []string
+			for i := 0; time.Since(cutAt) < 5*time.Second; i++ {
+				key := fmt.Sprint("k", i)
+				if query(t, caller, "WRITE "+key+" v").Error == "" {
+					acknowledged = append(acknowledged, key)
+					lastAt = time.Now()
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			promotions := s.platform.Promotions()
+			s.group.Separate()
+			for _, n := range s.partitions {
+				n.cut()
 				n.store.Store(false)
 			}
+			time.Sleep(2 * time.Second)
 			queryUntilSuccess(t, caller, "WRITE after v")
 			for _, key := range acknowledged {
 				require.NotEmpty(t, s.group.Writes(key), "write %s was acknowledged and is lost", key)
 			}
+			require.Empty(t, promotions, "the fences are no quorum of the group without the new database")
+			require.Greater(t, lastAt.Sub(cutAt), 4*time.Second, "a quorum confirms the writes until the end")
 		})
 	}
 }
--- a/internal/connection/backend/group_client.go
+++ b/internal/connection/backend/group_client.go
@@ -411,7 +411,7 @@
 		candidates = append(candidates, candidate{m.ID, cost.Total})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-	count := min(group.RequiredConfirmations(g.Size()), len(candidates))
+	count := min(g.ReplicasToConfirm(), len(candidates))
 	ids := make([]string, 0, count)
 	for _, c := range candidates[:count] {
 		ids = append(ids, c.id)
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -242,6 +242,9 @@
 				f.recordAgreementRead(began)
 			}
 		}
+		if applied && table == f.platform.RegistryTable {
+			f.recordRegistryRead(began, from, changes.Version)
+		}
 		if dropped := f.relays.copies[table].Dropped(); dropped != reported {
 			log.Info("rows older than known ones dropped", zap.String("from", from), zap.Uint64("rows", dropped-reported), zap.Stringer("version", changes.Version))
 			reported = dropped
--- a/internal/front/freshness.go
+++ b/internal/front/freshness.go
@@ -269,11 +269,14 @@
 // proofFeedWait returns how long the store may hold open a feed while this proxy proves
 // its configuration, and false if that changes nothing. The questions of a proxy that asks
 // the store notice a store that does not respond, and end the feeds then, so that these
-// may be as long as the store allows.
+// may be as long as the store allows. That of the registry ends earlier, since each answer
+// proves which databases a group has.
 func (f *Front) proofFeedWait(table string) (clock.Duration, bool) {
 	switch {
 	case !f.proofsNeeded():
 		return 0, false
+	case f.relays.isProver() && table == f.platform.RegistryTable:
+		return relayFeedWait, true
 	case f.relays.isProver():
 		return maxFeedWait, true
 	case f.relays.exist():
--- a/internal/front/freshness_test.go
+++ b/internal/front/freshness_test.go
@@ -202,7 +202,7 @@
 	f, _ := newKeyedFront(testLimit)
 	f.read(t, false, store.Version{})
 	require.Equal(t, maxFeedWait, f.feedWait("op"))
-	require.Equal(t, maxFeedWait, f.feedWait("servers"))
+	require.Equal(t, relayFeedWait, f.feedWait("servers"), "each answer proves the memberships of groups")
 	f.relays.proofs = freshness.Role{Sources: []string{"a"}}
 	require.Equal(t, maxFeedWait, f.feedWait("op"))
 	require.Equal(t, proofRegistryWait, f.feedWait("servers"))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,6 +89,7 @@
 	// counted.
 	droppedLines func() uint64
 	sessionDeps  session.Dependencies
+	registry     registry
 	self         proxy.Peer
 	peerConns    *proxy.Peers
 	homes        *peer.Homes
@@ -167,6 +168,9 @@
 	uncheckedSince   clock.Time
 	stepDownSentAt   clock.Time
 	failingRetriedAt clock.Time
+	// membersAskedAt is when the databases were last asked whether quorums may be counted
+	// by the present membership.
+	membersAskedAt clock.Time
 }
 
 // New returns an instance that is not started yet.
@@ -175,6 +179,7 @@
 		settings: s, platform: p, clock: c, log: log, metrics: m,
 		groups: make(map[string]*groupState), groupOf: make(map[string]string),
 		roster: newRoster(), settled: settledEra{self: s.Name}, sessions: make(map[uint64]*session.Session), done: make(chan struct{}),
+		registry:    registry{proof: group.NewRegistryProof(c)},
 		membersRead: make(chan struct{}), membersKnown: make(chan struct{}), eras: newEraTracker(), counts: newWorkspaceCounts(),
 	}
 	f.sessionDeps = session.Dependencies{Clock: c, Configuration: &f.versions, Group: f.Group, Log: log, Recorder: m, Waits: m, Self: s.Name, Process: newProcessName(), Reads: &session.ReadLog{}}
@@ -237,6 +242,7 @@
 	tables := []string{membersTable, f.platform.ConfigurationTable, f.platform.RegistryTable, agreementTable}
 	f.relays = newRelays(f.self, tables, systemTimers{f.clock}, f.log, store.WithPacer(f.platform.Pacer))
 	f.relays.followRoots = f.freshness != nil
+	f.relays.registry, f.relays.registryTable = f.registry.proof, f.platform.RegistryTable
 	handler := &peerHandler{
 		relays: f.relays, host: f.host, registrar: &registrar{clock: systemTimers{f.clock}, put: f.putMembers},
 		earlierClaims: f.handleEarlierClaims, inForce: f.handleInForce, freshness: f.handleFreshness, grant: f.allowances.handleGrant,
@@ -317,6 +323,7 @@
 		settings.ProbeReturned = f.settings.ProbeReturned
 		client := backend.NewGroupClient(name, f.settings.Zone, settings, f.platform.Dialer, f.clock, f.log, f.metrics.CountStatusQuery)
 		client.CheckReplacements = f.checkReplacements
+		client.Registry = f.registry.proof
 		if f.settings.DrainLimit > 0 {
 			client.DrainLimit = max(f.settings.DrainLimit-drainMargin, 1)
 		}
@@ -354,6 +361,7 @@
 	f.entriesMu.Lock()
 	defer f.entriesMu.Unlock()
 	seen := make(map[string]struct{}, len(changes.Rows))
+	defer f.observeMembers()
 	for _, row := range changes.Rows {
 		if row.Deleted {
 			f.markLapsed(row.Key)
@@ -406,6 +414,15 @@
 	}
 }
 
+// observeMembers tells all groups that the changes of the registry have been applied.
+func (f *Front) observeMembers() {
+	now := f.clock.Now()
+	for _, g := range f.allGroups() {
+		g.ObserveMembers(now)
+		g.logMemberships()
+	}
+}
+
 func (f *Front) markLapsedExcept(seen map[string]struct{}) {
 	for _, g := range f.allGroups() {
 		for _, m := range g.Members() {
@@ -497,6 +514,11 @@
 			g.RequestStatus(id)
 		}
 	}
+	g.logMemberships()
+	if g.StatusesNeeded(now) && now.Sub(g.membersAskedAt) >= discoverInterval {
+		g.membersAskedAt = now
+		g.RequestAllStatuses()
+	}
 	m, ok := g.Primary()
 	switch {
 	case !ok:
@@ -511,6 +533,13 @@
 	}
 }
 
+// logMemberships logs of which databases quorums are counted if that has changed.
+func (g *groupState) logMemberships() {
+	if m, changed := g.ChangedMemberships(); changed {
+		g.Log().Info("memberships changed", zap.Strings("present", m.Present), zap.Strings("confirming", m.Confirming), zap.Any("earlier", m.Earlier))
+	}
+}
+
 func (g *groupState) stepDown(id string, term uint64) {
 	if _, err := g.Command(id, statement.StepDown{Term: term}, commandTimeout); err == nil {
 		g.Log().Info("stale primary stepped down", zap.String("database", id), zap.Uint64("term", term))
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/logs"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
@@ -85,6 +86,9 @@
 	// different views of the members, notice that none of them hears of the
 	// store.
 	ContactAge clock.Duration `json:"contactAge,omitempty"`
+	// ProofAge is how long ago all changes of the registry had been applied, zero for
+	// another table, or if it is not known.
+	ProofAge clock.Duration `json:"proofAge,omitempty"`
 	// Lost is set if the answering proxy cannot serve the table: it is not a
 	// relay, or the store does not respond to it.
 	Lost bool `json:"lost,omitempty"`
@@ -112,6 +116,9 @@
 	// peers is set before the first poll of a relay.
 	peers  *proxy.Peers
 	copies map[string]*store.Cache
+	// registry is the proof of the registry's table, nil if that is not followed.
+	registry      *group.RegistryProof
+	registryTable string
 
 	mu sync.Mutex
 	// sources has the proxies to poll, sorted by preference.
@@ -131,6 +138,9 @@
 	// sourceContactAt is when the store last responded to the source of this
 	// process's changes, zero if never.
 	sourceContactAt clock.Time
+	// sourceProof is the time as of which the source last knew the registry, zero if it has
+	// not said so.
+	sourceProof clock.Time
 }
 
 func newRelays(self proxy.Peer, tables []string, c timers, log *zap.Logger, options ...store.CacheOption) *relays {
@@ -269,6 +279,7 @@
 		if known {
 			p.Sums = r.copies[table].Sums()
 		}
+		sent := r.clock.Now()
 		result, err := r.call(name, p, wait+grace)
 		if err == nil && !result.Lost {
 			result.setMissingEra()
@@ -286,6 +297,9 @@
 			failure = errStoreLost
 		default:
 			r.recordContact(r.clock.Now().Add(-result.ContactAge))
+			if table == r.registryTable {
+				r.recordSourceProof(sent, result.ProofAge)
+			}
 			return result.Changes, name, nil
 		}
 	}
@@ -328,6 +342,33 @@
 	r.sourceContactAt = max(r.sourceContactAt, at)
 }
 
+// recordSourceProof records the age of the proof that came with the answer to a poll sent at
+// the given time.
+func (r *relays) recordSourceProof(sent clock.Time, age clock.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sourceProof = 0
+	if age > 0 {
+		r.sourceProof = sent.Add(-age)
+	}
+}
+
+// registryProof returns the time as of which the source of the last changes of the registry
+// knew it, zero if it has not said so.
+func (r *relays) registryProof() clock.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sourceProof
+}
+
+// proofAge returns the age of the proof that is sent with changes of a table.
+func (r *relays) proofAge(table string) clock.Duration {
+	if table != r.registryTable || r.registry == nil {
+		return 0
+	}
+	return r.registry.Age()
+}
+
 // markStoreLost records that the store does not respond. The copy of a table is
 // not served to other proxies until the table has been updated again.
 func (r *relays) markStoreLost() {
@@ -384,6 +425,8 @@
 		// A whole table must not be older than what the polling proxy had, and no
 		// changes of an earlier era.
 		age, contact := r.contactAge(now)
+		// The age is read before the changes, which are at least as new.
+		proofAge := r.proofAge(p.Table)
 		version := c.Version()
 		fresh := c.Usable() && contact && (p.Known && version.Era >= p.Era || !version.Before(p.Version))
 		if fresh {
@@ -391,7 +434,7 @@
 				if p.Compact {
 					c.Compact(&changes, p.Sums)
 				}
-				return followResult{Changes: changes, ContactAge: age}
+				return followResult{Changes: changes, ContactAge: age, ProofAge: proofAge}
 			}
 		}
 		// An initial poll waits: a relay that has just started will soon have
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/oleanderflow/oleanderflow/internal/process/group"
 	"github.com/oleanderflow/oleanderflow/internal/process/platform/store"
 	"github.com/oleanderflow/oleanderflow/internal/process/proxy"
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
@@ -181,3 +182,46 @@
 	r.markStoreAnswered(r.clock.Now().Add(-heartbeatWait - heartbeatGrace))
 	require.True(t, r.awaitChanges(r.copies["t"], followParams{Known: true, Version: at(4)}).Lost)
 }
+
+// A follower took the registry for as recent as the answer of its relay, which may itself not
+// have heard of the store for a while.
+func TestProofOfTheRegistryIsPassedOnWithItsAge(t *testing.T) {
+	c := newManualClock()
+	follower, relay := newRelayPair(t, c)
+	relay.update("t", store.Changes{Whole: true, Version: at(4)})
+	poll := func() {
+		t.Helper()
+		_, _, err := follower.poll("t", false, at(0))
+		require.NoError(t, err)
+	}
+	follower.registryTable = "t"
+	poll()
+	require.Zero(t, follower.registryProof(), "the relay does not follow the registry")
+
+	relay.registry, relay.registryTable = group.NewRegistryProof(c), "t"
+	poll()
+	require.Zero(t, follower.registryProof(), "the relay has not read the registry")
+
+	read := c.Now()
+	relay.registry.Prove(read)
+	c.Advance(300)
+	relay.markStoreAnswered(c.Now())
+	poll()
+	require.Equal(t, read, follower.registryProof())
+}
+
+// Only what the store, or a relay with its age, has answered proves the registry.
+func TestRegistryIsProvenAsOfTheCall(t *testing.T) {
+	f := New(Settings{}, Platform{RegistryTable: "servers"}, clock.NewBoot(), zap.NewNop(), NewMetrics())
+	f.relays = newRelays(proxy.Peer{Name: "self"}, []string{"servers"}, systemTimers{f.clock}, f.log)
+	f.recordRegistryRead(1000, "relay", at(4))
+	require.Zero(t, f.registry.proof.At(), "the relay did not say how old its copy is")
+	f.relays.recordSourceProof(1000, 300)
+	f.recordRegistryRead(1000, "relay", at(4))
+	require.EqualValues(t, 700, f.registry.proof.At())
+	f.recordRegistryRead(2000, "", at(5))
+	require.EqualValues(t, 2000, f.registry.proof.At())
+	f.recordRegistryRead(1500, "", at(5))
+	require.EqualValues(t, 2000, f.registry.proof.At(), "calls may end in another order")
+	require.Equal(t, at(5), f.registry.appliedVersion())
+}
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -38,6 +38,8 @@
 	catchUpTimeout = 600 * clock.Millisecond
 	// stepRetryDelay is the delay before a step of a replacement is retried.
 	stepRetryDelay = 40 * clock.Millisecond
+	// registryRetryDelay is the delay before the registry is read again if that has failed.
+	registryRetryDelay = 100 * clock.Millisecond
 	// maxVoteDelay is the upper bound of the random delay before a vote, and
 	// before a claim if the primary is unreachable or missing. Due to the
 	// delay, usually only two proxies vote, which is enough, and not all.
@@ -59,6 +61,8 @@
 	clock      clock.Clock
 	log        *zap.Logger
 	earlierClaims
+	// readRegistry applies what the registry has at present.
+	readRegistry func() error
 
 	mu        sync.Mutex
 	agreement *group.Agreement
@@ -75,7 +79,7 @@
 	return &replacement{
 		self: f.settings.Name, client: g, store: f.platform.Store, promotions: f.platform.Promotions, clock: f.clock,
 		log: f.log.With(zap.String("group", g.Name)), agreement: group.NewAgreement(),
-		earlierClaims: newEarlierClaims(f, g.Name),
+		earlierClaims: newEarlierClaims(f, g.Name), readRegistry: f.readRegistry,
 	}
 }
 
@@ -296,7 +300,7 @@
 				fences[f.ID] = f
 			}
 		}
-		if group.HasFenceQuorum(fenceList(fences), r.client.Size()) {
+		if r.mayPromote(fenceList(fences)) {
 			return fences, nil
 		}
 		if left := l.Until.Sub(r.clock.Now()); left <= promoteTimeout {
@@ -306,6 +310,33 @@
 	}
 }
 
+// mayPromote reports whether enough databases have been fenced. It reads the registry first: a
+// proxy that knows of a database which this process does not may confirm commits without the
+// fenced ones.
+func (r *replacement) mayPromote(fences []group.Fence) bool {
+	if !r.fencesSuffice(fences) {
+		return false
+	}
+	if err := r.readRegistry(); err != nil {
+		r.log.Info("registry not read before the promotion", logs.Error(err))
+		backend.Sleep(registryRetryDelay)
+		return false
+	}
+	return r.fencesSuffice(fences)
+}
+
+func (r *replacement) fencesSuffice(fences []group.Fence) bool {
+	if r.client.FencesSuffice(fences) {
+		return true
+	}
+	ids := make([]string, 0, len(fences))
+	for _, f := range fences {
+		ids = append(ids, f.ID)
+	}
+	r.log.Info("too few databases fenced", zap.Strings("fenced", ids))
+	return false
+}
+
 // sendFences sends fence commands in parallel to all databases, and returns the answers.
 func (r *replacement) sendFences(primary string, term uint64) []group.Fence {
 	var mu sync.Mutex
@@ -368,7 +399,7 @@
 		}
 		delete(fences, successor.ID)
 		backend.Sleep(stepRetryDelay)
-		if group.HasFenceQuorum(fenceList(fences), r.client.Size()) {
+		if r.fencesSuffice(fenceList(fences)) {
 			continue
 		}
 		if fences, err = r.fence(primary, term, l); err != nil {
--- a/internal/front/replacement_test.go
+++ b/internal/front/replacement_test.go
@@ -47,6 +47,11 @@
 	return s.rows, s.version, nil
 }
 
+// Feed implements store.Store.
+func (s *restoredStore) Feed(context.Context, string, store.Version, clock.Duration) ([]store.Row, store.Version, error) {
+	return nil, s.version, nil
+}
+
 // claimsIn returns the replacement of a group whose claims have been read in the era.
 func claimsIn(s store.Store, era uint64) (*Front, *replacement) {
 	f := New(Settings{Name: "self", Zone: "a"}, Platform{Store: s}, clock.NewBoot(), zap.NewNop(), NewMetrics())
@@ -342,3 +347,43 @@
 	require.Equal(t, group.Claim{Promoted: "b", Term: 2, Led: true}, result, "b may have been promoted by the first call")
 	require.Equal(t, uint64(2), g.statuses["c"].Fenced, "c receives from the old primary")
 }
+
+// Databases that had joined were not known to the proxy that replaced the primary: the ones
+// it had fenced were too few of the larger group.
+func TestDatabasesThatHaveJoinedAreReadBeforeThePromotion(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 10, 10)
+	g.down["a"] = true
+	joined := []string{"d", "e", "f"}
+	r.readRegistry = func() error {
+		for _, id := range joined {
+			g.mu.Lock()
+			g.down[id] = true
+			g.mu.Unlock()
+			r.client.Update(group.Entry{ID: id, Group: "shop", Zone: "a", Address: id, Slots: 3, Role: database.RoleReplica})
+		}
+		return nil
+	}
+	_, err := r.replaceFor(1500 * clock.Millisecond)
+	var expired *leaseExpiredError
+	require.ErrorAs(t, err, &expired)
+	require.Empty(t, g.promoted, "three of six databases can confirm commits without b and c")
+}
+
+// While the store does not answer, it is not known which databases have joined.
+func TestNoPromotionBeforeTheRegistryIsRead(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 10, 10)
+	g.down["a"] = true
+	failures := 3
+	r.readRegistry = func() error {
+		require.Empty(t, g.promoted)
+		failures--
+		if failures >= 0 {
+			return errAnswerLost
+		}
+		return nil
+	}
+	result, err := r.replaceFor(3 * clock.Second)
+	require.NoError(t, err)
+	require.Equal(t, "b", result.Promoted)
+	require.Negative(t, failures)
+}
--- a/internal/process/group/commit.go
+++ b/internal/process/group/commit.go
@@ -44,7 +44,7 @@
 	if g.term > c.Term {
 		return CommitSuperseded
 	}
-	size := g.sizeLocked()
+	counted := g.electorateLocked()
 	var room [usualSize]Evidence
 	evidence := room[:0]
 	known := false
@@ -55,21 +55,23 @@
 			known = true
 			e = Evidence{Holds: true, Unbroken: e.Unbroken || g.unbrokenLocked(m, c.SentAt)}
 		}
-		evidence = append(evidence, e)
+		if counted.has(m.ID) {
+			evidence = append(evidence, e)
+		}
 	}
-	if !known {
+	if !known && counted.has(c.Database) {
 		// Its registry entry has been missing for too long.
 		evidence = append(evidence, Evidence{Holds: true})
 	}
-	return statusOf(evidence, size)
+	return statusOf(evidence, counted)
 }
 
 // statusOf returns what is known about an entry of the current term.
-func statusOf(evidence []Evidence, size int) CommitStatus {
+func statusOf(evidence []Evidence, e electorate) CommitStatus {
 	switch {
-	case Preserves(evidence, size):
+	case Preserves(evidence, len(e.membership)) && !e.expired, preservedByAll(evidence, len(e.membership)):
 		return CommitConfirmed
-	case mayBePreserved(evidence, size):
+	case mayBePreserved(evidence, e.quorum):
 		return CommitUnproven
 	default:
 		return CommitPending
@@ -110,12 +112,15 @@
 // entryStatusLocked returns what is known about an entry that the databases have whose
 // status satisfies holds.
 func (g *Group) entryStatusLocked(holds func(*Member) bool) CommitStatus {
+	counted := g.electorateLocked()
 	var room [usualSize]Evidence
 	evidence := room[:0]
 	for _, m := range g.sorted {
-		evidence = append(evidence, Evidence{Holds: holds(m), Unbroken: g.unbrokenLocked(m, m.AskedAt)})
+		if counted.has(m.ID) {
+			evidence = append(evidence, Evidence{Holds: holds(m), Unbroken: g.unbrokenLocked(m, m.AskedAt)})
+		}
 	}
-	return statusOf(evidence, g.sizeLocked())
+	return statusOf(evidence, counted)
 }
 
 // usualSize is the size of groups up to which a check allocates nothing.
--- a/internal/process/group/evidence.go
+++ b/internal/process/group/evidence.go
@@ -28,11 +28,18 @@
 	return unbroken > RequiredConfirmations(size) || holders >= size
 }
 
-// mayBePreserved reports whether Preserves would be true if all databases were known to be
-// unbroken.
-func mayBePreserved(evidence []Evidence, size int) bool {
+// preservedByAll reports whether every replacement keeps an entry though the group may have
+// grown beyond the size databases of which the evidence is.
+func preservedByAll(evidence []Evidence, size int) bool {
+	_, unbroken := countHolders(evidence)
+	return unbroken >= size
+}
+
+// mayBePreserved reports whether an entry would be preserved by a quorum of databases if all
+// were known to be unbroken.
+func mayBePreserved(evidence []Evidence, quorum int) bool {
 	holders, _ := countHolders(evidence)
-	return holders > RequiredConfirmations(size)
+	return holders >= quorum
 }
 
 func countHolders(evidence []Evidence) (holders, unbroken int) {
--- a/internal/process/group/evidence_test.go
+++ b/internal/process/group/evidence_test.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -19,13 +18,7 @@
 			}
 			missed := false
 			for fenced := range 1 << size {
-				var fences []Fence
-				for i := range size {
-					if fenced&(1<<i) != 0 {
-						fences = append(fences, Fence{ID: fmt.Sprint(i)})
-					}
-				}
-				missed = missed || HasFenceQuorum(fences, size) && fenced&holders == 0
+				missed = missed || fencesSuffice(newMembership(1<<size-1), fenced) && fenced&holders == 0
 			}
 			require.Equal(t, !missed, Preserves(evidence, size), "size %d, holders %b", size, holders)
 		}
@@ -47,7 +40,7 @@
 		{[]Evidence{unbroken, unbroken, unbroken, lacking, lacking}, true},
 	} {
 		require.Equal(t, c.preserved, Preserves(c.evidence, len(c.evidence)), "%+v", c.evidence)
-		require.True(t, mayBePreserved(c.evidence, len(c.evidence)))
+		require.True(t, mayBePreserved(c.evidence, RequiredConfirmations(len(c.evidence))+1))
 	}
 }
 
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -17,6 +17,9 @@
 	// DrainLimit is how long a database that is leaving may get requests, zero
 	// for no limit. It must be set before the group is used.
 	DrainLimit clock.Duration
+	// Registry tells how old the entries may be, nil if they are never too old. It must
+	// be set before the group is used.
+	Registry *RegistryProof
 
 	mu      sync.Mutex
 	members map[string]*Member
@@ -26,11 +29,9 @@
 	removed map[string]Entry
 	// term is the highest term seen.
 	term uint64
-	// size is how many databases the group had when it was last complete, and
-	// belowSizeSince is when their number fell below size, zero if it has not.
-	size           int
-	belowSizeSince clock.Time
-	samples        *database.Samples
+	// memberships is empty until all entries that were read together have been observed.
+	memberships memberships
+	samples     *database.Samples
 	// sampledAt is when the newest known position of the primary was requested.
 	sampledAt clock.Time
 	// ledAt is the latest time at which the primary of term is known, from itself or its
@@ -128,7 +129,7 @@
 	case !e.Leaving:
 		m.LeavingAt = 0
 	}
-	g.updateSizeLocked(now)
+	g.memberships.markListed(e.ID)
 	return !known
 }
 
@@ -163,6 +164,7 @@
 		if m.LapsedAt != 0 && now.Sub(m.LapsedAt) >= lapsedTTL {
 			removed = append(removed, id)
 			g.rememberLocked(m.Entry)
+			g.memberships.markMissing(id, absence{since: m.LapsedAt, leavingSince: m.LeavingAt})
 			delete(g.members, id)
 		}
 	}
@@ -175,13 +177,124 @@
 		changed = changed || expired != m.DrainExpired
 		m.DrainExpired = expired
 	}
-	g.updateSizeLocked(now)
+	g.observeMembersLocked(now)
 	if changed {
 		g.notifyLocked()
 	}
 	return removed
 }
 
+// ObserveMembers records that all entries that were read together have been observed. Before
+// that, the group is not taken to consist of a part of them.
+func (g *Group) ObserveMembers(now clock.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observeMembersLocked(now)
+}
+
+func (g *Group) observeMembersLocked(now clock.Time) {
+	g.memberships.removeGone(now)
+	if !g.isPresentLocked() {
+		g.memberships.update(now, g.registryProvenAtLocked(), g.memberIDsLocked(), g.term > 0)
+	}
+	g.reviewMembershipsLocked(now)
+}
+
+// isPresentLocked reports whether the present membership is that of the known databases.
+func (g *Group) isPresentLocked() bool {
+	present := g.memberships.present
+	if len(present) != len(g.sorted)+len(g.memberships.missing) {
+		return false
+	}
+	for _, m := range g.sorted {
+		if !present.has(m.ID) {
+			return false
+		}
+	}
+	for id := range g.memberships.missing {
+		if !present.has(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// memberIDsLocked returns the IDs of the known databases and of those that have been missing
+// for a short time.
+func (g *Group) memberIDsLocked() membership {
+	ids := make(membership, 0, len(g.sorted)+len(g.memberships.missing))
+	for _, m := range g.sorted {
+		ids = append(ids, m.ID)
+	}
+	for id := range g.memberships.missing {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// registryProvenAtLocked returns the time before which all changes of the registry have been
+// applied, zero if it is not known.
+func (g *Group) registryProvenAtLocked() clock.Time {
+	if g.Registry == nil {
+		return 0
+	}
+	return g.Registry.At()
+}
+
+// reviewMembershipsLocked concludes from the databases' answers by which memberships quorums
+// need no longer be counted.
+func (g *Group) reviewMembershipsLocked(now clock.Time) {
+	if !g.memberships.settled() {
+		provenAt := g.primaryProvenAtLocked(now)
+		if len(g.memberships.confirming) == 1 {
+			provenAt = g.ledAt
+		}
+		g.memberships.settle(provenAt)
+	}
+	if len(g.memberships.earlier) > 0 {
+		g.memberships.removeEarlier(func(until clock.Time) bool { return now >= until && g.majorityPassedLocked(until) })
+	}
+}
+
+// majorityPassedLocked reports whether a quorum of the present membership has received what
+// the primary had at the given time.
+func (g *Group) majorityPassedLocked(at clock.Time) bool {
+	end, ok := g.samples.FirstSince(at)
+	if !ok {
+		return false
+	}
+	holders := 0
+	for _, m := range g.sorted {
+		if m.Term == g.term && (m.Role == database.RolePrimary || m.Received.AtLeast(end)) {
+			holders++
+		}
+	}
+	return holders > RequiredConfirmations(len(g.memberships.present))
+}
+
+// ChangedMemberships returns the memberships of which quorums are counted, false if they are
+// the same as at the last call.
+func (g *Group) ChangedMemberships() (Memberships, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.memberships.changed {
+		return Memberships{}, false
+	}
+	g.memberships.changed = false
+	return g.memberships.describe(), true
+}
+
+// StatusesNeeded reports whether answers of the databases may end that quorums are counted by
+// an earlier membership.
+func (g *Group) StatusesNeeded(now clock.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.memberships.settled() || slices.ContainsFunc(g.memberships.earlier, func(e earlierMembership) bool {
+		return now.Sub(e.endedAt) >= membershipRetention
+	})
+}
+
 // advanceTermLocked makes term the current one if it is later. It drops the
 // samples and timeouts of the earlier term, which prove nothing about the new
 // one.
@@ -244,6 +357,7 @@
 		g.addSampleLocked(s.Received, askedAt)
 		g.ledAt = max(g.ledAt, askedAt)
 	}
+	g.reviewMembershipsLocked(now)
 	g.notifyLocked()
 }
 
@@ -403,57 +517,95 @@
 	return nil
 }
 
-// RequiredConfirmations returns how many replicas must confirm a commit or the
-// primary's leadership in a group of size databases. The primary and these
-// replicas form a quorum; size - RequiredConfirmations(size) fenced databases
-// intersect every quorum.
-func RequiredConfirmations(size int) int { return size / 2 }
+// Size returns the size of the group from which quorums are computed. It
+// includes databases that have been missing for a short time.
+func (g *Group) Size() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.presentLocked())
+}
+
+// presentLocked returns the present membership.
+func (g *Group) presentLocked() membership {
+	if g.memberships.present == nil {
+		return g.memberIDsLocked()
+	}
+	return g.memberships.present
+}
 
-// shrinkDelay is how long a missing database still counts towards the size of
-// the group. A proxy that is cut off from the registry must not take the few
-// databases that it knows for the whole group while others add a new one.
-const shrinkDelay = 10 * clock.Second
+// electorate is a membership by which confirmations are counted.
+type electorate struct {
+	membership
+	// quorum is how many of its databases confirm a commit.
+	quorum int
+	// expired is set if the membership may have ended so long ago that a replacement does
+	// not take account of it any more. Then all of its databases are the quorum.
+	expired bool
+}
 
-// updateSizeLocked adjusts the size to the number of databases that are not
-// leaving. The size falls only after shrinkDelay.
-func (g *Group) updateSizeLocked(now clock.Time) {
-	staying := 0
-	for _, m := range g.members {
-		if !m.Leaving {
-			staying++
-		}
+// electorateLocked returns the membership by which confirmations are counted now. If it has
+// expired, all of its databases must confirm: less than a fence quorum of a later membership
+// are new, as long as the group has not doubled since.
+func (g *Group) electorateLocked() electorate {
+	if g.memberships.present == nil {
+		ids := g.memberIDsLocked()
+		return electorate{membership: ids, quorum: RequiredConfirmations(len(ids)) + 1}
 	}
-	switch {
-	case staying >= g.size:
-		g.size, g.belowSizeSince = staying, 0
-	case g.belowSizeSince == 0:
-		g.belowSizeSince = now
-	case now.Sub(g.belowSizeSince) >= shrinkDelay:
-		g.size, g.belowSizeSince = staying, 0
+	confirming, provenAt := g.memberships.confirming, g.memberships.confirmingProvenAt
+	if g.memberships.settled() {
+		provenAt = g.registryProvenAtLocked()
+	}
+	if g.Registry != nil && g.Registry.expired(provenAt) {
+		return electorate{membership: confirming, quorum: len(confirming), expired: true}
 	}
+	return electorate{membership: confirming, quorum: RequiredConfirmations(len(confirming)) + 1}
 }
 
-// sizeLocked returns the size of the group from which quorums are computed.
-func (g *Group) sizeLocked() int { return max(g.size, len(g.members)) }
+// replicasLocked returns how many replicas must confirm a commit of the present primary.
+func (g *Group) replicasLocked(e electorate) int {
+	if p := g.primaryLocked(); p != nil && !e.has(p.ID) {
+		return e.quorum
+	}
+	return e.quorum - 1
+}
 
-// Size returns the size of the group from which quorums are computed. It
-// includes databases that have been missing for a short time.
-func (g *Group) Size() int {
+// ReplicasToConfirm returns how many replicas must confirm a commit, or the primary's
+// leadership, at present.
+func (g *Group) ReplicasToConfirm() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.sizeLocked()
+	return g.replicasLocked(g.electorateLocked())
+}
+
+// FencesSuffice reports whether the fenced databases intersect every set of databases by
+// which a proxy may confirm a commit or the primary's leadership.
+func (g *Group) FencesSuffice(fences []Fence) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sufficeLocked(func(id string) bool {
+		return slices.ContainsFunc(fences, func(f Fence) bool { return f.ID == id })
+	})
+}
+
+func (g *Group) sufficeLocked(fenced func(id string) bool) bool {
+	if g.memberships.present == nil {
+		s := memberships{present: g.memberIDsLocked()}
+		return s.fencesSuffice(fenced)
+	}
+	return g.memberships.fencesSuffice(fenced)
 }
 
 // unfencedTimesLocked returns the times at which the replicas that follow the current term
 // were last known not to be fenced, the latest first, and how many of them are needed.
 func (g *Group) unfencedTimesLocked() (times []clock.Time, need int) {
+	e := g.electorateLocked()
 	for _, m := range g.members {
-		if m.Role == database.RoleReplica && m.Term == g.term && m.UnfencedAt > 0 {
+		if m.Role == database.RoleReplica && m.Term == g.term && m.UnfencedAt > 0 && e.has(m.ID) {
 			times = append(times, m.UnfencedAt)
 		}
 	}
 	slices.SortFunc(times, func(a, b clock.Time) int { return int(b - a) })
-	return times, RequiredConfirmations(g.sizeLocked())
+	return times, g.replicasLocked(e)
 }
 
 // quorumAtLocked returns the latest time at which enough replicas were not fenced to
@@ -525,24 +677,31 @@
 // confirm commits of the current term's primary, zero if none is known. A database that
 // may have lost a fence with a restart counts only if all databases were not fenced.
 func (g *Group) confirmableAtLocked(now clock.Time) clock.Time {
-	size := g.sizeLocked()
-	need := RequiredConfirmations(size)
+	e := g.electorateLocked()
+	need := g.replicasLocked(e)
 	if need == 0 {
 		return now
 	}
+	others := len(e.membership)
+	if m := g.primaryLocked(); m == nil || e.has(m.ID) {
+		others--
+	}
 	if m := g.primaryLocked(); m == nil || !g.unbrokenLocked(m, m.uptime.lastAt()) {
 		need++
 	}
 	var all, unbroken []clock.Time
 	for _, m := range g.sorted {
-		if m.Role == database.RoleReplica && m.Term == g.term && m.UnfencedAt > 0 {
+		if m.Role == database.RoleReplica && m.Term == g.term && m.UnfencedAt > 0 && e.has(m.ID) {
 			all = append(all, m.UnfencedAt)
 			if g.unbrokenLocked(m, m.UnfencedAt) {
 				unbroken = append(unbroken, m.UnfencedAt)
 			}
 		}
 	}
-	return max(nthLatest(unbroken, need), nthLatest(all, size-1))
+	if e.expired {
+		return nthLatest(unbroken, need)
+	}
+	return max(nthLatest(unbroken, need), nthLatest(all, others))
 }
 
 // nthLatest returns the nth latest of some times, zero if they are fewer.
@@ -614,15 +773,22 @@
 // about its log, which it may not have received yet.
 func (g *Group) majorityFloorLocked(since clock.Time) (position.Position, bool) {
 	var longest position.Position
+	e := g.electorateLocked()
 	asked := 0
-	for _, m := range g.members {
-		if m.AskedAt < since || m.Term == 0 || m.Behind {
-			continue
+	counts := func(m *Member) bool { return m.AskedAt >= since && m.Term > 0 && !m.Behind }
+	for _, m := range g.sorted {
+		if counts(m) {
+			longest = longest.Max(m.Received)
+			if e.has(m.ID) {
+				asked++
+			}
 		}
-		asked++
-		longest = longest.Max(m.Received)
 	}
-	return longest, asked > RequiredConfirmations(g.sizeLocked())
+	suffices := asked >= e.quorum && g.sufficeLocked(func(id string) bool {
+		m, ok := g.members[id]
+		return ok && counts(m)
+	})
+	return longest, suffices
 }
 
 // LagsBeyond reports whether a database that has applied the log up to p has
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -146,8 +146,9 @@
 	joined := Fence{ID: "b", Status: database.Status{Term: 2, Received: pos(1, 5)}}
 	best, _ = Successor([]Fence{joined, fences[0]})
 	require.Equal(t, "a", best.ID, "b follows the later term and has not received its log")
-	require.True(t, HasFenceQuorum(fences[:2], 3))
-	require.False(t, HasFenceQuorum(fences[:1], 3))
+	g := newTestGroup(1000)
+	require.True(t, g.FencesSuffice(fences[:2]))
+	require.False(t, g.FencesSuffice(fences[:1]))
 	_, ok = Successor(nil)
 	require.False(t, ok)
 }
--- /dev/null
+++ b/internal/process/group/membership.go
@@ -0,0 +1,211 @@
+package group
+
+import (
+	"slices"
+
+	"github.com/oleanderflow/oleanderflow/pkg/clock"
+)
+
+const (
+	// shrinkDelay is how long a missing database still counts as a member. A proxy that is
+	// cut off from the registry must not take the few databases that it knows for the whole
+	// group while others add a new one.
+	shrinkDelay = 10 * clock.Second
+	// membershipTTL is how long a proxy counts confirmations by a membership after that was
+	// last known to be the present one. It is longer than the time between two answers of
+	// the registry's feed and a usual outage of the store together.
+	membershipTTL = 40 * clock.Second
+	// membershipRetention is how long at least a replacement takes account of a membership
+	// after its end. It is longer than membershipTTL, since clocks differ in speed, and a
+	// process may be suspended after it has read its own.
+	membershipRetention = 48 * clock.Second
+)
+
+// RequiredConfirmations returns how many replicas must confirm a commit or the
+// primary's leadership in a group of size databases. The primary and these
+// replicas form a quorum; size - RequiredConfirmations(size) fenced databases
+// intersect every quorum.
+func RequiredConfirmations(size int) int { return size / 2 }
+
+// membership is a set of databases of which quorums are counted: their IDs, sorted.
+type membership []string
+
+func (m membership) has(id string) bool {
+	_, ok := slices.BinarySearch(m, id)
+	return ok
+}
+
+// count returns how many databases satisfy a condition.
+func (m membership) count(holds func(id string) bool) int {
+	n := 0
+	for _, id := range m {
+		if holds(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// fenceQuorum returns how many fenced databases intersect every quorum.
+func (m membership) fenceQuorum() int { return len(m) - RequiredConfirmations(len(m)) }
+
+// earlierMembership is a membership that has been replaced by a later one.
+type earlierMembership struct {
+	membership
+	endedAt clock.Time
+}
+
+// absence is what is known about a database without a registry entry.
+type absence struct {
+	since clock.Time
+	// leavingSince is when the database announced that it is leaving, zero if it has not.
+	leavingSince clock.Time
+}
+
+// gone reports whether the database no longer counts as a member.
+func (a absence) gone(now clock.Time) bool {
+	return now.Sub(a.since) >= shrinkDelay || a.leavingSince != 0 && now.Sub(a.leavingSince) >= shrinkDelay
+}
+
+// memberships has the sets of databases by which the proxies may count one group while
+// databases join and leave it. A commit is confirmed by a quorum of the confirming
+// membership. A replacement needs a fence quorum of the present membership and of all
+// earlier ones, by which other proxies may still confirm.
+type memberships struct {
+	// present is the newest membership, empty if none is known, and presentSince when this
+	// process learned of it.
+	present      membership
+	presentSince clock.Time
+	// confirming is the present membership, or an earlier one until it is known that no
+	// replacement has begun without the databases of the present one. In that case
+	// confirmingProvenAt is when it was last known to be the present one.
+	confirming         membership
+	confirmingProvenAt clock.Time
+	earlier            []earlierMembership
+	// missing has the databases without a registry entry that still count as members.
+	missing map[string]absence
+	// left has the databases that have left after they had announced it.
+	left map[string]struct{}
+	// changed is set if a membership has been added or removed since the last description.
+	changed bool
+}
+
+// update makes ids the present membership. provenAt is when the one before was last known to
+// be the present one. counted is set if quorums may have been counted by that one.
+func (s *memberships) update(now, provenAt clock.Time, ids membership, counted bool) {
+	switch {
+	case slices.Equal(ids, s.present):
+		return
+	case len(s.present) == 0 || !counted:
+		s.changed = true
+		s.present, s.presentSince = ids, now
+		s.confirming, s.earlier = ids, nil
+		return
+	}
+	s.changed = true
+	s.earlier = slices.DeleteFunc(s.earlier, func(e earlierMembership) bool {
+		return slices.Equal(e.membership, s.present) || slices.Equal(e.membership, ids)
+	})
+	s.earlier = append(s.earlier, earlierMembership{s.present, now})
+	if s.settled() {
+		s.confirmingProvenAt = provenAt
+	}
+	s.present, s.presentSince = ids, now
+	if ids.count(s.confirming.has) == len(ids) {
+		// Databases that are gone confirm nothing, nor can they be fenced.
+		s.confirming = ids
+	}
+}
+
+// settled reports whether confirmations are counted by the present membership.
+func (s *memberships) settled() bool { return slices.Equal(s.confirming, s.present) }
+
+// settle makes the present membership the confirming one, if a quorum of the confirming one
+// was not fenced at provenAt. A replacement that fences databases later knows the present
+// one, since it reads the registry after that.
+func (s *memberships) settle(provenAt clock.Time) {
+	if !s.settled() && provenAt >= s.presentSince {
+		s.confirming, s.changed = s.present, true
+	}
+}
+
+// markMissing records that a database without a registry entry is no longer asked.
+func (s *memberships) markMissing(id string, a absence) {
+	if s.missing == nil {
+		s.missing = make(map[string]absence)
+	}
+	s.missing[id] = a
+}
+
+// markListed records that a database has a registry entry.
+func (s *memberships) markListed(id string) {
+	delete(s.missing, id)
+	delete(s.left, id)
+}
+
+// removeGone removes the missing databases that no longer count as members.
+func (s *memberships) removeGone(now clock.Time) {
+	for id, a := range s.missing {
+		if !a.gone(now) {
+			continue
+		}
+		delete(s.missing, id)
+		if a.leavingSince != 0 {
+			if s.left == nil {
+				s.left = make(map[string]struct{})
+			}
+			s.left[id] = struct{}{}
+		}
+	}
+}
+
+// removeEarlier removes the earlier memberships that need not be taken account of any more.
+// These are the ones after whose retention an entry was written that passed reports to be in
+// the logs of a quorum of the present one, so that every replacement keeps what was confirmed
+// by them, and those of which no quorum is left.
+func (s *memberships) removeEarlier(passed func(retainedUntil clock.Time) bool) {
+	known := len(s.earlier)
+	s.earlier = slices.DeleteFunc(s.earlier, func(e earlierMembership) bool {
+		remaining := e.count(func(id string) bool { return s.present.has(id) || s.hasLeft(id) })
+		return remaining < e.fenceQuorum() || passed(e.endedAt.Add(membershipRetention))
+	})
+	s.changed = s.changed || len(s.earlier) < known
+	for id := range s.left {
+		if !slices.ContainsFunc(s.earlier, func(e earlierMembership) bool { return e.has(id) }) {
+			delete(s.left, id)
+		}
+	}
+}
+
+func (s *memberships) hasLeft(id string) bool {
+	_, ok := s.left[id]
+	return ok
+}
+
+// fencesSuffice reports whether the fenced databases intersect every set of databases that
+// could confirm a commit or the primary's leadership, by the present membership or by one
+// that another proxy may still count by. Databases that have left confirm nothing more.
+func (s *memberships) fencesSuffice(fenced func(id string) bool) bool {
+	if n := s.present.count(fenced); n == 0 || n < s.present.fenceQuorum() {
+		return false
+	}
+	return !slices.ContainsFunc(s.earlier, func(e earlierMembership) bool {
+		return e.count(func(id string) bool { return fenced(id) || s.hasLeft(id) }) < e.fenceQuorum()
+	})
+}
+
+// Memberships describes the sets of databases of which the quorums of a group are counted.
+type Memberships struct {
+	// Present is the newest, and Confirming the one by which commits are confirmed.
+	Present, Confirming []string
+	// Earlier has those which a replacement takes account of besides the newest.
+	Earlier [][]string
+}
+
+func (s *memberships) describe() Memberships {
+	d := Memberships{Present: slices.Clone(s.present), Confirming: slices.Clone(s.confirming)}
+	for _, e := range s.earlier {
+		d.Earlier = append(d.Earlier, slices.Clone(e.membership))
+	}
+	return d
+}
--- a/internal/process/group/suspicion.go
+++ b/internal/process/group/suspicion.go
@@ -85,11 +85,11 @@
 	if g.leaderlessSince == 0 {
 		g.leaderlessSince = now
 	}
-	answering, undecided := 0, 0
+	answers := func(m *Member) bool { return m.Term > 0 && m.AskedAt >= g.leaderlessSince }
+	undecided := 0
 	for _, m := range g.members {
 		switch {
-		case m.Term > 0 && m.AskedAt >= g.leaderlessSince:
-			answering++
+		case answers(m):
 		case m.FailingSince == 0 || m.Failures < unreachableFailures:
 			undecided++
 		}
@@ -97,8 +97,11 @@
 			s.Listed = m.LapsedAt == 0
 		}
 	}
-	if now.Sub(g.leaderlessSince) >= leaderlessAfter && undecided == 0 && answering > 0 &&
-		answering >= g.sizeLocked()-RequiredConfirmations(g.sizeLocked()) {
+	suffice := g.sufficeLocked(func(id string) bool {
+		m, ok := g.members[id]
+		return ok && answers(m)
+	})
+	if now.Sub(g.leaderlessSince) >= leaderlessAfter && undecided == 0 && suffice {
 		s.Reason = Leaderless
 	}
 	return s
@@ -169,13 +172,6 @@
 	Leaving bool
 }
 
-// HasFenceQuorum reports whether the fenced databases intersect every set of
-// databases that could confirm a commit or the primary's leadership in a group
-// of size databases.
-func HasFenceQuorum(fences []Fence, size int) bool {
-	return len(fences) > 0 && len(fences) >= size-RequiredConfirmations(size)
-}
-
 // Successor returns the fenced database that has received the longest log. Among equals it prefers databases that are not leaving. The
 // result does not depend on the order of fences. It returns false if there are
 // none.
