Resume each replica after a replacement that failed

What callers saw: after a replacement without a promotion, a replica could stay paused until the next proxy noticed it 3 s later. With one replica paused and another one down, no write is confirmed.

Cause: resumeReplicas ended with the first command that failed. A paused replica that had crashed kept the ones after it in the list from being resumed, and held them up for the time limit of its command.

Evidence: TestReplicasAreResumedWhileOneIsDown failed before with

replacement_test.go: Should be zero, but was 2

Change: the commands are sent in parallel, and all errors are reported.

Measured: the tests of internal/front that replace, fence or promote pass.

--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -457,6 +457,9 @@
 // receive log entries again. It sends commands only within the lease, since
 // another proxy may depend on its own fences afterwards.
 func (r *replacement) resumeReplicas(term uint64, l group.Lease) error {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failures error
 	for _, m := range r.client.Members() {
 		if !m.Releasable(term) {
 			continue
@@ -465,10 +468,17 @@
 		if remaining <= 0 {
 			return &leaseExpiredError{Token: l.Token, Left: remaining, Needed: commandTimeout}
 		}
-		if _, err := r.client.Command(m.ID, statement.Resume{Term: m.FencedTerm}, min(commandTimeout, remaining)); err != nil {
-			return err
-		}
-		r.log.Info("replica resumed", zap.String("database", m.ID), zap.Uint64("held", m.FencedTerm))
+		wg.Go(func() {
+			_, err := r.client.Command(m.ID, statement.Resume{Term: m.FencedTerm}, min(commandTimeout, remaining))
+			if err == nil {
+				r.log.Info("replica resumed", zap.String("database", m.ID), zap.Uint64("held", m.FencedTerm))
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			failures = errors.Join(failures, errors.Wrapf(err, "database %s", m.ID))
+		})
 	}
-	return nil
+	wg.Wait()
+	return failures
 }
--- a/internal/front/replacement_test.go
+++ b/internal/front/replacement_test.go
@@ -387,3 +387,14 @@
 	require.Equal(t, "b", result.Promoted)
 	require.Negative(t, failures)
 }
+
+// A replica that had been paused and was down kept the others from being resumed.
+func TestReplicasAreResumedWhileOneIsDown(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 10, 10)
+	g.down["a"] = true
+	g.onPromote = func(id string) { g.down["b"] = true }
+	_, err := r.replaceFor(1500 * clock.Millisecond)
+	require.Error(t, err)
+	require.Empty(t, g.promoted, "c is not enough")
+	require.Zero(t, g.statuses["c"].Fenced)
+}
