Take only a held term for a fence

Cause: a replacement counted the suspected primary as fenced if it answered STEPDOWN as a replica. A replica of another primary answers the same and goes on receiving. A proxy that had never reached the new primary suspected the last one that it knew, by then a replica, which confirmed writes of the new primary until the promotion took effect.

Ruled out: the end of a fence (nothing but STEPDOWN was sent to that database, and it did not start again; its answers hold no term), and confirmations of writes that it did not have.

Change: a database is fenced by the term that it holds in the answer to PAUSE, whatever it was. Primaries are made to step down before, also those that tell in their answer to PAUSE that they lead. A replacement that fails resumes them like the others. The hand-over of a leaving primary and the fences beside a repeated promotion call go the same way.

Why it works: no answer to STEPDOWN tells the two apart, while a held term proves by itself that nothing of lower terms is received.

The tests before the change:

--- FAIL: TestWritesAreKeptWhenAProxyDoesNotReachThePrimary/one_proxy write k394 was acknowledged and is lost --- FAIL: TestWritesAreKeptWhenAProxyDoesNotReachThePrimary/two_proxies write k380 was acknowledged and is lost --- FAIL: TestReplicaThatWasThePrimaryIsPaused a receives from c, which leads

--- a/cmd/oleanderflow-front/replacement_test.go
+++ b/cmd/oleanderflow-front/replacement_test.go
@@ -330,3 +330,57 @@
 		})
 	}
 }
+
+// A proxy that had never reached the new primary replaced it. The last primary that it knew
+// counted as fenced, went on receiving, and confirmed writes that the promoted database lacked
+// (LOST).
+func TestWritesAreKeptWhenAProxyDoesNotReachThePrimary(t *testing.T) {
+	for name, blind := range map[string]int{"one proxy": 1, "two proxies": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startTimedSystem(t, 5, standin.Timing{
+				Network: 2 * time.Millisecond, Apply: 5 * time.Millisecond, Promote: 300 * time.Millisecond, Demote: 500 * time.Millisecond, Rejoin: 50 * time.Millisecond,
+			})
+			a, b, c := s.group.Databases()[0], s.group.Databases()[1], s.group.Databases()[2]
+			caller := openSession(t, s.fronts[0], "fills")
+			queryUntilSuccess(t, caller, "WRITE before v")
+			s.readAlways(t, "before")
+			time.Sleep(300 * time.Millisecond)
+			for _, n := range s.partitions[5-blind:] {
+				n.cut(b.ID, c.ID)
+			}
+			s.partitions[0].cut(a.ID)
+			s.partitions[1].cut(a.ID)
+			require.Eventually(t, func() bool { return b.IsPrimary() || c.IsPrimary() }, 10*time.Second, time.Millisecond)
+			primary := b
+			if c.IsPrimary() {
+				primary = c
+			}
+			queryUntilSuccess(t, caller, "WRITE term2 v")
+			require.Eventually(t, func() bool { return a.Holds("term2") }, 10*time.Second, time.Millisecond)
+			s.partitions[0].cut()
+			s.partitions[1].cut()
+			time.Sleep(300 * time.Millisecond)
+
+			for _, n := range s.partitions[5-blind:] {
+				n.cut(primary.ID)
+			}
+			var acknowledged []string
+			begun := time.Now()
+			for i := 0; time.Since(begun) < 4*time.Second; i++ {
+				key := fmt.Sprint("k", i)
+				if query(t, caller, "WRITE "+key+" v").Error == "" {
+					acknowledged = append(acknowledged, key)
+				}
+			}
+			for _, n := range s.partitions {
+				n.cut()
+			}
+			queryUntilSuccess(t, caller, "WRITE after v")
+			require.NotEmpty(t, acknowledged)
+			for _, key := range acknowledged {
+				require.NotEmpty(t, s.group.Writes(key), "write %s was acknowledged and is lost", key)
+			}
+		})
+	}
+}
--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -296,7 +296,7 @@
 			if f.Status.Term >= term {
 				return nil, &supersededError{Database: f.ID, Term: f.Status.Term, Planned: term}
 			}
-			if f.Status.Fenced >= term || f.ID == primary && f.Status.Role == database.RoleReplica {
+			if f.Status.Fenced >= term {
 				fences[f.ID] = f
 			}
 		}
@@ -343,19 +343,15 @@
 	var wg sync.WaitGroup
 	var answers []group.Fence
 	for _, m := range r.client.Members() {
-		var command statement.Operation = statement.Pause{Term: term}
-		if m.ID == primary || m.Role == database.RolePrimary {
-			command = statement.StepDown{Term: term}
-		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			status, err := r.client.Command(m.ID, command, commandTimeout)
+			status, err := r.fenceDatabase(m.ID, term, m.ID == primary || m.Role == database.RolePrimary)
 			if err != nil {
 				r.log.Info("fence command failed", zap.String("database", m.ID), logs.Error(err))
 				return
 			}
-			r.log.Info("database fenced", zap.String("database", m.ID), zap.Uint64("term", term),
+			r.log.Info("fence command answered", zap.String("database", m.ID), zap.Uint64("term", term), zap.Stringer("role", status.Role),
 				zap.Stringer("received", status.Received), zap.Uint64("held", status.Fenced))
 			mu.Lock()
 			answers = append(answers, group.Fence{ID: m.ID, Status: status, Leaving: m.Leaving || m.ID == primary})
@@ -366,6 +362,23 @@
 	return answers
 }
 
+// fenceDatabase pauses a database, and makes it step down before if it leads. Only the term
+// that it holds proves that it receives nothing: a replica answers STEPDOWN like a primary that
+// has stepped down.
+func (r *replacement) fenceDatabase(id string, term uint64, leads bool) (database.Status, error) {
+	if !leads {
+		status, err := r.client.Command(id, statement.Pause{Term: term}, commandTimeout)
+		if err != nil || status.Role != database.RolePrimary || status.Term >= term {
+			return status, err
+		}
+	}
+	status, err := r.client.Command(id, statement.StepDown{Term: term}, commandTimeout)
+	if err != nil || status.Role == database.RolePrimary {
+		return status, err
+	}
+	return r.client.Command(id, statement.Pause{Term: term}, commandTimeout)
+}
+
 func fenceList(fences map[string]group.Fence) []group.Fence {
 	list := make([]group.Fence, 0, len(fences))
 	for _, f := range fences {
--- a/internal/front/replacement_test.go
+++ b/internal/front/replacement_test.go
@@ -388,6 +388,56 @@
 	require.Negative(t, failures)
 }
 
+// The last known primary counted as fenced though it was a replica by then, which STEPDOWN does
+// not stop from receiving. It confirmed commits that the promoted database lacked (review/11,
+// LOST).
+func TestReplicaThatWasThePrimaryIsPaused(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 10, 10)
+	a := g.statuses["a"]
+	a.Role = database.RoleReplica
+	g.statuses["a"] = a
+	g.down["c"] = true
+	g.onPromote = func(string) { require.Equal(t, uint64(2), g.statuses["a"].Fenced, "a receives from c, which leads") }
+	result, err := r.replaceBecause(group.Leaderless, 3*clock.Second)
+	require.NoError(t, err)
+	require.Equal(t, "b", result.Promoted)
+}
+
+// A replica that leads by the time of the command is made to step down, and paused after it.
+func TestPrimaryThatWasAReplicaIsFenced(t *testing.T) {
+	for _, id := range []string{"b", "c"} {
+		g, r := newReplaceableGroup(t, 10, 10, 10)
+		s := g.statuses[id]
+		s.Role, s.Received.Offset = database.RolePrimary, 12
+		g.statuses[id] = s
+		g.down["a"] = true
+		g.onPromote = func(promoted string) {
+			require.Equal(t, id, promoted, "it has the longest log")
+			require.Equal(t, database.RoleReplica, g.statuses[id].Role)
+			require.Equal(t, uint64(2), g.statuses[id].Fenced)
+		}
+		_, err := r.replaceFor(3 * clock.Second)
+		require.NoError(t, err)
+		require.Equal(t, []string{id}, g.promoted)
+	}
+}
+
+// A primary that has stepped down is paused like the replicas, and resumed with them.
+func TestPrimaryIsResumedAfterAFailedReplacement(t *testing.T) {
+	g, r := newReplaceableGroup(t, 10, 10, 10)
+	g.unanswered = func(string) bool {
+		require.Equal(t, uint64(2), g.statuses["a"].Fenced)
+		return true
+	}
+	r.readRegistry = func() error { return errAnswerLost }
+	_, err := r.replaceBecause(group.PrimaryLeaving, 1500*clock.Millisecond)
+	require.Error(t, err)
+	for id, s := range g.statuses {
+		require.Equal(t, database.RoleReplica, s.Role, id)
+		require.Zero(t, s.Fenced, id)
+	}
+}
+
 // A replica that had been paused and was down kept the others from being resumed.
 func TestReplicasAreResumedWhileOneIsDown(t *testing.T) {
 	g, r := newReplaceableGroup(t, 10, 10, 10)
