Ask for agreement where the registry states a primary that is not reached

Cause: a proxy that has reached a primary once needs the agreement of another one to replace it. One that has never reached it took the group for one without a primary, which needs none, though both see the same.

Without this change TestUnreachablePrimaryOfTheRegistryNeedsAgreement fails, and in TestWritesAreKeptWhenAProxyDoesNotReachThePrimary one blind proxy begins term 3.

Change: if the registry states that a database leads and this proxy does not reach it, that database is suspected as unreachable, in the term that the replicas follow, so that proxies which have reached it before agree on the same vote. A group whose databases all answer and none leads is replaced as before.

Why it works: votes need the store, as claims do, so nothing is lost while it is away. Two proxies that are blind in the same way agree, and replace the primary; their fences keep the writes.

--- a/cmd/oleanderflow-front/replacement_test.go
+++ b/cmd/oleanderflow-front/replacement_test.go
@@ -373,11 +373,13 @@
 					acknowledged = append(acknowledged, key)
 				}
 			}
+			primaries := s.group.Term()
 			for _, n := range s.partitions {
 				n.cut()
 			}
 			queryUntilSuccess(t, caller, "WRITE after v")
 			require.NotEmpty(t, acknowledged)
+			require.EqualValues(t, 1+blind, primaries, "two proxies that do not reach a primary replace it")
 			for _, key := range acknowledged {
 				require.NotEmpty(t, s.group.Writes(key), "write %s was acknowledged and is lost", key)
 			}
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -172,6 +172,36 @@
 	require.Equal(t, Leaderless, g.Suspect(later).Reason)
 }
 
+// A proxy that had never reached the new primary replaced it alone. The registry states which
+// database leads, so that another proxy has to agree (review/11, LOST).
+func TestUnreachablePrimaryOfTheRegistryNeedsAgreement(t *testing.T) {
+	now := clock.Time(1000)
+	g := newTestGroup(now)
+	require.Equal(t, NoReason, g.Suspect(now).Reason, "a leads term 1")
+	list := func(id string, role database.Role) {
+		g.ObserveEntry(now, Entry{ID: id, Group: "shop1", Address: id, Slots: 3, Role: role})
+	}
+	list("a", database.RoleReplica)
+	list("b", database.RolePrimary)
+	require.Equal(t, NoReason, g.Suspect(now).Reason)
+	later := now.Add(2 * leaderlessAfter)
+	observeStatus(g, "a", later, database.RoleReplica, 2, 0, pos(1, 10))
+	observeStatus(g, "c", later, database.RoleReplica, 2, 0, pos(1, 10))
+	require.Equal(t, NoReason, g.Suspect(later).Reason, "b has not been tried")
+	g.RecordFailure("b", later)
+	g.RecordFailure("b", later)
+	s := g.Suspect(later)
+	require.Equal(t, Suspicion{Reason: Unreachable, Primary: "b", Listed: true}, s)
+	require.True(t, s.Reason.NeedsAgreement())
+
+	g.MarkLapsed(later, "b")
+	require.False(t, g.Suspect(later).Listed, "without an entry it needs none")
+	list("b", database.RoleReplica)
+	g.RecordFailure("b", later)
+	g.RecordFailure("b", later)
+	require.Equal(t, Leaderless, g.Suspect(later).Reason)
+}
+
 // A leaving primary serves requests until it is replaced, but not past the
 // drain limit.
 func TestLeavingPrimaryIsUsedForATime(t *testing.T) {
--- a/internal/process/group/suspicion.go
+++ b/internal/process/group/suspicion.go
@@ -79,9 +79,14 @@
 // suspectLeaderlessLocked checks a group without a known primary. It gives a
 // reason only once every database has reported that it does not lead, or cannot
 // be reached: a database that merely grants no connections may well be the
-// primary.
+// primary. So may one that leads according to the registry: that this process
+// cannot reach it is no more proof than with a known primary.
 func (g *Group) suspectLeaderlessLocked(now clock.Time) Suspicion {
 	s := Suspicion{Primary: g.lastPrimary}
+	reason := Leaderless
+	if m := g.statedPrimaryLocked(); m != nil {
+		s.Primary, reason = m.ID, Unreachable
+	}
 	if g.leaderlessSince == 0 {
 		g.leaderlessSince = now
 	}
@@ -93,7 +98,7 @@
 		case m.FailingSince == 0 || m.Failures < unreachableFailures:
 			undecided++
 		}
-		if m.ID == g.lastPrimary {
+		if m.ID == s.Primary {
 			s.Listed = m.LapsedAt == 0
 		}
 	}
@@ -102,11 +107,23 @@
 		return ok && answers(m)
 	})
 	if now.Sub(g.leaderlessSince) >= leaderlessAfter && undecided == 0 && suffice {
-		s.Reason = Leaderless
+		s.Reason = reason
 	}
 	return s
 }
 
+// statedPrimaryLocked returns the database that leads according to its registry entry and
+// does not answer, nil if there is none. A primary of an earlier term may be listed as well.
+func (g *Group) statedPrimaryLocked() *Member {
+	var stated *Member
+	for _, m := range g.sorted {
+		if m.Role == database.RolePrimary && m.Term == 0 && m.FailingSince != 0 && (stated == nil || stated.ID == g.lastPrimary) {
+			stated = m
+		}
+	}
+	return stated
+}
+
 // countCandidatesLocked counts the databases other than the primary that are
 // listed and not leaving.
 func (g *Group) countCandidatesLocked() int {
