--- a/cmd/oleanderflow-front/replacement_test.go
+++ b/cmd/oleanderflow-front/replacement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -153,6 +154,16 @@
 	}
 }
 
+// queryAll sends statements in order, with a key in place of %s, and returns the last answer.
+func queryAll(t *testing.T, caller *standin.Caller, statements []string, key string) standin.Reply {
+	t.Helper()
+	var reply standin.Reply
+	for _, text := range statements {
+		reply = query(t, caller, strings.ReplaceAll(text, "%s", key))
+	}
+	return reply
+}
+
 // promises are the answers which say that nothing is kept.
 var promises = []string{standin.Busy, standin.Aborted, "LAGGING", "READONLY"}
 
@@ -279,36 +290,85 @@
 // the old primary by the smaller group, after the others had replaced it by the larger one
 // (ONE).
 func TestWritesAreKeptWhileProxiesKnowDifferentMembers(t *testing.T) {
-	for name, databases := range map[string]int{"three databases become four": 3, "five databases become six": 5} {
+	const promote, joinedBefore = 300 * time.Millisecond, time.Second
+	for name, c := range map[string]struct {
+		databases, joined int
+		// joinedBefore is how long before the partition the databases join, negative if
+		// they join later.
+		joinedBefore time.Duration
+		// turnedAway is how many proxies the store turns away.
+		turnedAway int
+		promote    time.Duration
+		// returns is set if the group has a database less for a while instead, which
+		// comes back.
+		returns    bool
+		statements []string
+	}{
+		"three databases become four":   {databases: 3, joined: 1, joinedBefore: joinedBefore, turnedAway: 1, promote: promote},
+		"three databases become five":   {databases: 3, joined: 2, joinedBefore: joinedBefore, turnedAway: 1, promote: promote},
+		"five databases become six":     {databases: 5, joined: 1, joinedBefore: joinedBefore, turnedAway: 1, promote: promote},
+		"right before the partition":    {databases: 3, joined: 1, joinedBefore: 200 * time.Millisecond, turnedAway: 1, promote: promote},
+		"right after the partition":     {databases: 3, joined: 1, joinedBefore: -150 * time.Millisecond, turnedAway: 1, promote: promote},
+		"several proxies":               {databases: 3, joined: 1, joinedBefore: joinedBefore, turnedAway: 2, promote: promote},
+		"slow promotion":                {databases: 3, joined: 1, joinedBefore: joinedBefore, turnedAway: 1, promote: time.Second},
+		"transactions":                  {databases: 3, joined: 1, joinedBefore: joinedBefore, turnedAway: 1, promote: promote, statements: []string{"BEGIN", "WRITE %s v", "COMMIT"}},
+		"a database that has come back": {databases: 4, returns: true, joinedBefore: joinedBefore, turnedAway: 1, promote: promote},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := startTimedSystemOf(t, databases, 3, standin.Timing{
-				Network: 2 * time.Millisecond, Apply: 20 * time.Millisecond, Promote: 300 * time.Millisecond, Demote: time.Second, Rejoin: 200 * time.Millisecond,
+			s := startTimedSystemOf(t, c.databases, 5, standin.Timing{
+				Network: 2 * time.Millisecond, Apply: 20 * time.Millisecond, Promote: c.promote, Demote: time.Second, Rejoin: 200 * time.Millisecond,
+				Lapse: time.Second,
 			})
-			old := s.group.Databases()
-			side := old[:databases/2+1]
 			caller := openSession(t, s.fronts[0], "fills")
 			queryUntilSuccess(t, caller, "WRITE before v")
 			s.readAlways(t, "before")
 			time.Sleep(time.Second)
-			s.partitions[0].store.Store(true)
-			joined, err := s.group.Add("d")
-			require.NoError(t, err)
-			require.Eventually(t, func() bool { return joined.Holds("before") }, 5*time.Second, 5*time.Millisecond)
-			time.Sleep(time.Second)
+			old := s.group.Databases()
+			last := old[len(old)-1]
+			if c.returns {
+				last.SetDown(true)
+				time.Sleep(16 * time.Second)
+				old = old[:len(old)-1]
+			}
+			for _, n := range s.partitions[:c.turnedAway] {
+				n.store.Store(true)
+			}
+			side := old[:len(old)/2+1]
 			var ids []string
 			for _, d := range side {
 				ids = append(ids, d.ID)
 			}
-			s.group.Separate(side...)
-			for _, n := range s.partitions[1:] {
-				n.cut(ids...)
+			cut := func() {
+				s.group.Separate(side...)
+				for _, n := range s.partitions[c.turnedAway:] {
+					n.cut(ids...)
+				}
+			}
+			if c.joinedBefore < 0 {
+				cut()
+				time.Sleep(-c.joinedBefore)
+			}
+			for range c.joined {
+				_, err := s.group.Add("d")
+				require.NoError(t, err)
+			}
+			if c.returns {
+				last.SetDown(false)
 			}
-			cutAt, lastAt := time.Now(), time.Time{}
+			if c.joinedBefore > 0 {
+				time.Sleep(c.joinedBefore)
+				cut()
+			}
+			statements := c.statements
+			if statements == nil {
+				statements = []string{"WRITE %s v"}
+			}
+			begunAt, lastAt := time.Now(), time.Time{}
 			var acknowledged []string
-			for i := 0; time.Since(cutAt) < 5*time.Second; i++ {
+			for i := 0; time.Since(begunAt) < 5*time.Second; i++ {
 				key := fmt.Sprint("k", i)
-				if query(t, caller, "WRITE "+key+" v").Error == "" {
+				if queryAll(t, caller, statements, key).Error == "" {
 					acknowledged = append(acknowledged, key)
 					lastAt = time.Now()
 				}
@@ -326,7 +386,7 @@
 				require.NotEmpty(t, s.group.Writes(key), "write %s was acknowledged and is lost", key)
 			}
 			require.Empty(t, promotions, "the fences are no quorum of the group without the new database")
-			require.Greater(t, lastAt.Sub(cutAt), 4*time.Second, "a quorum confirms the writes until the end")
+			require.Greater(t, lastAt.Sub(begunAt), 4*time.Second, "a quorum confirms the writes until the end")
 		})
 	}
 }
@@ -335,54 +395,83 @@
 // counted as fenced, went on receiving, and confirmed writes that the promoted database lacked
 // (LOST).
 func TestWritesAreKeptWhenAProxyDoesNotReachThePrimary(t *testing.T) {
-	for name, blind := range map[string]int{"one proxy": 1, "two proxies": 2} {
+	for name, k := range map[string]struct {
+		databases int
+		// blind is how many proxies do not reach the primary.
+		blind      int
+		statements []string
+	}{
+		"one proxy":                   {databases: 3, blind: 1},
+		"two proxies":                 {databases: 3, blind: 2},
+		"two proxies, five databases": {databases: 5, blind: 2},
+		"two proxies, transactions":   {databases: 3, blind: 2, statements: []string{"BEGIN", "WRITE %s v", "COMMIT"}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := startTimedSystem(t, 5, standin.Timing{
+			s := startTimedSystemOf(t, k.databases, 5, standin.Timing{
 				Network: 2 * time.Millisecond, Apply: 5 * time.Millisecond, Promote: 300 * time.Millisecond, Demote: 500 * time.Millisecond, Rejoin: 50 * time.Millisecond,
 			})
-			a, b, c := s.group.Databases()[0], s.group.Databases()[1], s.group.Databases()[2]
+			a, others := s.group.Databases()[0], s.group.Databases()[1:]
 			caller := openSession(t, s.fronts[0], "fills")
 			queryUntilSuccess(t, caller, "WRITE before v")
 			s.readAlways(t, "before")
 			time.Sleep(300 * time.Millisecond)
-			for _, n := range s.partitions[5-blind:] {
-				n.cut(b.ID, c.ID)
+			var ids []string
+			for _, d := range others {
+				ids = append(ids, d.ID)
+			}
+			blind := s.partitions[5-k.blind:]
+			for _, n := range blind {
+				n.cut(ids...)
 			}
 			s.partitions[0].cut(a.ID)
 			s.partitions[1].cut(a.ID)
-			require.Eventually(t, func() bool { return b.IsPrimary() || c.IsPrimary() }, 10*time.Second, time.Millisecond)
-			primary := b
-			if c.IsPrimary() {
-				primary = c
-			}
+			var primary *standin.Database
+			require.Eventually(t, func() bool {
+				i := slices.IndexFunc(others, (*standin.Database).IsPrimary)
+				if i >= 0 {
+					primary = others[i]
+				}
+				return i >= 0
+			}, 10*time.Second, time.Millisecond)
 			queryUntilSuccess(t, caller, "WRITE term2 v")
 			require.Eventually(t, func() bool { return a.Holds("term2") }, 10*time.Second, time.Millisecond)
 			s.partitions[0].cut()
 			s.partitions[1].cut()
 			time.Sleep(300 * time.Millisecond)
 
-			for _, n := range s.partitions[5-blind:] {
-				n.cut(primary.ID)
+			// The databases that the blind proxies reach, a among them, are just enough.
+			unreachable := []string{primary.ID}
+			for _, id := range ids {
+				if id != primary.ID && len(unreachable) < k.databases/2 {
+					unreachable = append(unreachable, id)
+				}
+			}
+			for _, n := range blind {
+				n.cut(unreachable...)
+			}
+			statements := k.statements
+			if statements == nil {
+				statements = []string{"WRITE %s v"}
 			}
 			var acknowledged []string
 			begun := time.Now()
 			for i := 0; time.Since(begun) < 4*time.Second; i++ {
 				key := fmt.Sprint("k", i)
-				if query(t, caller, "WRITE "+key+" v").Error == "" {
+				if queryAll(t, caller, statements, key).Error == "" {
 					acknowledged = append(acknowledged, key)
 				}
 			}
-			primaries := s.group.Term()
+			term := s.group.Term()
 			for _, n := range s.partitions {
 				n.cut()
 			}
 			queryUntilSuccess(t, caller, "WRITE after v")
 			require.NotEmpty(t, acknowledged)
-			require.EqualValues(t, 1+blind, primaries, "two proxies that do not reach a primary replace it")
 			for _, key := range acknowledged {
 				require.NotEmpty(t, s.group.Writes(key), "write %s was acknowledged and is lost", key)
 			}
+			require.EqualValues(t, 1+k.blind, term, "two proxies that do not reach a primary replace it, one does not")
 		})
 	}
 }
