Count departed databases as fenced once a quorum has what they confirmed

What callers would have seen: a primary that crashes within 48 s after another database had crashed for good was not replaced until its own entry was gone, 13 s later. And a commit that a leaving database had confirmed could be lost if the primary crashed right after it had ended.

Cause: of the databases that no longer count as members, earlier memberships waited for those that had crashed, and took those that had announced their end for fenced at once.

Change: a database that is gone needs no fence in earlier memberships once a quorum of the present one has received what the primary had when it was dropped. Statuses are asked for until that is so.

Why it works: what it has confirmed was written before, and each replacement fences a database of that quorum, which has it.

--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -253,7 +253,7 @@
 		g.memberships.settle(provenAt)
 	}
 	if len(g.memberships.earlier) > 0 {
-		g.memberships.removeEarlier(func(until clock.Time) bool { return now >= until && g.majorityPassedLocked(until) })
+		g.memberships.removeEarlier(func(at clock.Time) bool { return now >= at && g.majorityPassedLocked(at) })
 	}
 }
 
@@ -290,9 +290,7 @@
 func (g *Group) StatusesNeeded(now clock.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.memberships.settled() || slices.ContainsFunc(g.memberships.earlier, func(e earlierMembership) bool {
-		return now.Sub(e.endedAt) >= membershipRetention
-	})
+	return !g.memberships.settled() || g.memberships.awaitsPassing(now.Add(-membershipRetention))
 }
 
 // advanceTermLocked makes term the current one if it is later. It drops the
--- a/internal/process/group/membership.go
+++ b/internal/process/group/membership.go
@@ -67,6 +67,14 @@
 	return now.Sub(a.since) >= shrinkDelay || a.leavingSince != 0 && now.Sub(a.leavingSince) >= shrinkDelay
 }
 
+// departure is what is known about a database that no longer counts as a member.
+type departure struct {
+	at clock.Time
+	// passed is set once a quorum of the present membership has all that the database may
+	// have confirmed.
+	passed bool
+}
+
 // memberships has the sets of databases by which the proxies may count one group while
 // databases join and leave it. A commit is confirmed by a quorum of the confirming
 // membership. A replacement needs a fence quorum of the present membership and of all
@@ -84,8 +92,8 @@
 	earlier            []earlierMembership
 	// missing has the databases without a registry entry that still count as members.
 	missing map[string]absence
-	// left has the databases that have left after they had announced it.
-	left map[string]struct{}
+	// departed has the databases of earlier memberships that no longer count as members.
+	departed map[string]departure
 	// changed is set if a membership has been added or removed since the last description.
 	changed bool
 }
@@ -140,7 +148,7 @@
 // markListed records that a database has a registry entry.
 func (s *memberships) markListed(id string) {
 	delete(s.missing, id)
-	delete(s.left, id)
+	delete(s.departed, id)
 }
 
 // removeGone removes the missing databases that no longer count as members.
@@ -150,47 +158,60 @@
 			continue
 		}
 		delete(s.missing, id)
-		if a.leavingSince != 0 {
-			if s.left == nil {
-				s.left = make(map[string]struct{})
-			}
-			s.left[id] = struct{}{}
+		if s.departed == nil {
+			s.departed = make(map[string]departure)
 		}
+		s.departed[id] = departure{at: now}
 	}
 }
 
 // removeEarlier removes the earlier memberships that need not be taken account of any more.
-// These are the ones after whose retention an entry was written that passed reports to be in
-// the logs of a quorum of the present one, so that every replacement keeps what was confirmed
-// by them, and those of which no quorum is left.
-func (s *memberships) removeEarlier(passed func(retainedUntil clock.Time) bool) {
+// passed reports whether a quorum of the present one has an entry that was written at a time or
+// later, so that every replacement keeps what was confirmed before. An earlier membership is
+// removed if that is so after its retention, or if no quorum of it is left.
+func (s *memberships) removeEarlier(passed func(at clock.Time) bool) {
+	for id, d := range s.departed {
+		if !d.passed && passed(d.at) {
+			s.departed[id] = departure{at: d.at, passed: true}
+		}
+	}
 	known := len(s.earlier)
 	s.earlier = slices.DeleteFunc(s.earlier, func(e earlierMembership) bool {
-		remaining := e.count(func(id string) bool { return s.present.has(id) || s.hasLeft(id) })
+		remaining := e.count(func(id string) bool { return s.present.has(id) || s.needsNoFence(id) })
 		return remaining < e.fenceQuorum() || passed(e.endedAt.Add(membershipRetention))
 	})
 	s.changed = s.changed || len(s.earlier) < known
-	for id := range s.left {
+	for id := range s.departed {
 		if !slices.ContainsFunc(s.earlier, func(e earlierMembership) bool { return e.has(id) }) {
-			delete(s.left, id)
+			delete(s.departed, id)
 		}
 	}
 }
 
-func (s *memberships) hasLeft(id string) bool {
-	_, ok := s.left[id]
-	return ok
+// needsNoFence reports whether a database is gone and every replacement keeps what it has
+// confirmed.
+func (s *memberships) needsNoFence(id string) bool { return s.departed[id].passed }
+
+// awaitsPassing reports whether newer positions may end that databases, or a membership that
+// ended by the given time, are taken account of.
+func (s *memberships) awaitsPassing(ended clock.Time) bool {
+	for _, d := range s.departed {
+		if !d.passed {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.earlier, func(e earlierMembership) bool { return e.endedAt <= ended })
 }
 
 // fencesSuffice reports whether the fenced databases intersect every set of databases that
 // could confirm a commit or the primary's leadership, by the present membership or by one
-// that another proxy may still count by. Databases that have left confirm nothing more.
+// that another proxy may still count by.
 func (s *memberships) fencesSuffice(fenced func(id string) bool) bool {
 	if n := s.present.count(fenced); n == 0 || n < s.present.fenceQuorum() {
 		return false
 	}
 	return !slices.ContainsFunc(s.earlier, func(e earlierMembership) bool {
-		return e.count(func(id string) bool { return fenced(id) || s.hasLeft(id) }) < e.fenceQuorum()
+		return e.count(func(id string) bool { return fenced(id) || s.needsNoFence(id) }) < e.fenceQuorum()
 	})
 }
 
