Let databases join beside partitions in the soak

TestSoakWritesAreKeptWhileDatabasesJoin plays the faults of TestSoakWritesAreKept and beside them partitions of the databases, with the primary on one side, while databases join, and the store turns away some of the proxies that reach both.

--- a/soak/kept_test.go
+++ b/soak/kept_test.go
@@ -24,7 +24,17 @@
 		played = append(played, *firstSeed+uint64(i))
 	}
 	for _, seed := range played {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { runKeptSeed(t, program, seed) })
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { runKeptSeed(t, program, seed, false) })
+	}
+}
+
+// No acknowledged write may be lost while proxies know different members of the group either:
+// databases join beside partitions, and the store turns some of the proxies away.
+func TestSoakWritesAreKeptWhileDatabasesJoin(t *testing.T) {
+	program := buildProgram(t)
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { runKeptSeed(t, program, seed, true) })
 	}
 }
 
@@ -33,7 +43,7 @@
 	4, // a replica that had started again confirmed writes beside a replacement
 }
 
-func runKeptSeed(t *testing.T, program string, seed uint64) {
+func runKeptSeed(t *testing.T, program string, seed uint64, join bool) {
 	h := &harness{
 		t: t, random: rand.New(rand.NewPCG(seed, 21)), program: program, dir: t.TempDir(), network: reserveNetwork(t), stop: make(chan struct{}),
 		acknowledged: make(map[string]string), refused: make(map[string]struct{}), ledger: newLedger(), seed: seed,
@@ -68,7 +78,12 @@
 		callers.Go(func() { h.runCaller(i) })
 	}
 	go h.crashBesidePromotions(rand.New(rand.NewPCG(seed, 22)), time.Now().Add(*duration))
+	var partitions sync.WaitGroup
+	if join {
+		partitions.Go(func() { h.joinBesidePartitions(rand.New(rand.NewPCG(seed, 23)), time.Now().Add(*duration), storeLinks) })
+	}
 	h.injectReplacementFaults(storeLinks)
+	partitions.Wait()
 	h.heal()
 	for _, l := range append(storeLinks, h.databaseLinks...) {
 		l.Set(None)
@@ -170,6 +185,69 @@
 	}
 }
 
+// joinBesidePartitions partitions the databases again and again until end, with the primary on
+// one side, and lets databases join about that time. Proxies reach both sides, or only the one
+// without the primary. The store turns away some of those that reach both.
+func (h *harness) joinBesidePartitions(random *rand.Rand, end time.Time, storeLinks []*Link) {
+	for joined := 0; time.Now().Before(end); time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond) {
+		databases := h.group.Databases()
+		slices.SortStableFunc(databases, func(a, b *standin.Database) int {
+			switch {
+			case a.IsPrimary() == b.IsPrimary():
+				return 0
+			case a.IsPrimary():
+				return -1
+			default:
+				return 1
+			}
+		})
+		side := databases[:1+random.IntN(len(databases)/2+1)]
+		var names []string
+		for i, p := range h.proxies {
+			switch {
+			case random.IntN(3) > 0:
+				names = append(names, p.name)
+			case random.IntN(2) == 0:
+				storeLinks[i].Set(Refusing)
+			}
+		}
+		join := func() {
+			if joined++; joined <= 2 {
+				d, err := h.group.Add("a")
+				if err != nil {
+					h.t.Errorf("start another database: %v", err)
+					return
+				}
+				h.note("%s joins", d.ID)
+			}
+		}
+		early := random.IntN(3) > 0
+		if early {
+			join()
+			time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		}
+		h.note("partition of %d databases at %s, which %v do not reach", len(side), side[0].ID, names)
+		h.group.Separate(side...)
+		for i, d := range h.group.Databases()[:len(h.databaseLinks)] {
+			if slices.Contains(side, d) {
+				h.databaseLinks[i].Cut(names...)
+			}
+		}
+		if !early {
+			time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+			join()
+		}
+		time.Sleep(time.Duration(500+random.IntN(4000)) * time.Millisecond)
+		h.group.Separate()
+		for _, l := range h.databaseLinks {
+			l.Cut()
+		}
+		for _, l := range storeLinks {
+			l.Set(None)
+		}
+	}
+}
+
 // restartInSeries lets a database crash and return with its log some times.
 func restartInSeries(d *standin.Database, times int, down time.Duration) {
 	for range times {
