Keep no group of one among the earlier memberships

Cause: databases that start one after the other are a group of one first. Since this membership was taken account of for 48 s, and the only fence that suffices in it is that of the primary.

Ruled out: load of the machine.

Change: a membership of one is not kept, and a proxy counts by a larger one as soon as it knows of it.

Why it works: a replacement that does not know the others has to fence the one database itself. What remains is a proxy that does not hear of a second database: it confirms by the first alone at any time, which no retention covers.

--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -246,11 +246,7 @@
 // need no longer be counted.
 func (g *Group) reviewMembershipsLocked(now clock.Time) {
 	if !g.memberships.settled() {
-		provenAt := g.primaryProvenAtLocked(now)
-		if len(g.memberships.confirming) == 1 {
-			provenAt = g.ledAt
-		}
-		g.memberships.settle(provenAt)
+		g.memberships.settle(g.primaryProvenAtLocked(now))
 	}
 	if len(g.memberships.earlier) > 0 {
 		g.memberships.removeEarlier(func(at clock.Time) bool { return now >= at && g.majorityPassedLocked(at) })
--- a/internal/process/group/membership.go
+++ b/internal/process/group/membership.go
@@ -114,13 +114,18 @@
 	s.earlier = slices.DeleteFunc(s.earlier, func(e earlierMembership) bool {
 		return slices.Equal(e.membership, s.present) || slices.Equal(e.membership, ids)
 	})
-	s.earlier = append(s.earlier, earlierMembership{s.present, now})
+	// A group of one cannot be replaced, and confirms without limit: taking account of it
+	// would only delay the first replacement after a second database has joined.
+	if len(s.present) > 1 {
+		s.earlier = append(s.earlier, earlierMembership{s.present, now})
+	}
 	if s.settled() {
 		s.confirmingProvenAt = provenAt
 	}
 	s.present, s.presentSince = ids, now
-	if ids.count(s.confirming.has) == len(ids) {
-		// Databases that are gone confirm nothing, nor can they be fenced.
+	if len(s.confirming) == 1 || ids.count(s.confirming.has) == len(ids) {
+		// A replacement that did not know the others has fenced the one database. Those
+		// that are gone confirm nothing, nor can they be fenced.
 		s.confirming = ids
 	}
 }
