Let a database at the address of another one take its place

Databases are replaced one after the other, and the primary is cut off at the moment in which a new one appears at the address of one that has ended.

Cause: the new database counted as one that has joined, and the one that had ended as one that may confirm, though no process can be at its address any more.

Change: the new database takes the place of the other one in all memberships once the latter's entry is gone. Its fence counts if it has received what the other one was known to have, or a majority has received what the primary had when it was seen.

Why it works: the other one confirms nothing more, and what it has confirmed is in the log of its successor, to which the platform transfers it.

TestDatabaseAtTheAddressOfAnotherTakesItsPlace failed before in the three of four cases that have the same address.

--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -164,7 +164,7 @@
 		if m.LapsedAt != 0 && now.Sub(m.LapsedAt) >= lapsedTTL {
 			removed = append(removed, id)
 			g.rememberLocked(m.Entry)
-			g.memberships.markMissing(id, absence{since: m.LapsedAt, leavingSince: m.LeavingAt})
+			g.memberships.markMissing(id, m.absence())
 			delete(g.members, id)
 		}
 	}
@@ -193,6 +193,7 @@
 }
 
 func (g *Group) observeMembersLocked(now clock.Time) {
+	g.succeedLocked(now)
 	g.memberships.removeGone(now)
 	if !g.isPresentLocked() {
 		g.memberships.update(now, g.registryProvenAtLocked(), g.memberIDsLocked(), g.term > 0)
@@ -200,23 +201,51 @@
 	g.reviewMembershipsLocked(now)
 }
 
+// succeedLocked looks for databases that have started at the address of one whose entry is gone.
+func (g *Group) succeedLocked(now clock.Time) {
+	if len(g.memberships.present) == 0 {
+		return
+	}
+	at := func(address string) (string, bool) {
+		i := slices.IndexFunc(g.sorted, func(m *Member) bool { return m.LapsedAt == 0 && m.Address == address })
+		if i < 0 {
+			return "", false
+		}
+		return g.sorted[i].ID, true
+	}
+	for _, m := range g.sorted {
+		if m.LapsedAt == 0 || g.memberships.hasSuccessor(m.ID) {
+			continue
+		}
+		if successor, ok := at(m.Address); ok {
+			g.memberships.succeed(now, m.ID, m.absence(), successor)
+		}
+	}
+	for id, a := range g.memberships.missing {
+		if successor, ok := at(a.address); ok {
+			g.memberships.succeed(now, id, a, successor)
+			delete(g.memberships.succeeded, id)
+		}
+	}
+}
+
 // isPresentLocked reports whether the present membership is that of the known databases.
 func (g *Group) isPresentLocked() bool {
-	present := g.memberships.present
-	if len(present) != len(g.sorted)+len(g.memberships.missing) {
-		return false
-	}
+	count := len(g.memberships.missing)
 	for _, m := range g.sorted {
-		if !present.has(m.ID) {
+		if g.memberships.hasSuccessor(m.ID) {
+			continue
+		}
+		if count++; !g.memberships.present.has(m.ID) {
 			return false
 		}
 	}
 	for id := range g.memberships.missing {
-		if !present.has(id) {
+		if !g.memberships.present.has(id) {
 			return false
 		}
 	}
-	return true
+	return len(g.memberships.present) == count
 }
 
 // memberIDsLocked returns the IDs of the known databases and of those that have been missing
@@ -224,7 +253,9 @@
 func (g *Group) memberIDsLocked() membership {
 	ids := make(membership, 0, len(g.sorted)+len(g.memberships.missing))
 	for _, m := range g.sorted {
-		ids = append(ids, m.ID)
+		if !g.memberships.hasSuccessor(m.ID) {
+			ids = append(ids, m.ID)
+		}
 	}
 	for id := range g.memberships.missing {
 		ids = append(ids, id)
@@ -248,7 +279,7 @@
 	if !g.memberships.settled() {
 		g.memberships.settle(g.primaryProvenAtLocked(now))
 	}
-	if len(g.memberships.earlier) > 0 {
+	if len(g.memberships.earlier) > 0 || len(g.memberships.inherited) > 0 {
 		g.memberships.removeEarlier(func(at clock.Time) bool { return now >= at && g.majorityPassedLocked(at) })
 	}
 }
@@ -262,7 +293,7 @@
 	}
 	holders := 0
 	for _, m := range g.sorted {
-		if m.Term == g.term && (m.Role == database.RolePrimary || m.Received.AtLeast(end)) {
+		if g.memberships.present.has(m.ID) && m.Term == g.term && (m.Role == database.RolePrimary || m.Received.AtLeast(end)) {
 			holders++
 		}
 	}
@@ -577,7 +608,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.sufficeLocked(func(id string) bool {
-		return slices.ContainsFunc(fences, func(f Fence) bool { return f.ID == id })
+		return slices.ContainsFunc(fences, func(f Fence) bool { return f.ID == id && g.memberships.hasLog(id, f.Status.Received) })
 	})
 }
 
--- a/internal/process/group/member.go
+++ b/internal/process/group/member.go
@@ -64,6 +64,11 @@
 	return m.Role == database.RolePrimary && m.Term == term && m.AskedAt >= openedAt
 }
 
+// absence returns what is known about the database once its entry is missing.
+func (m *Member) absence() absence {
+	return absence{since: m.LapsedAt, address: m.Address, received: m.Received, leavingSince: m.LeavingAt}
+}
+
 // recordAnswer records an answer received at now, which ends a run of failures.
 func (m *Member) recordAnswer(now clock.Time) {
 	m.AnsweredAt, m.FailingSince, m.Failures = now, 0, 0
--- a/internal/process/group/membership.go
+++ b/internal/process/group/membership.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/oleanderflow/oleanderflow/pkg/clock"
+	"github.com/oleanderflow/oleanderflow/pkg/position"
 )
 
 const (
@@ -46,6 +47,19 @@
 	return n
 }
 
+// replace returns the membership with one database in place of another.
+func (m membership) replace(id, successor string) membership {
+	if !m.has(id) {
+		return m
+	}
+	ids := slices.DeleteFunc(slices.Clone(m), func(other string) bool { return other == id })
+	if !ids.has(successor) {
+		ids = append(ids, successor)
+		slices.Sort(ids)
+	}
+	return ids
+}
+
 // fenceQuorum returns how many fenced databases intersect every quorum.
 func (m membership) fenceQuorum() int { return len(m) - RequiredConfirmations(len(m)) }
 
@@ -58,6 +72,9 @@
 // absence is what is known about a database without a registry entry.
 type absence struct {
 	since clock.Time
+	// address is where it was, and received the end of the log that it was known to have.
+	address  string
+	received position.Position
 	// leavingSince is when the database announced that it is leaving, zero if it has not.
 	leavingSince clock.Time
 }
@@ -75,6 +92,13 @@
 	passed bool
 }
 
+// inheritance is what is known about a database that has taken the place of another one.
+type inheritance struct {
+	at clock.Time
+	// received is the end of the log that the other one was known to have.
+	received position.Position
+}
+
 // memberships has the sets of databases by which the proxies may count one group while
 // databases join and leave it. A commit is confirmed by a quorum of the confirming
 // membership. A replacement needs a fence quorum of the present membership and of all
@@ -94,6 +118,11 @@
 	missing map[string]absence
 	// departed has the databases of earlier memberships that no longer count as members.
 	departed map[string]departure
+	// succeeded has the databases whose place another one has taken, until they are removed.
+	succeeded map[string]struct{}
+	// inherited has the databases that have taken the place of another one, until a quorum
+	// of the present membership has all that the other one may have confirmed.
+	inherited map[string]inheritance
 	// changed is set if a membership has been added or removed since the last description.
 	changed bool
 }
@@ -142,8 +171,36 @@
 	}
 }
 
+// succeed lets a database that has started at the address of another one, whose entry is gone,
+// take its place in all memberships. The platform transfers the log, and the other one confirms
+// nothing more.
+func (s *memberships) succeed(now clock.Time, id string, a absence, successor string) {
+	s.present, s.confirming = s.present.replace(id, successor), s.confirming.replace(id, successor)
+	for i, e := range s.earlier {
+		s.earlier[i].membership = e.replace(id, successor)
+	}
+	s.earlier = slices.DeleteFunc(s.earlier, func(e earlierMembership) bool { return slices.Equal(e.membership, s.present) })
+	if s.inherited == nil {
+		s.succeeded, s.inherited = make(map[string]struct{}), make(map[string]inheritance)
+	}
+	s.inherited[successor] = inheritance{at: now, received: a.received.Max(s.inherited[id].received).Max(s.inherited[successor].received)}
+	s.succeeded[id] = struct{}{}
+	delete(s.inherited, id)
+	delete(s.missing, id)
+	s.changed = true
+}
+
+func (s *memberships) hasSuccessor(id string) bool {
+	_, ok := s.succeeded[id]
+	return ok
+}
+
 // markMissing records that a database without a registry entry is no longer asked.
 func (s *memberships) markMissing(id string, a absence) {
+	if _, ok := s.succeeded[id]; ok {
+		delete(s.succeeded, id)
+		return
+	}
 	if s.missing == nil {
 		s.missing = make(map[string]absence)
 	}
@@ -154,6 +211,7 @@
 func (s *memberships) markListed(id string) {
 	delete(s.missing, id)
 	delete(s.departed, id)
+	delete(s.succeeded, id)
 }
 
 // removeGone removes the missing databases that no longer count as members.
@@ -177,7 +235,13 @@
 func (s *memberships) removeEarlier(passed func(at clock.Time) bool) {
 	for id, d := range s.departed {
 		if !d.passed && passed(d.at) {
-			s.departed[id] = departure{at: d.at, passed: true}
+			d.passed = true
+			s.departed[id] = d
+		}
+	}
+	for id, i := range s.inherited {
+		if passed(i.at) {
+			delete(s.inherited, id)
 		}
 	}
 	known := len(s.earlier)
@@ -205,7 +269,13 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(s.earlier, func(e earlierMembership) bool { return e.endedAt <= ended })
+	return len(s.inherited) > 0 || slices.ContainsFunc(s.earlier, func(e earlierMembership) bool { return e.endedAt <= ended })
+}
+
+// hasLog reports whether a database that has received the log up to a position has that of the
+// one whose place it has taken, if any.
+func (s *memberships) hasLog(id string, received position.Position) bool {
+	return received.AtLeast(s.inherited[id].received)
 }
 
 // fencesSuffice reports whether the fenced databases intersect every set of databases that
--- a/internal/process/group/membership_test.go
+++ b/internal/process/group/membership_test.go
@@ -297,6 +297,56 @@
 	require.True(t, g.FencesSuffice(fences("b", "c")))
 }
 
+// A database that starts at the address of one that has left has its log. The replacement of a
+// primary that is cut off while databases are replaced one after the other waited for the one
+// that had left, until the primary's entry was gone.
+func TestDatabaseAtTheAddressOfAnotherTakesItsPlace(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		absent   clock.Duration
+		address  string
+		received uint64
+		suffices bool
+	}{
+		{"right after it", 1000, "a", 10, true},
+		{"after its removal", 6000, "a", 10, true},
+		{"without its log", 6000, "a", 9, false},
+		{"at another address", 6000, "d", 10, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ticks := &manualClock{now: 100_000}
+			g := newFollowedGroup(ticks, 3)
+			observeAll(g, ticks.now, 10, "a", "b", "c")
+			g.MarkLapsed(ticks.now, "a")
+			for passed := clock.Duration(0); passed < c.absent; passed += 1000 {
+				ticks.now = ticks.now.Add(1000)
+				g.Expire(ticks.now)
+			}
+			g.ObserveEntry(ticks.now, Entry{ID: "d", Group: "shop1", Address: c.address, Slots: 3, Role: database.RoleReplica})
+			g.ObserveMembers(ticks.now)
+			answers := fences("c", "d")
+			answers[1].Status.Received = pos(1, c.received)
+			require.Equal(t, c.suffices, g.FencesSuffice(answers))
+			require.False(t, g.FencesSuffice(answers[1:]))
+			if c.address != "a" {
+				return
+			}
+			require.Equal(t, 3, g.Size())
+			commit := Commit{Database: "b", SentAt: ticks.now, Position: pos(1, 11)}
+			observeStatus(g, "b", ticks.now, database.RolePrimary, 1, 0, pos(1, 11))
+			observeStatus(g, "d", ticks.now, database.RoleReplica, 1, 0, pos(1, 11))
+			g.ObserveNoReplacement(ticks.now, ticks.now)
+			require.Equal(t, CommitConfirmed, g.CheckCommit(commit), "two of three")
+			for range 5 {
+				ticks.now = ticks.now.Add(1000)
+				g.Expire(ticks.now)
+				require.Equal(t, 3, g.Size())
+			}
+			require.False(t, g.StatusesNeeded(ticks.now))
+		})
+	}
+}
+
 // A database whose entry was gone counts again, with and without it.
 func TestReturnedDatabaseCountsAsOneThatHasJoined(t *testing.T) {
 	ticks := &manualClock{now: 100_000}
