Wait for all resume commands before a replacement ends

What callers would have seen: nothing by itself. Commands to resume replicas could still be under way when the claim was closed, and their errors were not logged.

Cause: since the commands are sent in parallel, and the function returned without waiting for them once the lease had ended. Found by reading; the loop takes microseconds, so that no run and no test has shown it.

Change: the loop ends there, the commands are waited for, and all errors are returned. One comment names the step-down command as the code does.

Measured: the tests of internal/front pass.

--- a/internal/front/replacement.go
+++ b/internal/front/replacement.go
@@ -363,8 +363,8 @@
 }
 
 // fenceDatabase pauses a database, and makes it step down before if it leads. Only the term
-// that it holds proves that it receives nothing: a replica answers STEPDOWN like a primary that
-// has stepped down.
+// that it holds proves that it receives nothing: a replica answers the step-down command like a
+// primary that has stepped down.
 func (r *replacement) fenceDatabase(id string, term uint64, leads bool) (database.Status, error) {
 	if !leads {
 		status, err := r.client.Command(id, statement.Pause{Term: term}, commandTimeout)
@@ -472,14 +472,15 @@
 func (r *replacement) resumeReplicas(term uint64, l group.Lease) error {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	var failures error
+	var failures, expired error
 	for _, m := range r.client.Members() {
 		if !m.Releasable(term) {
 			continue
 		}
 		remaining := l.Until.Sub(r.clock.Now())
 		if remaining <= 0 {
-			return &leaseExpiredError{Token: l.Token, Left: remaining, Needed: commandTimeout}
+			expired = &leaseExpiredError{Token: l.Token, Left: remaining, Needed: commandTimeout}
+			break
 		}
 		wg.Go(func() {
 			_, err := r.client.Command(m.ID, statement.Resume{Term: m.FencedTerm}, min(commandTimeout, remaining))
@@ -493,5 +494,5 @@
 		})
 	}
 	wg.Wait()
-	return failures
+	return errors.Join(failures, expired)
 }
